loop: answers that have come are read before calls are given up

The owner of 490 workers ran short of processor; holds whose answers waited in its sockets were given up by curl, their workers were taken to be out of reach, and tasks that had ended there were run again. Ruled out: clocks and lease arithmetic (the log shows one owner, and the runs that were listed ended before the lease did).

- Calls expire in the loop, after all sockets that can be read were read.
Loop.TakesAnAnswerThatCameWhileItWasBusy fails with curl's own time-out.
- cell_tick() went through all workers and jobs after each round of events, more than a thousand times a second; now every 5 ms.
- The settled line of a job says what its time went to, by its worst task.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -10,6 +10,8 @@
 #include "base/logger.h"
 
 #define EVENTS_MAX 64
+/* Rounds of events before the owner of the loop gets its turn. */
+#define ROUNDS_MAX 8
 #define HEADER_MAX 128
 #define FDS_FIRST 256
 /* Unanswered keep-alive probes find a connection that went silent. */
@@ -25,7 +27,10 @@
 	fetch_done done;
 	void *ctx;
 	int64_t sent_ms;
+	int64_t due_ms;
+	bool open;
 	struct loop_call *next;
+	struct loop_call *prev;
 };
 
 struct posted {
@@ -130,6 +135,7 @@
 	l->ctx = ctx;
 	l->connect_ms = LOOP_CONNECT_MS;
 	l->curl_due_ms = INT64_MAX;
+	l->expiry_due_ms = INT64_MAX;
 	l->posts_tail = &l->posts;
 	lock_init(&l->lock);
 	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
@@ -163,14 +169,22 @@
 	free(c);
 }
 
-void loop_finish(struct loop *l)
+static void free_calls(struct loop *l, struct loop_call *c)
 {
-	while (l->idle) {
-		struct loop_call *c = l->idle;
+	struct loop_call *next;
 
-		l->idle = c->next;
+	for (; c; c = next) {
+		next = c->next;
+		if (c->open)
+			curl_multi_remove_handle(l->multi, c->easy);
 		call_free(c);
 	}
+}
+
+void loop_finish(struct loop *l)
+{
+	free_calls(l, l->idle);
+	free_calls(l, l->open);
 	if (l->multi)
 		curl_multi_cleanup(l->multi);
 	free(l->fds);
@@ -219,6 +233,29 @@
 	return c;
 }
 
+static void call_list(struct loop *l, struct loop_call *c)
+{
+	c->open = true;
+	c->prev = NULL;
+	c->next = l->open;
+	if (l->open)
+		l->open->prev = c;
+	l->open = c;
+	if (c->due_ms < l->expiry_due_ms)
+		l->expiry_due_ms = c->due_ms;
+}
+
+static void call_unlist(struct loop *l, struct loop_call *c)
+{
+	c->open = false;
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		l->open = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
 void loop_fetch(struct loop *l, const struct fetch *f, fetch_done done,
 		void *ctx)
 {
@@ -228,6 +265,8 @@
 	c->done = done;
 	c->ctx = ctx;
 	c->sent_ms = clock_boot_ms();
+	c->due_ms = c->sent_ms + f->timeout_ms;
+	call_list(l, c);
 	buf_clear(&c->url);
 	buf_clear(&c->body);
 	buf_clear(&c->reply);
@@ -252,26 +291,24 @@
 		c->headers = curl_slist_append(c->headers, f->header);
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 	curl_easy_setopt(c->easy, CURLOPT_URL, c->url.data);
-	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, f->timeout_ms);
 	l->fetches++;
 	curl_multi_add_handle(l->multi, c->easy);
 }
 
-static void call_finish(struct loop *l, CURL *easy, CURLcode code)
+static void call_finish(struct loop *l, struct loop_call *c, bool whole)
 {
 	struct fetched f = {0};
-	struct loop_call *c;
 	long sent = 0;
 
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
-	curl_multi_remove_handle(l->multi, easy);
+	call_unlist(l, c);
+	curl_multi_remove_handle(l->multi, c->easy);
 	f.sent_ms = c->sent_ms;
-	if (code == CURLE_OK) {
-		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &f.status);
+	if (whole) {
+		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &f.status);
 		f.body.data = c->reply.data;
 		f.body.len = c->reply.len;
 	} else {
-		curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 		f.not_sent = !sent;
 	}
 	c->done(c->ctx, &f);
@@ -288,8 +325,36 @@
 
 		if (!m)
 			return;
-		if (m->msg == CURLMSG_DONE)
-			call_finish(l, m->easy_handle, m->data.result);
+		if (m->msg == CURLMSG_DONE) {
+			struct loop_call *c;
+
+			curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE,
+					  (char **)&c);
+			call_finish(l, c, m->data.result == CURLE_OK);
+		}
+	}
+}
+
+/*
+ * curl would give a call up although its answer waits to be read. A host that
+ * is short of processor comes late to its answers, so they are read first.
+ */
+static void expire_calls(struct loop *l, int64_t now_ms)
+{
+	struct loop_call *c;
+
+	if (now_ms < l->expiry_due_ms)
+		return;
+	l->expiry_due_ms = INT64_MAX;
+	for (c = l->open; c;) {
+		struct loop_call *next = c->next;
+
+		/* New calls go to the front, so @next stays what it is. */
+		if (now_ms >= c->due_ms)
+			call_finish(l, c, false);
+		else if (c->due_ms < l->expiry_due_ms)
+			l->expiry_due_ms = c->due_ms;
+		c = next;
 	}
 }
 
@@ -355,24 +420,38 @@
 	return due_ms > now ? (int)(due_ms - now) : 0;
 }
 
-void loop_run(struct loop *l)
+/* Return: whether more events may wait. */
+static bool round_of_events(struct loop *l, int timeout_ms)
 {
 	struct epoll_event events[EVENTS_MAX];
-	int running, n, i;
+	int running, i;
+	int n = epoll_wait(l->epoll_fd, events, EVENTS_MAX, timeout_ms);
+
+	for (i = 0; i < n; i++)
+		handle(l, &events[i]);
+	if (l->curl_due_ms <= clock_boot_ms()) {
+		l->curl_due_ms = INT64_MAX;
+		curl_multi_socket_action(l->multi, CURL_SOCKET_TIMEOUT, 0,
+					 &running);
+	}
+	finish_calls(l);
+	return n == EVENTS_MAX;
+}
+
+void loop_run(struct loop *l)
+{
 	int64_t due;
+	int rounds;
 
 	while (!l->stopping) {
 		due = clock_boot_ms() + l->ops->tick(l->ctx);
-		n = epoll_wait(l->epoll_fd, events, EVENTS_MAX,
-			       wait_ms(l, due));
-		for (i = 0; i < n; i++)
-			handle(l, &events[i]);
-		if (l->curl_due_ms <= clock_boot_ms()) {
-			l->curl_due_ms = INT64_MAX;
-			curl_multi_socket_action(l->multi, CURL_SOCKET_TIMEOUT,
-						 0, &running);
-		}
-		finish_calls(l);
+		if (l->expiry_due_ms < due)
+			due = l->expiry_due_ms;
+		rounds = 0;
+		if (round_of_events(l, wait_ms(l, due)))
+			while (++rounds < ROUNDS_MAX && round_of_events(l, 0))
+				;
+		expire_calls(l, clock_boot_ms());
 	}
 }
 
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -22,7 +22,7 @@
  * @body: content of a POST; a GET has none
  * @post: POST rather than GET
  * @header: one more header line, or NULL
- * @timeout_ms: bound on the whole exchange
+ * @timeout_ms: bound on the whole exchange, as far as its answer has not come
  */
 struct fetch {
 	const char *url;
@@ -80,6 +80,8 @@
 	struct loop_fd *fds;
 	size_t fd_count;
 	struct loop_call *idle;
+	struct loop_call *open;
+	int64_t expiry_due_ms;
 	struct lock lock; /* LOCK_NET: guards the mailbox */
 	struct posted *posts;
 	struct posted **posts_tail;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -5,6 +5,8 @@
 
 #include "base/logger.h"
 
+/* A host ticks after each round of events; what goes through all workers and
+ * jobs is done at most this often. */
 #define TICK_MIN_MS 5
 #define TICK_MAX_MS 50
 /* Final jobs are looked through for old ones this often. */
@@ -53,6 +55,7 @@
 	c->worker_ops = workers;
 	c->port = port;
 	c->now_ms = now_ms;
+	c->accounted_ms = now_ms;
 	c->wall_ms = wall_ms;
 	c->certain_ms = now_ms + o->takeover_ms;
 	index_init(&c->worker_ids);
@@ -238,6 +241,9 @@
 {
 	c->now_ms = now_ms;
 	c->wall_ms = wall_ms;
+	if (now_ms < c->ticked_ms + TICK_MIN_MS)
+		return c->ticked_ms + TICK_MIN_MS - now_ms;
+	c->ticked_ms = now_ms;
 	if (now_ms >= c->sweep_due_ms) {
 		c->sweep_due_ms = now_ms + SWEEP_PERIOD_MS;
 		drop_final(c);
@@ -250,6 +256,7 @@
 		c->load_due_ms = now_ms + LOAD_PERIOD_MS;
 		log_load(c);
 	}
+	cell_account(c);
 	cell_workers_tick(c);
 	jobs_tick(c);
 	if (c->uncertain && now_ms >= c->certain_ms) {
--- /dev/null
+++ b/src/cell/cell_account.c
@@ -0,0 +1,90 @@
+#include "cell/cell_types.h"
+
+/* Times of a job are added up in steps of at least this length. */
+#define ACCOUNT_PERIOD_MS 50
+
+static const char *const names[TIME_KINDS] = {
+	[TIME_IN_DOUBT] = "in_doubt", [TIME_NO_PLACE] = "no_place",
+	[TIME_PAUSED] = "paused",     [TIME_STORING] = "storing",
+	[TIME_ORDERED] = "ordered",   [TIME_STOPPING] = "stopping",
+	[TIME_SLOWED] = "slowed",     [TIME_RUNNING] = "running",
+};
+
+static enum job_time waiting_kind(const struct cell *c,
+				  const struct cell_task *t)
+{
+	if (c->uncertain && t->in_doubt)
+		return TIME_IN_DOUBT;
+	return c->now_ms < t->retry_ms ? TIME_PAUSED : TIME_NO_PLACE;
+}
+
+static enum job_time task_kind(const struct cell *c, const struct cell_task *t)
+{
+	switch (t->state) {
+	case TASK_RESERVED:
+		return TIME_STORING;
+	case TASK_STARTING:
+		return TIME_ORDERED;
+	case TASK_STOPPING:
+		return TIME_STOPPING;
+	case TASK_RUNNING:
+		return t->pace < PACE_FULL ? TIME_SLOWED : TIME_RUNNING;
+	default:
+		return waiting_kind(c, t);
+	}
+}
+
+static enum job_time step_kind(const struct cell *c, const struct cell_step *st)
+{
+	enum job_time kind = TIME_RUNNING;
+	uint32_t i;
+
+	for (i = 0; i < st->spec->count; i++) {
+		const struct cell_task *t = &st->tasks[i];
+
+		if (t->state != TASK_DONE && task_kind(c, t) < kind)
+			kind = task_kind(c, t);
+	}
+	return kind;
+}
+
+static enum job_time job_kind(const struct cell *c, const struct cell_job *j)
+{
+	enum job_time kind = TIME_RUNNING;
+	uint32_t k;
+	size_t s;
+
+	for (k = 0; k < j->count; k++)
+		for (s = 0; j->occurrences[k].open && s < j->steps; s++) {
+			const struct cell_step *st =
+				&j->occurrences[k].steps[s];
+
+			if (st->done < st->spec->count && cell_step_ready(st) &&
+			    step_kind(c, st) < kind)
+				kind = step_kind(c, st);
+		}
+	return kind;
+}
+
+void cell_account(struct cell *c)
+{
+	int64_t passed = c->now_ms - c->accounted_ms;
+	struct cell_job *j;
+
+	if (passed < ACCOUNT_PERIOD_MS)
+		return;
+	c->accounted_ms = c->now_ms;
+	for (j = c->jobs; j; j = j->next)
+		if (!job_state_final(j->state) && !j->spec->repeat)
+			j->spent_ms[job_kind(c, j)] += (uint32_t)passed;
+}
+
+void cell_account_write(const struct cell_job *j, char *out, size_t size)
+{
+	size_t used = 0, i;
+
+	out[0] = 0;
+	for (i = 0; i < TIME_KINDS && used < size; i++)
+		used += (size_t)snprintf(out + used, size - used, " %s_ms=%u",
+					 names[i], j->spent_ms[i]);
+}
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -168,17 +168,22 @@
 
 void cell_job_settle(struct cell *c, struct cell_job *j, uint32_t state)
 {
+	char spent[ACCOUNT_SIZE];
+
 	if (job_state_final(j->state))
 		return;
 	j->state = state;
 	cell_job_dirty(j);
 	job_each(c, j, cell_task_stop);
+	cell_account_write(j, spent, sizeof(spent));
 	log_line(LOG_INFO, "job settled",
 		 "job=%016" PRIx64 " queue=%s state=%s age_ms=%lld "
-		 "objective_ms=%lld epoch=%" PRIu64,
+		 "objective_ms=%lld epoch=%" PRIu64
+		 " runs_lost=%u runs_failed=%u%s",
 		 j->entry->id, j->spec->queue, job_state_name(state),
 		 (long long)(c->now_ms - j->entry->seen_ms),
-		 (long long)(j->due_ms - j->entry->seen_ms), c->epoch);
+		 (long long)(j->due_ms - j->entry->seen_ms), c->epoch,
+		 j->runs_lost, j->runs_failed, spent);
 }
 
 static void task_done(struct cell *c, struct cell_task *t)
@@ -262,6 +267,8 @@
 		c->counts.ends_failed++;
 	else
 		c->counts.ends_other++;
+	j->runs_failed += how == RUN_FAILED;
+	j->runs_lost += how != RUN_FAILED && how != RUN_DONE;
 	if (job_state_final(j->state) || t->state == TASK_DONE)
 		return;
 	if (how == RUN_DONE && !step_is(t->step, STEP_LASTING)) {
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -89,6 +89,29 @@
 	char checkpoint[CHECKPOINT_SIZE];
 };
 
+/**
+ * enum job_time - what a job waits for, the worst of its tasks first
+ * @TIME_IN_DOUBT: a run under the owner before may still be going on
+ * @TIME_NO_PLACE: no worker has room, or none that the task would not harm
+ * @TIME_PAUSED: between the end of a run and the next start
+ * @TIME_STORING: the intent to start is being stored
+ * @TIME_ORDERED: the start has not been answered
+ * @TIME_STOPPING: a run is being stopped
+ * @TIME_SLOWED: a task is paced down
+ * @TIME_RUNNING: all tasks that may run are at work
+ */
+enum job_time {
+	TIME_IN_DOUBT,
+	TIME_NO_PLACE,
+	TIME_PAUSED,
+	TIME_STORING,
+	TIME_ORDERED,
+	TIME_STOPPING,
+	TIME_SLOWED,
+	TIME_RUNNING,
+	TIME_KINDS,
+};
+
 struct cell_step {
 	struct cell_job *job;
 	const struct job_step *spec;
@@ -114,6 +137,9 @@
  * @placed: tasks on workers
  * @idle_ms: since when nothing of it is on a worker; 0 when something is
  * @state: enum job_state, may be ahead of what is stored
+ * @spent_ms: time under this owner, by enum job_time
+ * @runs_lost: runs that ended neither done nor failed
+ * @runs_failed: runs that failed
  */
 struct cell_job {
 	struct job_entry *entry;
@@ -130,6 +156,9 @@
 	bool storing;
 	int64_t due_ms;
 	int64_t idle_ms;
+	uint32_t spent_ms[TIME_KINDS];
+	uint32_t runs_lost;
+	uint32_t runs_failed;
 	struct cell_job *next;
 	struct cell_job *prev;
 };
@@ -214,6 +243,7 @@
 	void *port;
 	int64_t now_ms;
 	int64_t wall_ms;
+	int64_t ticked_ms;
 	int64_t authority_ms;
 	int64_t certain_ms;
 	bool uncertain;
@@ -222,6 +252,7 @@
 	bool place_due;
 	uint32_t calls;
 	int64_t placed_at_ms;
+	int64_t accounted_ms;
 	int64_t sweep_due_ms;
 	int64_t load_due_ms;
 	int64_t learned_due_ms;
@@ -365,6 +396,26 @@
 /* cell_place.c */
 void cell_place(struct cell *c);
 
+/**
+ * cell_step_ready() - whether all steps that it comes after are done
+ */
+bool cell_step_ready(const struct cell_step *st);
+
+/* cell_account.c */
+
+/* Room for the sums of a job as text. */
+#define ACCOUNT_SIZE 256
+
+/**
+ * cell_account() - add the time since the last call to what each job waits for
+ */
+void cell_account(struct cell *c);
+
+/**
+ * cell_account_write() - the sums as fields of a log line
+ */
+void cell_account_write(const struct cell_job *j, char *out, size_t size);
+
 /* cell_pace.c */
 void cell_pace(struct cell *c, struct cell_worker *w);
 
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -20,6 +20,7 @@
 	order_done done;
 	hold_done held;
 	void *ctx;
+	int64_t at;
 };
 
 struct Row {
@@ -98,6 +99,7 @@
 			call.hold = *h;
 			call.held = d;
 			call.ctx = ctx;
+			call.at = ((CellWorld *)p)->now;
 			((CellWorld *)p)->calls.push_back(call);
 			((CellWorld *)p)->holds++;
 		};
@@ -303,7 +305,10 @@
 			lose(call);
 			return;
 		}
-		if (call.kind == Call::HOLD)
+		if (call.kind == Call::HOLD && keeps_holds && w.ended.empty() &&
+		    now < call.at + call.hold.wait_ms)
+			calls.push_back(call);
+		else if (call.kind == Call::HOLD)
 			hold(w, call);
 		else
 			obey(w, call);
@@ -315,6 +320,7 @@
 	bool authority = true;
 	bool storing = true;
 	bool fenced = false;
+	bool keeps_holds = false; /* as workers do, until an end or the time */
 	std::set<std::string> closed;
 	std::map<std::string, FakeWorker> workers;
 	std::map<std::string, worker_entry> entries;
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,6 +12,8 @@
 namespace
 {
 
+std::atomic<int> requests;
+
 struct Answers {
 	loop *l;
 	int left;
@@ -37,6 +41,10 @@
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		ops.tick = [](void *ctx) {
 			Loop *t = (Loop *)ctx;
+			if (t->busy_once && requests) {
+				t->busy_once = false;
+				usleep(200000);
+			}
 			if (t->ticks++ == 10 && t->full >= 0)
 				close(t->full);
 			return (int64_t)20;
@@ -46,6 +54,7 @@
 		server = {};
 		server.threads = 1;
 		server.handle = [](void *, http_request *r) {
+			requests++;
 			usleep(20000); /* the answer is not there at once */
 			http_reply(r, 200, 0, "hello", 5);
 		};
@@ -91,6 +100,7 @@
 
 	loop l;
 	int ticks = 0;
+	bool busy_once = false;
 	int full = -1;
 	loop_ops ops;
 	http_server server;
@@ -114,6 +124,53 @@
 	EXPECT_TRUE(a.not_sent[0]);
 }
 
+/*
+ * Found in a hunt of a grown deployment: the owner, short of processor, gave
+ * calls up whose answers had come, and took their workers to be out of reach.
+ */
+TEST_F(Loop, TakesAnAnswerThatCameWhileItWasBusy)
+{
+	std::string url =
+		"http://127.0.0.1:" + std::to_string(server.port) + "/x";
+	Answers a = {&l, 1, {}, {}, ""};
+	struct fetch f = {};
+
+	f.url = url.c_str();
+	f.timeout_ms = 100;
+	busy_once = true; /* for longer than the call's time */
+	requests = 0;
+	loop_fetch(&l, &f, on_fetched, &a);
+	loop_run(&l);
+	EXPECT_EQ(a.statuses[0], 200);
+}
+
+TEST_F(Loop, GivesUpACallThatGetsNoAnswer)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in sin = {};
+	socklen_t len = sizeof(sin);
+
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (sockaddr *)&sin, len);
+	listen(fd, 4);
+	getsockname(fd, (sockaddr *)&sin, &len);
+	std::string url =
+		"http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) +
+		"/x";
+	Answers a = {&l, 2, {}, {}, ""};
+	struct fetch f = {};
+
+	f.url = url.c_str();
+	f.timeout_ms = 100;
+	loop_fetch(&l, &f, on_fetched, &a);
+	loop_fetch(&l, &f, on_fetched, &a);
+	loop_run(&l);
+	EXPECT_EQ(a.statuses, std::vector<long>({0, 0}));
+	EXPECT_FALSE(a.not_sent[0]);
+	close(fd);
+}
+
 /*
  * Found on a bench day with workers cut off: a descriptor whose connection was
  * refused late was taken to be watched still, so that whatever used its number
