host: weak hosts own the cell only while no other can

Ruled out: the leases (they ran out as they should) and the room (serving tasks had it).

A reserve now joins only with a log that is read to its end, at a moment of its own, and leaves once another member holds the cell or has shared the group for 3 s. Candidate.* are new; ReserveWaitsUntilItsLogIsRead is the case found.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -37,11 +37,8 @@
 #define STOP_SERVE_MS 3500
 #define STOP_MARGIN_MS 800
 #define TICK_MS 50
-/* Processor of a host that offers itself as owner at once, thousandths of a
- * core; others wait until no owner has shown for so long: a takeover takes
- * two to three seconds. */
-#define OWNER_CPU_MILLI 200
-#define OWNER_ABSENT_MS 6000
+/* A log read within this time shows whether the cell has an owner. */
+#define CANDIDATE_AGE_MS 1500
 /* Part of the descriptors that may hold connections for reuse. */
 #define CONNECTIONS_DIVISOR 2
 #define METRICS_PATH "/metrics"
@@ -307,15 +304,6 @@
  * A small host joins only while no owner shows: it could not keep up with a
  * large cell. Once it has joined it stays, for it may hold the cell.
  */
-static bool may_own(const struct host *h)
-{
-	if (h->settings.cpu_milli >= OWNER_CPU_MILLI || h->member.generation)
-		return true;
-	return h->job_follower.loaded &&
-	       h->now_ms - h->jobs.owner_ms > OWNER_ABSENT_MS &&
-	       h->now_ms - h->started_ms > OWNER_ABSENT_MS;
-}
-
 static int64_t on_tick(void *ctx)
 {
 	struct host *h = ctx;
@@ -326,8 +314,12 @@
 	check_stop(h);
 	follower_tick(&h->operators, h->now_ms);
 	follower_tick(&h->job_follower, h->now_ms);
-	if (may_own(h))
-		member_tick(&h->member, h->now_ms);
+	if (!h->stop_ms)
+		candidate_tick(&h->candidate, &h->member, FIRST_CELL,
+			       h->jobs.owner_ms,
+			       follower_is_fresh(&h->job_follower, h->now_ms,
+						 CANDIDATE_AGE_MS),
+			       h->now_ms);
 	wait = owner_tick(&h->owner, &h->member, h->now_ms, clock_wall_ms());
 	host_calls_tick(h);
 	check_ready(h);
@@ -411,6 +403,8 @@
 	snprintf(name, sizeof(name), "%.40s-%" PRIx64, h->settings.name,
 		 (uint64_t)clock_wall_ms());
 	member_init(&h->member, &platform_store_ops, &h->platform, name, ttl);
+	candidate_init(&h->candidate, h->settings.cpu_milli,
+		       h->settings.store_parts, &h->member, h->now_ms);
 }
 
 static void init_store(struct host *h)
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -5,6 +5,7 @@
 #include "adapters/loop.h"
 #include "base/histogram.h"
 #include "cell/queue_table.h"
+#include "host/candidate.h"
 #include "host/owner.h"
 #include "platform/platform.h"
 #include "platform/settings.h"
@@ -47,6 +48,7 @@
 	struct follower operators;
 	struct follower job_follower;
 	struct member member;
+	struct candidate candidate;
 	struct owner owner;
 	struct cell_ops cell_ops;
 	struct host_call *calls;
--- a/src/host/member.c
+++ b/src/host/member.c
@@ -64,5 +64,12 @@
 		return;
 	m->left = true;
 	m->held = 0;
+	m->generation = 0;
 	m->store->leave(m->port, m->name, on_leave, m);
 }
+
+void member_enter(struct member *m)
+{
+	m->left = false;
+	m->due_ms = 0;
+}
--- a/src/host/member.h
+++ b/src/host/member.h
@@ -14,6 +14,7 @@
  * @generation: last one received
  * @held: cells held, as a bit set
  * @until_ms: boot time until which @held is certain
+ * @left: not in the group, and not to join it
  */
 struct member {
 	const struct store_ops *store;
@@ -38,6 +39,11 @@
  */
 void member_leave(struct member *m);
 
+/**
+ * member_enter() - join again after a leave, or for the first time
+ */
+void member_enter(struct member *m);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/tests/candidate_test.cc
@@ -0,0 +1,107 @@
+#include <gtest/gtest.h>
+
+#include "host/candidate.h"
+#include "tests/fake_store.h"
+
+namespace
+{
+
+constexpr uint32_t CELL = 0;
+constexpr uint32_t PARTS = 4;
+
+/* A host with its membership; the test says what its log shows. */
+struct Host {
+	Host(FakeStore *s, const char *name, uint32_t cpu_milli) : store(s)
+	{
+		member_init(&m, &s->ops, s, name, 2000);
+		candidate_init(&c, cpu_milli, PARTS, &m, 0);
+	}
+
+	void run(int64_t until_ms)
+	{
+		for (; now < until_ms; now += 50) {
+			candidate_tick(&c, &m, CELL, owner_ms, fresh, now);
+			store->now = now;
+			store->run();
+		}
+	}
+
+	bool owns() const
+	{
+		return m.held >> CELL & 1;
+	}
+
+	FakeStore *store;
+	member m;
+	candidate c;
+	int64_t now = 0;
+	int64_t owner_ms = 0;
+	bool fresh = true;
+};
+
+TEST(Candidate, StrongHostJoinsAtOnce)
+{
+	FakeStore s;
+	Host h(&s, "strong", 500);
+
+	h.run(200);
+	EXPECT_TRUE(h.owns());
+}
+
+TEST(Candidate, ReserveStepsInWhenNoOwnerShows)
+{
+	FakeStore s;
+	Host h(&s, "weak", 120);
+
+	s.dealt = 0xf;
+	h.run(5900);
+	EXPECT_FALSE(h.owns());
+	h.run(13000);
+	EXPECT_TRUE(h.owns());
+}
+
+/* Found on a bench day with a zone cut off: its weak hosts joined on their
+ * return, before they had read that there was an owner, and one got the cell.
+ */
+TEST(Candidate, ReserveWaitsUntilItsLogIsRead)
+{
+	FakeStore s;
+	Host h(&s, "weak", 120);
+
+	h.fresh = false;
+	h.run(20000);
+	EXPECT_FALSE(h.owns());
+	h.fresh = true;
+	h.owner_ms = 19900;
+	h.run(22000);
+	EXPECT_FALSE(h.owns());
+}
+
+TEST(Candidate, ReserveLeavesWhenAnotherHoldsTheCell)
+{
+	FakeStore s;
+	Host h(&s, "weak", 120);
+
+	s.holder = "another";
+	h.run(13000);
+	EXPECT_TRUE(h.m.left);
+}
+
+TEST(Candidate, ReserveMakesRoomForAMemberThatStays)
+{
+	FakeStore s;
+	Host h(&s, "weak", 120);
+
+	s.dealt = 0xf;
+	h.run(13000);
+	ASSERT_TRUE(h.owns());
+	h.owner_ms = 12900;
+	s.dealt = 0x5; /* a strong host has joined and holds the rest */
+	h.run(14500);
+	EXPECT_FALSE(h.m.left);
+	h.run(18000);
+	EXPECT_TRUE(h.m.left);
+	EXPECT_EQ(s.holder, "");
+}
+
+} /* namespace */
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -70,6 +70,7 @@
 	int64_t now = 0;
 	uint64_t generation = 1;
 	std::string holder; /* the member that holds cell 0 */
+	uint64_t dealt = 1; /* and what else it holds */
 	uint64_t epoch = 0;
 	uint64_t seq = 0;
 	uint64_t trimmed = 0; /* records before this offset are gone */
@@ -210,7 +211,7 @@
 			generation++;
 		}
 		r.generation = generation;
-		r.held = holder == member;
+		r.held = holder == member ? dealt : 0;
 		answer(r, d, ctx);
 	}
 };
