cell: a pass of placement looks only at workers that have changed

Load: a long queue on many workers: each pass of 10 ms searched 490 workers for each kind of need, sorted the queue with ranks computed anew in each comparison, and went through all jobs for what to store.

A need that found no worker is kept for 250 ms with the version of the cell; a later pass looks at workers changed since. Ranks are computed once, dirty jobs are in a list, what serves on a worker is looked up once a look.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -12,6 +12,8 @@
 /* Final jobs are looked through for old ones this often. */
 #define SWEEP_PERIOD_MS 5000
 #define LOAD_PERIOD_MS 1000
+/* Occurrences begin, and jobs that are over leave, within this time. */
+#define JOBS_PERIOD_MS 20
 /* What is learned of images is stored this often, for the next owner, and as
  * a sign that the cell has one. */
 #define LEARNED_PERIOD_MS 2000
@@ -131,13 +133,12 @@
 
 	if (c->batch_open)
 		return false;
-	for (j = c->jobs; j; j = j->next) {
-		if (!j->dirty)
-			continue;
+	for (j = c->dirty; j; j = j->next_dirty) {
 		cell_progress_write(c, j, out);
 		j->dirty = false;
 		j->storing = true;
 	}
+	c->dirty = NULL;
 	buf_add(out, c->extra.data, c->extra.len);
 	buf_clear(&c->extra);
 	for (t = c->reserved; t; t = t->next_reserved)
@@ -227,6 +228,9 @@
 {
 	struct cell_job *j, *next;
 
+	if (c->now_ms < c->jobs_due_ms)
+		return;
+	c->jobs_due_ms = c->now_ms + JOBS_PERIOD_MS;
 	for (j = c->jobs; j; j = next) {
 		next = j->next;
 		if (j->spec->repeat && !job_state_final(j->state))
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -77,7 +77,8 @@
 	return s->cpu / (w->entry.cpu + 1.0);
 }
 
-static struct serving_view *view_of(struct cell_worker *w, uint64_t image)
+static struct serving_view *view_of(const struct cell *c, struct cell_worker *w,
+				    uint64_t image)
 {
 	size_t i;
 
@@ -89,6 +90,9 @@
 	w->view[w->view_count].image = image;
 	w->view[w->view_count].headroom = HUGE_HEADROOM;
 	w->view[w->view_count].effect = 0;
+	w->view[w->view_count].base =
+		disturb_base(&c->disturb, image,
+			     &w->view[w->view_count].spread);
 	return &w->view[w->view_count++];
 }
 
@@ -114,7 +118,7 @@
 
 		if (!step_serves(t->step))
 			continue;
-		v = view_of(w, t->step->image);
+		v = view_of(c, w, t->step->image);
 		if (v && t->headroom > 0 && t->headroom < v->headroom)
 			v->headroom = t->headroom;
 	}
@@ -142,13 +146,12 @@
 	*cost = 0;
 	for (i = 0; i < w->view_count; i++) {
 		const struct serving_view *v = &w->view[i];
-		double spread, doubt, more, base, now;
+		double doubt, more, now;
 
-		base = disturb_base(&c->disturb, v->image, &spread);
-		disturb_effect(&c->disturb, v->image, st->image, &doubt);
-		more = effect_of(c, v->image, st->image, share);
+		more = disturb_effect(&c->disturb, v->image, st->image, &doubt);
+		more = share * (more + doubt / 2);
 		now = v->headroom < HUGE_HEADROOM ? v->headroom
-						  : base - v->effect;
+						  : v->base - v->effect;
 		if (more > *cost)
 			*cost = more;
 		if (more < EFFECT_HARMLESS && v->effect + more < EFFECT_SUM_MAX)
@@ -157,7 +160,7 @@
 			welcome &= now >= HEADROOM_TRIAL;
 		else
 			welcome &= now - more >= HEADROOM_KEEP &&
-				   base - spread - v->effect - more >=
+				   v->base - v->spread - v->effect - more >=
 					   HEADROOM_KEEP_LOADED;
 	}
 	return welcome;
@@ -212,9 +215,9 @@
 	double left = free_share(w) - share_of(s, w), cost;
 
 	if (s->flags & STEP_FILLER) {
-		bool welcome = is_welcome(c, st, w, &cost);
-
-		if (!starved && (!welcome || !has_filling_room(st, w)))
+		if (!starved && !has_filling_room(st, w))
+			return -EBUSY;
+		if (!is_welcome(c, st, w, &cost) && !starved)
 			return -EBUSY;
 		cost = cost * EFFECT_WEIGHT - left;
 	} else if (step_serves(st)) {
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -140,9 +140,13 @@
 	out->run = t->run;
 }
 
-void cell_job_dirty(struct cell_job *j)
+void cell_job_dirty(struct cell *c, struct cell_job *j)
 {
+	if (j->dirty)
+		return;
 	j->dirty = true;
+	j->next_dirty = c->dirty;
+	c->dirty = j;
 }
 
 static void step_each(struct cell *c, struct cell_step *st,
@@ -173,7 +177,7 @@
 	if (job_state_final(j->state))
 		return;
 	j->state = state;
-	cell_job_dirty(j);
+	cell_job_dirty(c, j);
 	job_each(c, j, cell_task_stop);
 	cell_account_write(j, spent, sizeof(spent));
 	log_line(LOG_INFO, "job settled",
@@ -193,7 +197,7 @@
 
 	t->state = TASK_DONE;
 	st->done++;
-	cell_job_dirty(j);
+	cell_job_dirty(c, j);
 	c->place_due = true;
 	if (st->done < st->spec->count)
 		return;
@@ -243,7 +247,7 @@
 		t->failed_runs[t->failures] = run & RUN_MARK;
 	if (t->failures < UINT8_MAX)
 		t->failures++;
-	cell_job_dirty(j);
+	cell_job_dirty(c, j);
 	log_line(LOG_INFO, "task failed",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u failures=%u "
 		 "max=%u",
@@ -304,7 +308,12 @@
 static void unlist(struct cell *c, const struct cell_job *j)
 {
 	struct cell_task **at = &c->reserved;
+	struct cell_job **dirty = &c->dirty;
 
+	while (j->dirty && *dirty != j)
+		dirty = &(*dirty)->next_dirty;
+	if (j->dirty)
+		*dirty = j->next_dirty;
 	while (*at) {
 		if ((*at)->step->job == j)
 			*at = (*at)->next_reserved;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -38,19 +38,12 @@
 		       : 2;
 }
 
-struct rank {
-	uint32_t late;
-	uint32_t priority;
-	uint32_t lasting; /* short work first: it gives its room back */
-	int64_t due_ms;
-};
-
-static struct rank rank_of(const struct cell *c, const struct cell_step *st)
+static struct cell_waiting rank_of(const struct cell *c, struct cell_step *st)
 {
 	const struct cell_job *j = st->job;
 	bool lasting = step_is(st, STEP_LASTING);
-	struct rank r = {lasting ? 0 : lateness_of(c, j), j->spec->priority,
-			 lasting, j->due_ms};
+	struct cell_waiting r = {lasting ? 0 : lateness_of(c, j),
+				 j->spec->priority, lasting, j->due_ms, st};
 
 	if (j->spec->repeat)
 		r.due_ms = j->occurrences[st->occurrence].due_ms +
@@ -58,33 +51,25 @@
 	return r;
 }
 
-static int64_t rank_cmp(const struct rank *a, const struct rank *b)
+static int order_of(uint64_t a, uint64_t b)
 {
-	if (a->late != b->late)
-		return (int64_t)a->late - b->late;
-	if (a->priority != b->priority)
-		return (int64_t)a->priority - b->priority;
-	if (a->lasting != b->lasting)
-		return (int64_t)a->lasting - b->lasting;
-	return a->due_ms - b->due_ms;
+	return (a > b) - (a < b);
 }
 
-/* The cell of the pass: qsort() hands no context to its comparison. */
-static _Thread_local const struct cell *sorting;
-
-static int step_cmp(const void *pa, const void *pb)
+static int waiting_cmp(const void *pa, const void *pb)
 {
-	const struct cell_step *a = *(struct cell_step *const *)pa;
-	const struct cell_step *b = *(struct cell_step *const *)pb;
-	struct rank ra = rank_of(sorting, a), rb = rank_of(sorting, b);
-	int64_t d = rank_cmp(&ra, &rb);
+	const struct cell_waiting *a = pa, *b = pb;
+	int d = order_of(a->late, b->late);
 
 	if (!d)
-		d = (int64_t)(a->job->entry->id > b->job->entry->id) -
-		    (int64_t)(a->job->entry->id < b->job->entry->id);
+		d = order_of(a->priority, b->priority);
+	if (!d)
+		d = order_of(a->lasting, b->lasting);
 	if (!d)
-		d = (int64_t)a->number - b->number;
-	return d < 0 ? -1 : d > 0;
+		d = (a->due_ms > b->due_ms) - (a->due_ms < b->due_ms);
+	if (!d)
+		d = order_of(a->step->job->entry->id, b->step->job->entry->id);
+	return d ? d : order_of(a->step->number, b->step->number);
 }
 
 static void queue_push(struct cell *c, size_t n, struct cell_step *st)
@@ -93,7 +78,7 @@
 		c->queue_cap = c->queue_cap ? c->queue_cap * 2 : 64;
 		c->queue = xrealloc(c->queue, c->queue_cap * sizeof(*c->queue));
 	}
-	c->queue[n] = st;
+	c->queue[n] = rank_of(c, st);
 }
 
 static size_t collect_job(struct cell *c, struct cell_job *j, size_t n)
@@ -129,9 +114,8 @@
 		if (j->waiting && !job_state_final(j->state))
 			n = collect_job(c, j, n);
 	}
-	sorting = c;
 	if (n)
-		qsort(c->queue, n, sizeof(*c->queue), step_cmp);
+		qsort(c->queue, n, sizeof(*c->queue), waiting_cmp);
 	return n;
 }
 
@@ -154,19 +138,21 @@
 	       c->ops->zone_open(c->ctx, w->entry.zone);
 }
 
+/* The best of the workers that have changed after @since. */
 static struct cell_worker *choose(const struct cell *c,
 				  const struct cell_task *t, uint64_t service,
-				  const char *rack, bool starved)
+				  const char *rack, bool starved,
+				  uint64_t since)
 {
 	struct cell_worker *w, *best = NULL;
 	double best_cost = 0;
 
-	for (w = c->workers; w; w = w->next) {
+	for (w = c->changed; w && w->version > since; w = w->older) {
 		double cost;
 
 		if (w->service != service || !w->usable ||
-		    !has_label(w, t->step->spec->worker_label) ||
 		    !cell_fits(t->step, w) ||
+		    !has_label(w, t->step->spec->worker_label) ||
 		    (rack && strcmp(rack, cell_worker_rack(w))))
 			continue;
 		if (cell_cost(c, t, w, starved, &cost) ||
@@ -178,21 +164,9 @@
 	return best;
 }
 
-/*
- * Needs that found no worker in this pass. A step that needs as much or more
- * of the same finds none either: a long queue costs one search for each kind.
- */
-#define MISSES_MAX 64
-
-struct miss {
-	uint64_t service;
-	uint64_t image;
-	uint64_t label;
-	uint32_t filler;
-	uint32_t cpu;
-	uint32_t memory_mb;
-	uint32_t accelerators;
-};
+/* All workers are looked at again so often: pauses run out, zones open, and
+ * what is learned elsewhere holds for all. */
+#define MISS_KEEP_MS 250
 
 /**
  * struct pass - one pass of placement
@@ -201,46 +175,67 @@
 struct pass {
 	uint64_t pool;
 	bool pool_idle;
-	struct miss misses[MISSES_MAX];
-	size_t count;
 };
 
-static struct miss need_of(const struct cell_step *st, uint64_t service)
+static struct cell_miss need_of(const struct cell_step *st, uint64_t service)
 {
 	const struct job_step *s = st->spec;
-	struct miss m = {service,
-			 s->flags & STEP_FILLER ? st->image : 0,
-			 name_hash(s->worker_label),
-			 s->flags & STEP_FILLER,
-			 s->cpu,
-			 s->memory_mb,
-			 s->accelerators};
+	struct cell_miss m = {0};
 
+	m.service = service;
+	/* A limit of tasks on one worker says nothing of other steps. */
+	if (s->per_worker)
+		m.step = st->job->entry->id + st->number;
+	m.image = s->flags & STEP_FILLER ? st->image : 0;
+	m.label = name_hash(s->worker_label);
+	m.filler = s->flags & STEP_FILLER;
+	m.cpu = s->cpu;
+	m.memory_mb = s->memory_mb;
+	m.accelerators = s->accelerators;
 	return m;
 }
 
-static bool has_missed(const struct pass *p, const struct miss *need)
+static bool covers(const struct cell_miss *m, const struct cell_miss *need)
 {
+	return m->service == need->service && m->step == need->step &&
+	       m->image == need->image && m->label == need->label &&
+	       m->filler == need->filler && m->cpu <= need->cpu &&
+	       m->memory_mb <= need->memory_mb &&
+	       m->accelerators <= need->accelerators;
+}
+
+/*
+ * A step that needs as much or more of the same as one that found no worker
+ * finds none either, but for workers that have changed since.
+ */
+static struct cell_miss *find_miss(struct cell *c, const struct cell_miss *need)
+{
+	struct cell_miss *best = NULL;
 	size_t i;
 
-	for (i = 0; i < p->count; i++) {
-		const struct miss *m = &p->misses[i];
+	for (i = 0; i < MISSES_MAX; i++) {
+		struct cell_miss *m = &c->misses[i];
 
-		if (m->service == need->service && m->image == need->image &&
-		    m->label == need->label && m->filler == need->filler &&
-		    m->cpu <= need->cpu && m->memory_mb <= need->memory_mb &&
-		    m->accelerators <= need->accelerators)
-			return true;
+		if (m->at_ms && c->now_ms - m->at_ms < MISS_KEEP_MS &&
+		    covers(m, need) && (!best || m->version > best->version))
+			best = m;
 	}
-	return false;
+	return best;
 }
 
-static void add_miss(struct pass *p, const struct cell_step *st,
-		     const struct miss *need)
+static void note_miss(struct cell *c, const struct cell_miss *need,
+		      struct cell_miss *known)
 {
-	/* A limit of tasks on one worker says nothing of other steps. */
-	if (!st->spec->per_worker && p->count < MISSES_MAX)
-		p->misses[p->count++] = *need;
+	struct cell_miss *m = known;
+
+	if (!m || !covers(need, m)) {
+		m = &c->misses[c->miss_next++ % MISSES_MAX];
+		if (m == known) /* the ring came round to it */
+			m = &c->misses[c->miss_next++ % MISSES_MAX];
+		*m = *need;
+		m->at_ms = known ? known->at_ms : c->now_ms;
+	}
+	m->version = c->version;
 }
 
 static bool is_pool_idle(const struct cell *c, uint64_t service)
@@ -327,7 +322,7 @@
 
 	while (n < s->count) {
 		struct cell_worker *w =
-			choose(c, &st->tasks[n], service, rack, false);
+			choose(c, &st->tasks[n], service, rack, false, 0);
 
 		if (!w)
 			break;
@@ -386,16 +381,19 @@
 static void place_step(struct cell *c, struct cell_step *st, struct pass *p)
 {
 	uint64_t service = service_of(c, st);
-	struct miss need = need_of(st, service);
+	struct cell_miss need = need_of(st, service), *known;
+	uint64_t since;
+	bool starved;
 	uint32_t i;
 
 	if (step_is(st, STEP_GANG)) {
 		place_gang(c, st, service);
 		return;
 	}
-	bool starved = is_starved(c, st, service, p);
-
-	if (!starved && has_missed(p, &need))
+	known = find_miss(c, &need);
+	since = known ? known->version : 0;
+	starved = is_starved(c, st, service, p);
+	if (since == c->version && !starved)
 		return;
 	for (i = 0; i < st->spec->count && st->waiting; i++) {
 		struct cell_task *t = &st->tasks[i];
@@ -404,12 +402,12 @@
 		if (t->state != TASK_WAITING || c->now_ms < t->retry_ms ||
 		    (c->uncertain && t->in_doubt))
 			continue;
-		w = choose(c, t, service, NULL, starved);
-		starved = false;
+		w = choose(c, t, service, NULL, starved, starved ? 0 : since);
 		if (!w) {
-			add_miss(p, st, &need);
+			note_miss(c, &need, known);
 			break;
 		}
+		starved = false;
 		cell_task_place(c, t, w);
 	}
 }
@@ -426,5 +424,5 @@
 	c->place_due = false;
 	n = collect(c);
 	for (i = 0; i < n; i++)
-		place_step(c, c->queue[i], &p);
+		place_step(c, c->queue[i].step, &p);
 }
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -61,6 +61,7 @@
 		t->worker->first = t->next;
 	if (t->next)
 		t->next->prev = t->prev;
+	cell_worker_changed(c, t->worker);
 	t->worker = NULL;
 	t->state = TASK_WAITING;
 	t->step->waiting++;
@@ -92,7 +93,7 @@
 	if (j->state != JOB_QUEUED)
 		return;
 	j->state = JOB_RUNNING;
-	cell_job_dirty(j);
+	cell_job_dirty(c, j);
 }
 
 /* The run behind @ref, when it is still the task's current one on @w. */
@@ -207,7 +208,7 @@
 	t->storing_intent = false;
 	t->next_reserved = c->reserved;
 	c->reserved = t;
-	cell_job_dirty(t->step->job);
+	cell_job_dirty(c, t->step->job);
 }
 
 void cell_start_reserved(struct cell *c)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -161,6 +161,7 @@
 	uint32_t runs_failed;
 	struct cell_job *next;
 	struct cell_job *prev;
+	struct cell_job *next_dirty;
 };
 
 /* Serving images on one worker that are told apart. */
@@ -171,11 +172,14 @@
  * struct serving_view - what filling tasks leave to one image on a worker
  * @headroom: least smoothed headroom of its tasks
  * @effect: headroom that all filling tasks there take, with doubt added
+ * @base: headroom of the image with nothing beside it, and its @spread
  */
 struct serving_view {
 	uint64_t image;
 	double headroom;
 	double effect;
+	double base;
+	double spread;
 };
 
 /**
@@ -190,6 +194,7 @@
  * @misses: holds in a row that got no answer
  * @troubles: refused orders since its last good end
  * @view: serving images there; to be made anew when @view_stale
+ * @version: rises when it may take what it did not take before
  * @seen: greatest number of an end taken in
  * @storing: @seen at the batch that is being stored
  * @ack: ends up to here are stored
@@ -230,9 +235,48 @@
 	struct serving_view view[SERVING_IMAGES_MAX];
 	size_t view_count;
 	int64_t paced_ms;
+	uint64_t version;
+	struct cell_worker *older;
+	struct cell_worker *newer;
 	struct cell_worker *next;
 };
 
+/* Needs that are known to find no worker. */
+#define MISSES_MAX 64
+
+/**
+ * struct cell_miss - a need that found no worker
+ * @step: the step, where its tasks may not share a worker; else 0
+ * @image: of a filling step, else 0
+ * @version: workers changed later may do
+ * @at_ms: when all workers were looked at
+ */
+struct cell_miss {
+	uint64_t service;
+	uint64_t step;
+	uint64_t image;
+	uint64_t label;
+	uint32_t filler;
+	uint32_t cpu;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	uint64_t version;
+	int64_t at_ms;
+};
+
+/**
+ * struct cell_waiting - a step with tasks to place, and its place in the queue
+ * @late: 0 can end in time, 1 is late already, 2 is hopeless
+ * @lasting: short work first: it gives its room back
+ */
+struct cell_waiting {
+	uint32_t late;
+	uint32_t priority;
+	uint32_t lasting;
+	int64_t due_ms;
+	struct cell_step *step;
+};
+
 struct cell {
 	struct cell_options opt;
 	uint64_t epoch;
@@ -253,15 +297,22 @@
 	uint32_t calls;
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
+	int64_t jobs_due_ms;
+	int64_t stops_due_ms;
 	int64_t sweep_due_ms;
 	int64_t load_due_ms;
 	int64_t learned_due_ms;
 	struct index worker_ids;
 	struct cell_worker *workers;
+	struct cell_job *dirty;      /* with something to store */
+	struct cell_worker *changed; /* all workers, latest change first */
+	uint64_t version;
+	struct cell_miss misses[MISSES_MAX];
+	size_t miss_next;
 	struct cell_job *jobs;
 	struct disturb disturb;
 	struct cell_task *reserved;
-	struct cell_step **queue;
+	struct cell_waiting *queue;
 	size_t queue_cap;
 	struct buf extra; /* framed records besides progress */
 	struct cell_counts counts;
@@ -296,7 +347,7 @@
 struct cell_task *cell_task_of(const struct cell *c,
 			       const struct task_ref *ref);
 void cell_ref(const struct cell_task *t, struct task_ref *out);
-void cell_job_dirty(struct cell_job *j);
+void cell_job_dirty(struct cell *c, struct cell_job *j);
 
 /**
  * cell_job_settle() - give a job its final state and stop what runs of it
@@ -373,6 +424,11 @@
  */
 bool cell_worker_lapsed(const struct cell *c, const struct cell_worker *w);
 void cell_worker_trouble(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_worker_changed() - it may take now what it did not take before
+ */
+void cell_worker_changed(struct cell *c, struct cell_worker *w);
 struct cell_worker *cell_worker_known(struct cell *c,
 				      const struct known_worker *k);
 
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -17,6 +17,8 @@
 #define FAIL_STREAK_MAX 3
 /* An ended list of this length may go on. */
 #define ENDED_PAGE 500
+/* Stops that are due, or due again, are given this often. */
+#define STOPS_PERIOD_MS 50
 /* Time before a draining worker leaves at which its tasks are stopped. */
 #define LEAVE_EARLY_MS 1500
 
@@ -25,6 +27,30 @@
 	return index_get(&c->worker_ids, name_hash(id));
 }
 
+static void unlist(struct cell *c, struct cell_worker *w)
+{
+	if (w->newer)
+		w->newer->older = w->older;
+	else if (c->changed == w)
+		c->changed = w->older;
+	if (w->older)
+		w->older->newer = w->newer;
+	w->newer = NULL;
+	w->older = NULL;
+}
+
+void cell_worker_changed(struct cell *c, struct cell_worker *w)
+{
+	w->version = ++c->version;
+	if (c->changed == w)
+		return;
+	unlist(c, w);
+	w->older = c->changed;
+	if (c->changed)
+		c->changed->newer = w;
+	c->changed = w;
+}
+
 static struct cell_worker *worker_add(struct cell *c, const char *id)
 {
 	struct cell_worker *w = xcalloc(1, sizeof(*w));
@@ -35,6 +61,7 @@
 	w->answered_ms = c->now_ms - WORKER_FRESH_MS;
 	w->next = c->workers;
 	c->workers = w;
+	cell_worker_changed(c, w);
 	index_put(&c->worker_ids, w->id, w);
 	return w;
 }
@@ -105,6 +132,7 @@
 	if (!old.present)
 		c->place_due = true;
 	w->present = true;
+	cell_worker_changed(c, w);
 }
 
 void cell_worker_gone(struct cell *c, const char *id)
@@ -302,6 +330,7 @@
 		check_certain(c);
 	}
 	cell_pace(c, w);
+	cell_worker_changed(c, w);
 	w->hold_due_ms = c->now_ms;
 	if (w->seen != w->ack)
 		w->hold_due_ms += HOLD_STALLED_MS;
@@ -390,6 +419,7 @@
 	if (w->recorded)
 		store_frame_add(&c->extra, str_of(key), none);
 	*at = w->next;
+	unlist(c, w);
 	index_remove(&c->worker_ids, w->id);
 	free(w);
 }
@@ -409,7 +439,7 @@
 	}
 }
 
-static void worker_tick(struct cell *c, struct cell_worker *w)
+static void worker_tick(struct cell *c, struct cell_worker *w, bool stops_due)
 {
 	if (w->first && cell_worker_lapsed(c, w)) {
 		log_line(LOG_WARN, "lease ran out",
@@ -420,7 +450,8 @@
 	}
 	if (!w->recorded && w->present)
 		record_worker(c, w);
-	tasks_tick(c, w);
+	if (stops_due)
+		tasks_tick(c, w);
 	if (!w->holding && c->now_ms >= w->hold_due_ms &&
 	    c->now_ms < c->authority_ms + c->opt.renew_after_ms)
 		send_hold(c, w);
@@ -429,11 +460,14 @@
 void cell_workers_tick(struct cell *c)
 {
 	struct cell_worker **at = &c->workers;
+	bool stops_due = c->now_ms >= c->stops_due_ms;
 
+	if (stops_due)
+		c->stops_due_ms = c->now_ms + STOPS_PERIOD_MS;
 	while (*at) {
 		struct cell_worker *w = *at;
 
-		worker_tick(c, w);
+		worker_tick(c, w, stops_due);
 		if (!w->present && !w->first && !w->holding && w->misses &&
 		    cell_worker_lapsed(c, w))
 			forget_worker(c, at);
