cell: the load of serving tasks is foreseen, and told apart from neighbours

A filling task is welcome where the least headroom foreseen for 2.5 s, less all effects, stays above 1.15; the error that teaches pair effects no longer holds the waves.

--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -8,10 +8,13 @@
 /* Filling tasks may declare this multiple of the processors that are left:
  * they use about three quarters of what they declare. */
 #define FILLING_DECLARED 1.15
-/* Headroom, target over tail latency, that a new filling task must leave at
- * usual load, and when the load of the serving task is high. */
-#define HEADROOM_KEEP 1.3
-#define HEADROOM_KEEP_LOADED 1.0
+/* Headroom, target over tail latency, that a new filling task must leave. */
+#define HEADROOM_KEEP 1.15
+/* Load is foreseen for so long: what fills ends, or has saved its work, in
+ * about that time. */
+#define LOOK_AHEAD_S 2.5
+#define LOAD_DOUBTS 1.0
+#define MS_PER_S 1000
 /* A pair is in doubt while its effect is known no better than this. */
 #define DOUBT_HIGH 3.0
 /* A pair in doubt is tried only beside tasks with this headroom. */
@@ -78,22 +81,23 @@
 }
 
 static struct serving_view *view_of(const struct cell *c, struct cell_worker *w,
-				    uint64_t image)
+				    const struct cell_step *st)
 {
+	double now_s = (double)c->now_ms / MS_PER_S;
+	struct serving_view *v;
 	size_t i;
 
 	for (i = 0; i < w->view_count; i++)
-		if (w->view[i].image == image)
+		if (w->view[i].step == st)
 			return &w->view[i];
-	if (w->view_count == SERVING_IMAGES_MAX)
+	if (w->view_count == SERVING_STEPS_MAX)
 		return NULL;
-	w->view[w->view_count].image = image;
-	w->view[w->view_count].headroom = HUGE_HEADROOM;
-	w->view[w->view_count].effect = 0;
-	w->view[w->view_count].base =
-		disturb_base(&c->disturb, image,
-			     &w->view[w->view_count].spread);
-	return &w->view[w->view_count++];
+	v = &w->view[w->view_count++];
+	v->step = st;
+	v->effect = 0;
+	v->least = load_curve_least(st->curve, &c->disturb.periods, now_s,
+				    now_s + LOOK_AHEAD_S, LOAD_DOUBTS);
+	return v;
 }
 
 /* Headroom that a share of a worker of @filling takes, doubt included. */
@@ -113,26 +117,21 @@
 
 	w->view_stale = false;
 	w->view_count = 0;
-	for (t = w->first; t; t = t->next) {
-		struct serving_view *v;
-
-		if (!step_serves(t->step))
-			continue;
-		v = view_of(c, w, t->step->image);
-		if (v && t->headroom > 0 && t->headroom < v->headroom)
-			v->headroom = t->headroom;
-	}
+	for (t = w->first; t; t = t->next)
+		if (step_serves(t->step))
+			view_of(c, w, t->step);
 	for (t = w->first; t; t = t->next)
 		for (i = 0; step_is(t->step, STEP_FILLER) && i < w->view_count;
 		     i++)
 			w->view[i].effect +=
-				effect_of(c, w->view[i].image, t->step->image,
+				effect_of(c, w->view[i].step->image,
+					  t->step->image,
 					  share_of(t->step->spec, w));
 }
 
 /*
  * Whether a filling task may go beside what serves on a worker; @cost receives
- * the headroom that it would take from the image that loses most.
+ * the headroom that it would take from the step that loses most.
  */
 static bool is_welcome(const struct cell *c, const struct cell_step *st,
 		       struct cell_worker *w, double *cost)
@@ -146,22 +145,18 @@
 	*cost = 0;
 	for (i = 0; i < w->view_count; i++) {
 		const struct serving_view *v = &w->view[i];
-		double doubt, more, now;
+		double doubt, more, left;
 
-		more = disturb_effect(&c->disturb, v->image, st->image, &doubt);
+		more = disturb_effect(&c->disturb, v->step->image, st->image,
+				      &doubt);
 		more = share * (more + doubt / 2);
-		now = v->headroom < HUGE_HEADROOM ? v->headroom
-						  : v->base - v->effect;
+		left = v->least - v->effect;
 		if (more > *cost)
 			*cost = more;
 		if (more < EFFECT_HARMLESS && v->effect + more < EFFECT_SUM_MAX)
 			continue;
-		if (doubt > DOUBT_HIGH)
-			welcome &= now >= HEADROOM_TRIAL;
-		else
-			welcome &= now - more >= HEADROOM_KEEP &&
-				   v->base - v->spread - v->effect - more >=
-					   HEADROOM_KEEP_LOADED;
+		welcome &= doubt > DOUBT_HIGH ? left >= HEADROOM_TRIAL
+					      : left - more >= HEADROOM_KEEP;
 	}
 	return welcome;
 }
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -7,6 +7,12 @@
 
 #define RUN_MARK 0xffff
 
+static void step_finish(struct cell_step *st)
+{
+	free(st->curve);
+	free(st->tasks);
+}
+
 void cell_job_free(struct cell *c, struct cell_job *j)
 {
 	uint32_t k;
@@ -16,7 +22,7 @@
 		struct cell_occurrence *o = &j->occurrences[k];
 
 		for (s = 0; o->steps && s < j->steps; s++)
-			free(o->steps[s].tasks);
+			step_finish(&o->steps[s]);
 		free(o->steps);
 	}
 	free(j->occurrences);
@@ -50,6 +56,10 @@
 		st->occurrence = k;
 		st->image = name_hash(st->spec->image);
 		st->waiting = st->spec->count;
+		if (step_serves(st)) {
+			st->curve = xcalloc(1, sizeof(*st->curve));
+			disturb_curve(&c->disturb, st->image, st->curve);
+		}
 		st->tasks = xcalloc(st->spec->count, sizeof(*st->tasks));
 		for (i = 0; i < st->spec->count; i++) {
 			st->tasks[i].step = st;
--- a/src/cell/cell_pace.c
+++ b/src/cell/cell_pace.c
@@ -22,6 +22,9 @@
 #define PACE_SLOW 25
 /* A measurement of a worker covers this time. */
 #define SAMPLE_PERIOD_MS 500
+/* A sample covers the half second before it, so it tells of its middle. */
+#define SAMPLE_AGE_MS 250
+#define MS_PER_S 1000.0
 /* Share of a new measurement in the headroom kept of a task. */
 #define HEADROOM_RATE 0.5
 
@@ -113,8 +116,11 @@
 		}
 		headroom = (double)t->step->spec->target_ms / t->measure;
 		if (is_new_sample(c, t)) {
-			disturb_learn(&c->disturb, t->step->image, headroom, n,
-				      v->count);
+			disturb_learn(&c->disturb, t->step->image,
+				      t->step->curve,
+				      (double)(c->now_ms - SAMPLE_AGE_MS) /
+					      MS_PER_S,
+				      headroom, n, v->count);
 			t->headroom += (t->headroom > 0 ? HEADROOM_RATE : 1) *
 				       (headroom - t->headroom);
 		}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -120,6 +120,7 @@
 	uint32_t waiting;
 	uint32_t done;
 	uint64_t image;
+	struct load_curve *curve; /* of a serving step */
 	struct cell_task *tasks;
 };
 
@@ -164,22 +165,19 @@
 	struct cell_job *next_dirty;
 };
 
-/* Serving images on one worker that are told apart. */
-#define SERVING_IMAGES_MAX 8
+/* Serving steps on one worker that are told apart. */
+#define SERVING_STEPS_MAX 8
 #define HUGE_HEADROOM 1e9
 
 /**
- * struct serving_view - what filling tasks leave to one image on a worker
- * @headroom: least smoothed headroom of its tasks
+ * struct serving_view - what filling tasks leave to one step on a worker
  * @effect: headroom that all filling tasks there take, with doubt added
- * @base: headroom of the image with nothing beside it, and its @spread
+ * @least: headroom without them that its users leave in the time to come
  */
 struct serving_view {
-	uint64_t image;
-	double headroom;
+	const struct cell_step *step;
 	double effect;
-	double base;
-	double spread;
+	double least;
 };
 
 /**
@@ -193,7 +191,7 @@
  * @lease_sent: greatest lease given, on its clock
  * @misses: holds in a row that got no answer
  * @troubles: refused orders since its last good end
- * @view: serving images there; to be made anew when @view_stale
+ * @view: serving steps there; to be made anew when @view_stale
  * @version: rises when it may take what it did not take before
  * @seen: greatest number of an end taken in
  * @storing: @seen at the batch that is being stored
@@ -232,7 +230,7 @@
 	uint32_t tasks;
 	struct cell_task *first;
 	bool view_stale;
-	struct serving_view view[SERVING_IMAGES_MAX];
+	struct serving_view view[SERVING_STEPS_MAX];
 	size_t view_count;
 	int64_t paced_ms;
 	uint64_t version;
--- a/src/cell/disturb.c
+++ b/src/cell/disturb.c
@@ -19,8 +19,11 @@
 #define EFFECT_VARIANCE 50.0
 /* Variance that a pair regains with each sample: pairs change with time. */
 #define EFFECT_DRIFT 0.003
-/* Variance of a sample: the load of the serving task itself. */
-#define SAMPLE_VARIANCE 0.5
+/* Variance of a sample beside its load: tails come in whole milliseconds, and
+ * the half second that a sample covers is not the one of its neighbours. */
+#define SAMPLE_VARIANCE 0.04
+/* So far over its target, a tail says no more of the load. */
+#define HEADROOM_CURVE_MIN 0.5
 /* Shares below this say nothing of a pair. */
 #define SHARE_MIN 0.005
 
@@ -74,7 +77,7 @@
 
 void disturb_init(struct disturb *d)
 {
-	d->list = NULL;
+	memset(d, 0, sizeof(*d));
 	index_init(&d->pairs);
 	index_init(&d->bases);
 }
@@ -115,13 +118,23 @@
 	base->variance += BASE_RATE * (error * error - base->variance);
 }
 
-void disturb_learn(struct disturb *d, uint64_t serving, double headroom,
+void disturb_curve(const struct disturb *d, uint64_t serving,
+		   struct load_curve *out)
+{
+	double spread, base = disturb_base(d, serving, &spread);
+
+	load_curve_init(out, base, spread * spread);
+}
+
+void disturb_learn(struct disturb *d, uint64_t serving,
+		   struct load_curve *curve, double time_s, double headroom,
 		   const struct disturb_neighbour *n, size_t count)
 {
 	struct disturb_row *rows[DISTURB_NEIGHBOURS_MAX];
 	struct disturb_row *base = row_of(d, &d->bases, serving, BASE_UNKNOWN,
 					  SPREAD_UNKNOWN * SPREAD_UNKNOWN);
-	double expected = base->value, variance = SAMPLE_VARIANCE, error;
+	double load, expected, load_variance, variance, error;
+	double taken = 0, noise = SAMPLE_VARIANCE;
 	size_t known = 0, i;
 
 	if (headroom > HEADROOM_MAX)
@@ -134,13 +147,19 @@
 			continue;
 		rows[i] = row_of(d, &d->pairs, pair_key(serving, n[i].image),
 				 EFFECT_UNKNOWN, EFFECT_VARIANCE);
-		expected -= rows[i]->value * n[i].share;
-		variance += rows[i]->variance * n[i].share * n[i].share;
+		taken += rows[i]->value * n[i].share;
+		noise += rows[i]->variance * n[i].share * n[i].share;
 		known++;
 	}
+	load = load_curve_at(curve, &d->periods, time_s, &load_variance);
+	expected = load - taken;
+	variance = noise + fmax(load_variance, 0);
 	error = headroom - fmax(expected, 0);
 	if (!known)
-		learn_base(base, error);
+		learn_base(base, headroom - base->value);
+	if (headroom >= HEADROOM_CURVE_MIN)
+		load_curve_learn(curve, &d->periods, time_s, headroom + taken,
+				 noise);
 	for (i = 0; i < count; i++) {
 		double gain;
 
--- a/src/cell/disturb.h
+++ b/src/cell/disturb.h
@@ -2,6 +2,7 @@
 #define CELL_DISTURB_H
 
 #include "base/buf.h"
+#include "cell/load_curve.h"
 #include "base/index.h"
 
 #ifdef __cplusplus
@@ -30,23 +31,35 @@
  * worker's processors that the filling image uses. Below 1 it is over its
  * target. Samples of all workers are pooled by pair; each pair is followed
  * with its variance, so that few samples move a known pair little and an
- * unknown one far.
+ * unknown one far. What the load of a step does over time is a curve of its
+ * own, so that its waves are not taken for the doing of its neighbours.
+ * @periods: of the waves of all steps
  */
 struct disturb {
 	struct index pairs;
 	struct index bases;
 	struct disturb_row *list;
+	struct load_periods periods;
 };
 
 void disturb_init(struct disturb *d);
 void disturb_finish(struct disturb *d);
 
+/**
+ * disturb_curve() - begin the load curve of a step
+ */
+void disturb_curve(const struct disturb *d, uint64_t serving,
+		   struct load_curve *out);
+
 /**
  * disturb_learn() - take in one measurement
  * @serving: name_hash() of the image that was measured
+ * @curve: of the step that was measured
+ * @time_s: when
  * @headroom: its target over its tail latency
  */
-void disturb_learn(struct disturb *d, uint64_t serving, double headroom,
+void disturb_learn(struct disturb *d, uint64_t serving,
+		   struct load_curve *curve, double time_s, double headroom,
 		   const struct disturb_neighbour *n, size_t count);
 
 /**
