cell: filling tasks are slowed by what is missing, no more

Load: the top of a wave, or a pair that takes more than was known. The breakdown by job showed late audits with 0.9 s in stops, 1 s slowed and 2.4 lost runs each.

Each look plans the paces: the tightest serving step, as foreseen for 0.8 s and weighed with what was measured, keeps its target; the group that takes most of it gives way first, by what is missing. Over target for 1.2 s, all that fills stands still as before. A task below 30 % for 1.3 s moves.

--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -4,21 +4,21 @@
 
 /* Share of their declared processors that is kept for serving tasks: their use
  * swings with their load, and tails grow before the processors run out. */
-#define SERVING_USE 0.6
+#define SERVING_USE 0.55
 /* Filling tasks may declare this multiple of the processors that are left:
  * they use about three quarters of what they declare. */
 #define FILLING_DECLARED 1.15
 /* Headroom, target over tail latency, that a new filling task must leave. */
-#define HEADROOM_KEEP 1.15
+#define HEADROOM_KEEP 0.95
 /* Load is foreseen for so long: what fills ends, or has saved its work, in
  * about that time. */
-#define LOOK_AHEAD_S 2.5
+#define LOOK_AHEAD_S 1.5
 #define LOAD_DOUBTS 1.0
 #define MS_PER_S 1000
 /* A pair is in doubt while its effect is known no better than this. */
 #define DOUBT_HIGH 3.0
 /* A pair in doubt is tried only beside tasks with this headroom. */
-#define HEADROOM_TRIAL 1.7
+#define HEADROOM_TRIAL 1.4
 /* Headroom so small that an image which takes no more is welcome anywhere. */
 #define EFFECT_HARMLESS 0.08
 #define EFFECT_SUM_MAX 0.4
--- a/src/cell/cell_pace.c
+++ b/src/cell/cell_pace.c
@@ -6,40 +6,67 @@
 
 /* A task that lasts is at work from this progress on. */
 #define AT_WORK_PERCENT 100
-/* Headroom, target over tail latency, below which filling tasks are slowed,
- * and which a return to full speed must leave. */
-#define HEADROOM_LOW 1.05
-#define HEADROOM_BACK 1.3
-/* Part of the headroom that a filling image must take to be slowed for it. */
-#define EFFECT_MIN 0.15
+/* Headroom, target over tail latency, that filling tasks leave: they are paced
+ * so that the tightest step keeps it. */
+#define HEADROOM_PACE 1.0
+/* Load is foreseen up to the next look, and the pace that it brings. */
+#define LOOK_AHEAD_S 0.8
+#define LOAD_DOUBTS 0.0
+/* Weight of the last measurement against what was foreseen, where it is the
+ * worse one. */
+#define MEASURED_WEIGHT 0.4
+/* Headroom that a group takes must be more than this to be slowed for it. */
+#define EFFECT_MIN 0.03
+/* Paces are ordered in steps; a higher one must gain this much. */
+#define PACE_STEP 10
+#define PACE_GAIN 20
 /* Over the target for so long, all that fills stands still: the platform's
  * bound on an excess is several times as long. */
 #define OVER_ALL_MS 1200
 /* A sample covers half a second, and the pace takes a tenth to show. */
 #define PACE_SETTLE_MS 600
-/* A task that stands still for so long without a culprit may go on slowly. */
-#define PACE_STALE_MS 2500
-#define PACE_SLOW 25
+/* Below this pace for so long, a task that resumes loses less by a move. */
+#define MOVE_PACE 30
+#define MOVE_AFTER_MS 1300
+/* Share of its declared processors that a filling task uses at full speed,
+ * where its measurement does not tell. */
+#define FILLING_USE 0.75
 /* A measurement of a worker covers this time. */
 #define SAMPLE_PERIOD_MS 500
 /* A sample covers the half second before it, so it tells of its middle. */
 #define SAMPLE_AGE_MS 250
 #define MS_PER_S 1000.0
-/* Share of a new measurement in the headroom kept of a task. */
-#define HEADROOM_RATE 0.5
 
+/**
+ * struct group - filling tasks of one image on a worker
+ * @share: of the worker's processors, in use now
+ * @full: the same at full speed
+ * @pace: ordered now, percent
+ * @want: share of full speed that is wanted
+ */
 struct group {
 	uint64_t image;
 	double share;
-	double effect; /* headroom taken from the task that has least */
+	double full;
 	uint8_t pace;
+	double want;
+};
+
+/**
+ * struct served - one serving step on a worker
+ * @load: headroom that its users leave without filling tasks, until the next
+ *	look
+ */
+struct served {
+	const struct cell_step *step;
+	double load;
 };
 
 struct view {
 	struct group groups[DISTURB_NEIGHBOURS_MAX];
 	size_t count;
-	const struct cell_task *tightest;
-	double least;
+	struct served served[SERVING_STEPS_MAX];
+	size_t served_count;
 	int64_t over_ms;
 };
 
@@ -68,6 +95,15 @@
 	return &v->groups[v->count++];
 }
 
+static double full_share(const struct cell_worker *w, const struct cell_task *t)
+{
+	double cpu = t->pace == PACE_FULL && t->measure
+			     ? t->measure
+			     : FILLING_USE * t->step->spec->cpu;
+
+	return cpu / (w->entry.cpu + 1.0);
+}
+
 static void gather_filling(const struct cell_worker *w, struct view *v)
 {
 	const struct cell_task *t;
@@ -81,6 +117,7 @@
 		if (!g)
 			continue;
 		g->share += t->measure / (w->entry.cpu + 1.0);
+		g->full += full_share(w, t);
 		if (t->pace < g->pace)
 			g->pace = t->pace;
 	}
@@ -97,6 +134,44 @@
 	return true;
 }
 
+static double taken_now(const struct cell *c, const struct view *v,
+			uint64_t serving)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		sum += v->groups[i].share * disturb_effect(&c->disturb, serving,
+							   v->groups[i].image,
+							   NULL);
+	return sum;
+}
+
+/* What was measured last counts where it is worse than what was foreseen. */
+static void note_served(const struct cell *c, struct view *v,
+			const struct cell_step *st, double headroom)
+{
+	double now_s = (double)c->now_ms / MS_PER_S;
+	double measured = headroom + taken_now(c, v, st->image);
+	struct served *s;
+	size_t i;
+
+	for (i = 0; i < v->served_count && v->served[i].step != st; i++)
+		;
+	if (i == SERVING_STEPS_MAX)
+		return;
+	s = &v->served[i];
+	if (i == v->served_count) {
+		v->served_count++;
+		s->step = st;
+		s->load =
+			load_curve_least(st->curve, &c->disturb.periods, now_s,
+					 now_s + LOOK_AHEAD_S, LOAD_DOUBTS);
+	}
+	if (measured < s->load)
+		s->load += MEASURED_WEIGHT * (measured - s->load);
+}
+
 static void learn(struct cell *c, struct cell_worker *w, struct view *v)
 {
 	struct disturb_neighbour n[DISTURB_NEIGHBOURS_MAX];
@@ -115,39 +190,23 @@
 			continue;
 		}
 		headroom = (double)t->step->spec->target_ms / t->measure;
-		if (is_new_sample(c, t)) {
+		if (is_new_sample(c, t))
 			disturb_learn(&c->disturb, t->step->image,
 				      t->step->curve,
 				      (double)(c->now_ms - SAMPLE_AGE_MS) /
 					      MS_PER_S,
 				      headroom, n, v->count);
-			t->headroom += (t->headroom > 0 ? HEADROOM_RATE : 1) *
-				       (headroom - t->headroom);
-		}
 		if (headroom >= 1)
 			t->over_ms = 0;
 		else if (!t->over_ms)
 			t->over_ms = c->now_ms;
 		if (t->over_ms && (!v->over_ms || t->over_ms < v->over_ms))
 			v->over_ms = t->over_ms;
-		if (!v->tightest || headroom < v->least) {
-			v->tightest = t;
-			v->least = headroom;
-		}
+		if (v->count)
+			note_served(c, v, t->step, headroom);
 	}
 }
 
-static void find_effects(const struct cell *c, struct view *v)
-{
-	size_t i;
-
-	for (i = 0; v->tightest && i < v->count; i++)
-		v->groups[i].effect =
-			v->groups[i].share *
-			disturb_effect(&c->disturb, v->tightest->step->image,
-				       v->groups[i].image, NULL);
-}
-
 static void pace_group(struct cell *c, struct cell_worker *w, uint64_t image,
 		       uint8_t pace)
 {
@@ -159,82 +218,87 @@
 	w->paced_ms = c->now_ms;
 }
 
-static void slow_down(struct cell *c, struct cell_worker *w, struct view *v)
+static double taken_by(const struct cell *c, const struct served *s,
+		       const struct group *g)
 {
-	struct group *worst = NULL;
-	size_t i;
-
-	if (v->over_ms && c->now_ms - v->over_ms >= OVER_ALL_MS) {
-		pace_group(c, w, 0, 0);
-		return;
-	}
-	for (i = 0; i < v->count; i++)
-		if (v->groups[i].pace &&
-		    (!worst || v->groups[i].effect > worst->effect))
-			worst = &v->groups[i];
-	if (!worst || worst->effect < EFFECT_MIN)
-		return; /* the load of the serving task itself */
-	log_line(LOG_INFO, "filling tasks slowed",
-		 "worker=%s headroom=%.2f image=%016" PRIx64 " effect=%.2f "
-		 "share=%.2f pace=%u",
-		 w->entry.addr.id, v->least, worst->image, worst->effect,
-		 worst->share, worst->pace);
-	pace_group(c, w, worst->image, 0);
+	return g->full *
+	       disturb_effect(&c->disturb, s->step->image, g->image, NULL);
 }
 
-/* Processors that the slowed tasks of a group would use at full speed. */
-static double share_back(const struct cell_worker *w, uint64_t image)
+/* Return: the step that has least left at the paces wanted, or NULL. */
+static const struct served *find_tightest(const struct cell *c,
+					  const struct view *v, double *least)
 {
-	const struct cell_task *t;
-	double cpu = 0;
+	const struct served *tightest = NULL;
+	size_t i, j;
 
-	for (t = w->first; t; t = t->next)
-		if (is_filling(t) && t->step->image == image)
-			cpu += t->step->spec->cpu;
-	return cpu / (w->entry.cpu + 1.0);
+	for (j = 0; j < v->served_count; j++) {
+		double left = v->served[j].load;
+
+		for (i = 0; i < v->count; i++)
+			left -= taken_by(c, &v->served[j], &v->groups[i]) *
+				v->groups[i].want;
+		if (tightest && left >= *least)
+			continue;
+		tightest = &v->served[j];
+		*least = left;
+	}
+	return tightest;
 }
 
-static double headroom_after(const struct cell *c, const struct cell_worker *w,
-			     uint64_t image, double more)
+/* The group that takes most of the tightest step gives way first. */
+static void plan(const struct cell *c, struct view *v)
 {
-	double least = HUGE_HEADROOM;
-	const struct cell_task *t;
-
-	for (t = w->first; t; t = t->next) {
-		double h;
+	size_t round, i;
 
-		if (!is_serving(t))
-			continue;
-		h = t->headroom - more * disturb_effect(&c->disturb,
-							t->step->image, image,
-							NULL);
-		if (h < least)
-			least = h;
+	for (i = 0; i < v->count; i++)
+		v->groups[i].want = 1;
+	for (round = 0; round < v->count + v->served_count; round++) {
+		struct group *worst = NULL;
+		const struct served *s;
+		double least = 0, most = EFFECT_MIN;
+
+		s = find_tightest(c, v, &least);
+		if (!s || least >= HEADROOM_PACE)
+			return;
+		for (i = 0; i < v->count; i++) {
+			struct group *g = &v->groups[i];
+			double taken = taken_by(c, s, g) * g->want;
+
+			if (taken > most) {
+				worst = g;
+				most = taken;
+			}
+		}
+		if (!worst)
+			return; /* the load of the serving task itself */
+		worst->want -= worst->want * (HEADROOM_PACE - least) / most;
+		if (worst->want < 0)
+			worst->want = 0;
 	}
-	return least;
 }
 
-static void speed_up(struct cell *c, struct cell_worker *w, struct view *v)
+static void order_paces(struct cell *c, struct cell_worker *w, struct view *v)
 {
+	bool settled = c->now_ms - w->paced_ms >= PACE_SETTLE_MS;
 	size_t i;
 
 	for (i = 0; i < v->count; i++) {
 		struct group *g = &v->groups[i];
-		double more;
-
-		if (g->pace == PACE_FULL)
+		uint8_t pace = (uint8_t)(g->want * PACE_FULL);
+
+		pace -= pace % PACE_STEP;
+		if (pace < g->pace)
+			log_line(LOG_INFO, "filling tasks slowed",
+				 "worker=%s image=%016" PRIx64
+				 " share=%.2f pace=%u before=%u",
+				 w->entry.addr.id, g->image, g->full, pace,
+				 g->pace);
+		else if (pace == g->pace || !settled ||
+			 (pace < g->pace + PACE_GAIN && pace < PACE_FULL))
 			continue;
-		more = share_back(w, g->image) * (PACE_FULL - g->pace) /
-		       PACE_FULL;
-		if (headroom_after(c, w, g->image, more) > HEADROOM_BACK) {
-			pace_group(c, w, g->image, PACE_FULL);
-			return;
-		}
-		if (!g->pace && v->least > HEADROOM_BACK &&
-		    c->now_ms - w->paced_ms > PACE_STALE_MS) {
-			pace_group(c, w, g->image, PACE_SLOW);
-			return;
-		}
+		pace_group(c, w, g->image, pace);
+		g->pace = pace;
 	}
 }
 
@@ -245,7 +309,13 @@
 
 	for (t = w->first; t; t = next) {
 		next = t->next;
-		if (!is_filling(t) || t->pace == PACE_FULL ||
+		if (!is_filling(t) || t->pace >= MOVE_PACE) {
+			t->slowed_ms = 0;
+			continue;
+		}
+		if (!t->slowed_ms)
+			t->slowed_ms = c->now_ms;
+		if (c->now_ms - t->slowed_ms < MOVE_AFTER_MS ||
 		    !step_is(t->step, STEP_CHECKPOINTS))
 			continue;
 		c->counts.moves++;
@@ -275,11 +345,12 @@
 	learn(c, w, &v);
 	if (!v.count)
 		return;
-	find_effects(c, &v);
-	repeat_orders(c, w, &v);
+	if (v.over_ms && c->now_ms - v.over_ms >= OVER_ALL_MS) {
+		pace_group(c, w, 0, 0);
+	} else {
+		plan(c, &v);
+		order_paces(c, w, &v);
+		repeat_orders(c, w, &v);
+	}
 	move_slowed(c, w);
-	if (v.tightest && v.least < HEADROOM_LOW)
-		slow_down(c, w, &v);
-	else if (c->now_ms - w->paced_ms >= PACE_SETTLE_MS)
-		speed_up(c, w, &v);
 }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -51,7 +51,7 @@
  * @seen_ms: sending time of the last hold that listed it
  * @over_ms: since when its tail latency is over the target; 0 if it is not
  * @sampled: the measurement learned from last, at @sampled_ms
- * @headroom: target over tail latency, smoothed; 0 before a sample
+ * @slowed_ms: since when it hardly works, for the sake of others; 0 if it does
  * @pace: wanted share of its speed, percent
  * @pace_sent: last order given, or PACE_UNKNOWN
  * @avoid: worker that it failed on last
@@ -84,7 +84,7 @@
 	uint32_t measure;
 	uint32_t sampled;
 	int64_t sampled_ms;
-	double headroom;
+	int64_t slowed_ms;
 	uint64_t avoid;
 	char checkpoint[CHECKPOINT_SIZE];
 };
