--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	'standins/*.[ch]' 'bench/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.cc')
 C_SOURCES = $(filter %.c,$(SOURCES))
 
-.PHONY: all deps build demo demo-requests host-test check format lint docs docs-check test faults bench policy process-test \
+.PHONY: all deps build demo demo-requests host-test soak soak-quick takeover check format lint docs docs-check test faults bench policy process-test \
 	sanitize-address sanitize-thread clean
 
 all: build
@@ -37,7 +37,8 @@
 
 PROGRAMS = basilshift-hostd basilshift-entryd basilshift-schedd basilshift-ctl \
 	basilshift-timeline basilshift-load basilshift-faults \
-	standin-platform standin-worker standin-gridstore standin-gridworker
+	standin-platform standin-worker standin-gridstore standin-gridworker \
+	standin-proxy
 
 build/SETTINGS.md: build
 	@printf '# Settings\n\nWritten by `make docs` from the tables of the programs.\n\n' >$@
@@ -58,7 +59,7 @@
 	@cmake --build build-$* -j$(JOBS) -- --no-print-directory -s >/dev/null
 	@cd build-$* && ctest --output-on-failure -j$(JOBS) $(SKIP_$*)
 
-check: lint docs-check test sanitize-address sanitize-thread process-test host-test
+check: lint docs-check test sanitize-address sanitize-thread process-test host-test soak-quick
 
 # The matrix runs one thread over plain memory: it has no races to find.
 SKIP_thread = -E faults
@@ -75,6 +76,16 @@
 host-test: build
 	@bash tools/host_test.sh 2>/dev/null
 
+soak: build
+	@bash tools/soak.sh --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS_),30)
+
+# The seeds that have failed once, and one more.
+takeover: build
+	@bash tools/takeover.sh 2>/dev/null
+
+soak-quick: build
+	@bash tools/soak.sh --seed=1 --seconds=12 2>/dev/null
+
 faults: build
 	@build/bin/basilshift-faults $(if $(CASE),--case=$(CASE))
 
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -54,6 +54,12 @@
 	return n;
 }
 
+bool cell_may_join(const struct cell_step *st, const struct cell_worker *w)
+{
+	return !st->spec->per_worker ||
+	       step_tasks_on(st, w) < st->spec->per_worker;
+}
+
 bool cell_fits(const struct cell_step *st, const struct cell_worker *w)
 {
 	const struct job_step *s = st->spec;
@@ -63,7 +69,7 @@
 		return false;
 	if (!(s->flags & STEP_FILLER) && w->cpu_used + s->cpu > w->entry.cpu)
 		return false;
-	return !s->per_worker || step_tasks_on(st, w) < s->per_worker;
+	return cell_may_join(st, w);
 }
 
 /* Processors that are left, as a share of the worker's. */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -202,7 +202,8 @@
 		if (w->service != service || !w->usable ||
 		    w->cpu_serving + st->spec->cpu > w->entry.cpu ||
 		    w->memory_used + st->spec->memory_mb > w->entry.memory_mb ||
-		    !has_label(w, st->spec->worker_label))
+		    !has_label(w, st->spec->worker_label) ||
+		    !cell_may_join(st, w))
 			continue;
 		if (!best || w->entry.cpu - w->cpu_used >
 				     best->entry.cpu - best->cpu_used)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -440,6 +440,11 @@
  * cell_worker_rack() - rack of a worker: its last label
  */
 const char *cell_worker_rack(const struct cell_worker *w);
+
+/**
+ * cell_may_join() - whether the step allows one more of its tasks there
+ */
+bool cell_may_join(const struct cell_step *st, const struct cell_worker *w);
 bool cell_fits(const struct cell_step *st, const struct cell_worker *w);
 
 /**
--- a/standins/gridworker.c
+++ b/standins/gridworker.c
@@ -35,6 +35,10 @@
 	{"cpu", "thousandths", SETTING_NUMBER, 1, 10000000, "16000",
 	 "processors", false},
 	{"memory", "MB", SETTING_NUMBER, 1, 16000000, "60000", "memory", false},
+	{"announce", "address", SETTING_TEXT, 0, 63, "",
+	 "address to announce instead of its own", false},
+	{"port-file", "path", SETTING_TEXT, 0, 200, "",
+	 "file that receives the port", false},
 	{"run-log", "path", SETTING_TEXT, 0, 200, "",
 	 "file that receives a line for each start and end", false},
 };
@@ -275,20 +279,45 @@
 			 (int)r->status);
 }
 
+static void own_address(const struct service *s, char out[NAME_SIZE])
+{
+	const char *announced = settings_text(s->set, "announce");
+
+	if (announced[0])
+		name_set(out, announced);
+	else
+		snprintf(out, NAME_SIZE, "%.48s:%u",
+			 settings_text(s->set, "listen"), s->port);
+}
+
+static void write_port(const struct service *s)
+{
+	const char *path = settings_text(s->set, "port-file");
+	FILE *f = path[0] ? fopen(path, "w") : NULL;
+
+	if (f) {
+		fprintf(f, "%u\n", s->port);
+		fclose(f);
+	} else if (path[0]) {
+		log_line(LOG_ERROR, "cannot write the port", "path=%s", path);
+	}
+}
+
 static void send_entry(struct service *s)
 {
 	struct store_append a = {0};
+	char address[NAME_SIZE];
 	struct buf value, frames;
 
+	own_address(s, address);
 	buf_init(&value);
 	buf_init(&frames);
 	buf_addf(&value,
-		 "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		 "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
 		 "\"born\":%" PRIu64 ",\"capacity\":{\"cpu\":%s,\"memMb\":%s},"
 		 "\"labels\":[\"a\",\"%s\"],\"seq\":%" PRIu64 "}",
-		 settings_text(s->set, "service"),
-		 settings_text(s->set, "listen"), s->port,
+		 settings_text(s->set, "service"), address,
 		 settings_text(s->set, "zone"), s->born,
 		 settings_text(s->set, "cpu"), settings_text(s->set, "memory"),
 		 settings_text(s->set, "rack"), ++s->beats);
@@ -366,6 +395,7 @@
 	    !http_server_start(&http, settings_text(&set, "listen"), 0,
 			       BODY_MAX)) {
 		s->port = http.port;
+		write_port(s);
 		loop_run(&s->loop);
 		code = EXIT_CODE_OK;
 	}
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -117,6 +117,31 @@
 /* Found in a hunt of a grown deployment, with a third of the workers taken out:
  * short work took each piece of room, and none was large enough for tasks that
  * last; they stayed away for 16 s. */
+static job_step short_step()
+{
+	job_step s = CellWorld::task_step(1, 8000);
+
+	s.memory_mb = 30000; /* a worker takes two */
+	return s;
+}
+
+/* Short work takes eight cores at a time, without a pause. */
+static void keep_busy(CellWorld *w, uint64_t running)
+{
+	for (uint64_t id = 1; id <= running; id++)
+		w->submit(id, {short_step()});
+	w->run(100);
+	for (uint64_t id = running + 1; id < running + 25; id++) {
+		w->submit(id, {short_step()});
+		w->run(400);
+		for (uint64_t old = 1; old < id; old++)
+			if (w->runs(old)) {
+				w->end_all(old, RUN_DONE);
+				break;
+			}
+	}
+}
+
 TEST(CellPlace, KeepsRoomForALastingTaskThatStaysAway)
 {
 	CellWorld w;
@@ -126,22 +151,37 @@
 	w.own(1);
 	w.add_worker("w1", 16000);
 	w.run(100);
-	w.submit(1, {CellWorld::task_step(1, 8000)});
-	w.submit(2, {CellWorld::task_step(1, 8000)});
+	w.submit(1, {short_step()});
+	w.submit(2, {short_step()});
 	w.run(100);
 	w.submit(1000, {lasting});
-	for (uint64_t id = 3; id < 25; id++) {
-		w.submit(id, {CellWorld::task_step(1, 8000)});
-		w.run(400);
-		for (uint64_t old = 1; old < id; old++)
-			if (w.runs(old)) {
-				w.end_all(old, RUN_DONE);
-				break;
-			}
-	}
+	keep_busy(&w, 2);
 	EXPECT_EQ(w.runs(1000), 1u);
 }
 
+/* Room is of no use where the step has as many tasks as it may. */
+TEST(CellPlace, KeepsRoomWhereTheStepMayHaveAnotherTask)
+{
+	CellWorld w;
+	job_step lasting = CellWorld::task_step(2, 12000);
+
+	lasting.flags = STEP_LASTING;
+	lasting.per_worker = 1;
+	w.own(1);
+	w.add_worker("w2", 16000);
+	w.run(100);
+	w.submit(1, {short_step()});
+	w.submit(2, {short_step()});
+	w.run(100);
+	w.add_worker("w1", 40000);
+	w.run(100);
+	w.submit(1000, {lasting});
+	w.run(100);
+	ASSERT_EQ(w.runs(1000), 1u);
+	keep_busy(&w, 9);
+	EXPECT_EQ(w.runs(1000), 2u);
+}
+
 TEST(CellPlace, PutsLateWorkBehindWorkThatCanEndInTime)
 {
 	CellWorld w;
--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -1,11 +1,18 @@
 # Input: "ms worker task run start|end how" of all workers, sorted by time;
-# -v dead="WORKER MS" closes the runs of a worker that was killed.
-BEGIN { split(dead, d, " ") }
-d[1] != "" && $1 >= d[2] && !closed {
-	for (t in on)
-		if (on[t] == d[1])
-			delete on[t]
-	closed = 1
+# -v dead="WORKER MS ..." closes the runs of workers that were killed.
+BEGIN {
+	n = split(dead, d, " ")
+	for (i = 1; i < n; i += 2)
+		killed[d[i]] = d[i + 1]
+}
+{
+	for (w in killed)
+		if ($1 >= killed[w]) {
+			for (t in on)
+				if (on[t] == w)
+					delete on[t]
+			delete killed[w]
+		}
 }
 $5 == "start" {
 	starts++
