--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -4,6 +4,13 @@
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
+
+#include "base/logger.h"
+
+/* Answers are given this long to go out before the connections end. */
+#define LINGER_MS 300
+#define LINGER_STEP_MS 3
 
 static enum MHD_Result send_reply(struct http_request *r)
 {
@@ -43,6 +50,7 @@
 		r->method = method;
 		r->path = url;
 		*state = r;
+		__atomic_add_fetch(&s->active, 1, __ATOMIC_SEQ_CST);
 		return MHD_YES;
 	}
 	if (*size) {
@@ -56,6 +64,15 @@
 	if (r->handled)
 		return send_reply(r);
 	r->handled = true;
+	/* Counted first: who closes the server sees it, or it sees that. */
+	__atomic_add_fetch(&s->open, 1, __ATOMIC_SEQ_CST);
+	if (__atomic_load_n(&s->closed, __ATOMIC_SEQ_CST)) {
+		__atomic_sub_fetch(&s->open, 1, __ATOMIC_SEQ_CST);
+		r->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+		r->close = true;
+		buf_adds(&r->reply, "{}");
+		return send_reply(r);
+	}
 	MHD_suspend_connection(conn);
 	s->handle(s->ctx, r);
 	return MHD_YES;
@@ -66,11 +83,13 @@
 {
 	struct http_request *r = *state;
 
-	(void)ctx;
+	struct http_server *s = ctx;
+
 	(void)conn;
 	(void)code;
 	if (!r)
 		return;
+	__atomic_sub_fetch(&s->active, 1, __ATOMIC_SEQ_CST);
 	buf_finish(&r->body);
 	buf_finish(&r->reply);
 	free(r);
@@ -105,8 +124,37 @@
 	return 0;
 }
 
+void http_server_close(struct http_server *s)
+{
+	int fd;
+
+	if (__atomic_exchange_n(&s->closed, true, __ATOMIC_SEQ_CST))
+		return;
+	fd = MHD_quiesce_daemon(s->daemon);
+	if (fd >= 0)
+		close(fd);
+}
+
+bool http_server_open(const struct http_server *s)
+{
+	return __atomic_load_n(&s->open, __ATOMIC_SEQ_CST);
+}
+
 void http_server_stop(struct http_server *s)
 {
+	int waited;
+
+	http_server_close(s);
+	for (waited = 0; waited < LINGER_MS &&
+			 __atomic_load_n(&s->active, __ATOMIC_SEQ_CST);
+	     waited += LINGER_STEP_MS)
+		usleep(LINGER_STEP_MS * 1000);
+	if (http_server_open(s)) {
+		/* The library ends the process for a connection that waits. */
+		log_line(LOG_ERROR, "server left running at the end",
+			 "port=%u unanswered=%u", s->port, s->open);
+		return;
+	}
 	MHD_stop_daemon(s->daemon);
 	s->daemon = NULL;
 }
@@ -117,6 +165,7 @@
 	r->status = status;
 	r->retry_ms = retry_ms;
 	buf_add(&r->reply, body, len);
+	__atomic_sub_fetch(&r->server->open, 1, __ATOMIC_SEQ_CST);
 	MHD_resume_connection(r->conn);
 }
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -38,7 +38,16 @@
 	struct buf reply;
 };
 
+/**
+ * struct http_server - HTTP server on threads of its own
+ * @open: requests that were handed to the handler and are not answered
+ * @active: requests that are not over
+ * @closed: no more requests are handed over
+ */
 struct http_server {
+	unsigned int open;
+	unsigned int active;
+	bool closed;
 	unsigned int threads; /* 0 is HTTP_THREADS */
 	unsigned int idle_s;  /* 0 is HTTP_IDLE_S */
 	struct MHD_Daemon *daemon;
@@ -56,6 +65,22 @@
  */
 int http_server_start(struct http_server *s, const char *ip, uint16_t port,
 		      size_t body_max);
+
+/**
+ * http_server_close() - take no more connections and hand over no more requests
+ *
+ * Requests that come on open connections are refused with 503.
+ */
+void http_server_close(struct http_server *s);
+
+/**
+ * http_server_open() - whether a request waits for its answer
+ */
+bool http_server_open(const struct http_server *s);
+
+/**
+ * http_server_stop() - end; all requests handed over should be answered
+ */
 void http_server_stop(struct http_server *s);
 
 /**
--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -455,6 +455,11 @@
 	}
 }
 
+void loop_drain(struct loop *l)
+{
+	take_posts(l);
+}
+
 void loop_stop(struct loop *l)
 {
 	l->stopping = true;
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -112,6 +112,11 @@
  */
 void loop_post(struct loop *l, void *value);
 
+/**
+ * loop_drain() - take what was posted, after loop_run() has returned
+ */
+void loop_drain(struct loop *l);
+
 /**
  * loop_fetch() - start an HTTP request; @done is called once, from the loop
  */
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include "adapters/clock.h"
@@ -36,6 +37,9 @@
  * probes, a second apart, to send new ones elsewhere. */
 #define STOP_SERVE_MS 3500
 #define STOP_MARGIN_MS 800
+/* Rounds in which the last requests are answered before the process ends. */
+#define LAST_ROUNDS 50
+#define LAST_ROUND_US 3000
 #define TICK_MS 50
 /* A log read within this time shows whether the cell has an owner. */
 #define CANDIDATE_AGE_MS 1500
@@ -567,8 +571,31 @@
 	return err;
 }
 
+static bool waits_for_answers(const struct host *h)
+{
+	return http_server_open(&h->callers) || http_server_open(&h->probes) ||
+	       (h->metrics_port && http_server_open(&h->metrics));
+}
+
+/* A request may have come in after the loop's last round. */
+static void answer_the_rest(struct host *h)
+{
+	int round;
+
+	http_server_close(&h->callers);
+	http_server_close(&h->probes);
+	if (h->metrics_port)
+		http_server_close(&h->metrics);
+	for (round = 0; round < LAST_ROUNDS && waits_for_answers(h); round++) {
+		loop_drain(&h->loop);
+		host_calls_finish(h);
+		usleep(LAST_ROUND_US);
+	}
+}
+
 static void finish(struct host *h)
 {
+	answer_the_rest(h);
 	http_server_stop(&h->callers);
 	http_server_stop(&h->probes);
 	if (h->metrics_port)
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -98,6 +98,11 @@
 void host_calls_tick(struct host *h);
 bool host_calls_pending(const struct host *h);
 
+/**
+ * host_calls_finish() - answer all that waits: the process ends
+ */
+void host_calls_finish(struct host *h);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -433,6 +433,20 @@
 	send_unsent(h);
 }
 
+void host_calls_finish(struct host *h)
+{
+	struct host_call *c;
+
+	for (c = h->calls; c; c = c->next) {
+		if (!c->request)
+			continue;
+		if (c->may_be_stored || c->in_batch)
+			answer(h, c, 504, 0, "{}");
+		else
+			answer(h, c, 503, RETRY_STORE_MS, "{}");
+	}
+}
+
 bool host_calls_pending(const struct host *h)
 {
 	return h->calls != NULL;
--- a/standins/grid_worker.h
+++ b/standins/grid_worker.h
@@ -25,6 +25,7 @@
 struct grid_worker {
 	uint64_t fence;
 	int64_t lease_ms;
+	bool lapsed;
 	uint64_t ends;
 	struct grid_run *running;
 	struct grid_run *ended;
--- a/standins/gridworker.c
+++ b/standins/gridworker.c
@@ -81,6 +81,12 @@
 
 	if (!s->run_log)
 		return;
+	if (!r) {
+		fprintf(s->run_log, "%" PRId64 " %s - 0 %s -\n",
+			clock_wall_ms(), settings_text(s->set, "id"), what);
+		fflush(s->run_log);
+		return;
+	}
 	task_name(&r->ref, name);
 	fprintf(s->run_log, "%" PRId64 " %s %s %u %s %s\n", clock_wall_ms(),
 		settings_text(s->set, "id"), name, r->ref.run, what,
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -171,6 +172,44 @@
 	close(fd);
 }
 
+/*
+ * Found by the soak, seed 9: a request came in after the last round of the
+ * loop, and the HTTP library ended the process over it.
+ */
+TEST(HttpServer, AnswersWhatWaitsBeforeItStops)
+{
+	http_server s = {};
+	static std::atomic<http_request *> waiting;
+	std::string got;
+
+	waiting = nullptr;
+	s.threads = 1;
+	s.handle = [](void *, http_request *r) { waiting = r; };
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	std::thread caller([&] {
+		sockaddr_in sin = {};
+		char text[1000];
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(s.port);
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ASSERT_EQ(connect(fd, (sockaddr *)&sin, sizeof(sin)), 0);
+		std::string q = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+		ASSERT_EQ(write(fd, q.data(), q.size()), (ssize_t)q.size());
+		ssize_t n = read(fd, text, sizeof(text));
+		got.assign(text, n > 0 ? (size_t)n : 0);
+		close(fd);
+	});
+	while (!waiting)
+		usleep(1000);
+	http_server_close(&s);
+	EXPECT_TRUE(http_server_open(&s));
+	http_reply(waiting, 503, 0, "{}", 2);
+	http_server_stop(&s);
+	caller.join();
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 503");
+}
+
 /*
  * Found on a bench day with workers cut off: a descriptor whose connection was
  * refused late was taken to be watched still, so that whatever used its number
