--- a/src/cell/load_curve.c
+++ b/src/cell/load_curve.c
@@ -127,11 +127,13 @@
 			const struct load_periods *p, double from_s,
 			double to_s, double doubts)
 {
-	double least = INFINITY, t;
+	int looks = (int)((to_s - from_s) / LOOK_STEP_S), i;
+	double least = INFINITY;
 
-	for (t = from_s; t <= to_s; t += LOOK_STEP_S) {
+	for (i = 0; i <= looks; i++) {
 		double variance;
-		double at = load_curve_at(c, p, t, &variance);
+		double at = load_curve_at(c, p, from_s + i * LOOK_STEP_S,
+					  &variance);
 
 		least = fmin(least, at - doubts * sqrt(fmax(variance, 0)));
 	}
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -96,7 +96,7 @@
 
 static int write_port(const char *path, int fd)
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = {0};
 	socklen_t len = sizeof(sin);
 	char part[TEXT_MAX * 4];
 	FILE *f;
