--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -44,6 +44,7 @@
 
 struct relay_suspect {
 	int64_t until_ms;
+	struct relay_suspect *next;
 };
 
 void relay_init(struct relay *r, const struct worker_ops *direct, void *port,
@@ -75,6 +76,8 @@
 
 	if (!s) {
 		s = xcalloc(1, sizeof(*s));
+		s->next = r->first_suspect;
+		r->first_suspect = s;
 		index_put(&r->suspects, id, s);
 	}
 	s->until_ms = r->now_ms + SUSPECT_MS;
@@ -82,16 +85,10 @@
 
 static bool is_suspect(struct relay *r, const char *worker)
 {
-	uint64_t id = name_hash(worker);
-	struct relay_suspect *s = index_get(&r->suspects, id);
+	const struct relay_suspect *s =
+		index_get(&r->suspects, name_hash(worker));
 
-	if (!s)
-		return false;
-	if (r->now_ms < s->until_ms)
-		return true;
-	index_remove(&r->suspects, id);
-	free(s);
-	return false;
+	return s && r->now_ms < s->until_ms;
 }
 
 static void end_unknown(struct relay *r, struct relay_pending *p)
@@ -202,6 +199,12 @@
 		r->peers = p->next;
 		peer_free(p);
 	}
+	while (r->first_suspect) {
+		struct relay_suspect *s = r->first_suspect;
+
+		r->first_suspect = s->next;
+		free(s);
+	}
 	index_finish(&r->pending);
 	index_finish(&r->suspects);
 }
--- a/src/host/relay.h
+++ b/src/host/relay.h
@@ -70,6 +70,7 @@
 	struct index pending;  /* seq to struct relay_pending */
 	struct index suspects; /* worker to struct relay_suspect */
 	struct relay_pending *first;
+	struct relay_suspect *first_suspect;
 	uint64_t seq;
 	int64_t now_ms;
 	int64_t checked_ms;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -94,6 +94,8 @@
 
 	void TearDown() override
 	{
+		while (!far.calls.empty())
+			far.answer(ORDER_UNKNOWN);
 		relay_finish(&r);
 		for (auto &h : hosts)
 			relay_server_finish(&h.second);
@@ -269,6 +271,7 @@
 	a.ended = &end;
 	a.ended_count = 1;
 	far.calls[0].held(far.calls[0].ctx, &w, &a);
+	far.calls.clear();
 	run(50);
 	EXPECT_EQ(reply.born, 99u);
 	EXPECT_EQ(reply.clock, 5000);
