field: one macro for a row, one for a shape

Cause: each module had its own macros of the same shape (job_spec four, relay_wire two, msg three, record, ports), and counts written by hand. Ruled out: generating rows from one list; the structures' comments are what a reader looks for.

--- a/src/base/field.h
+++ b/src/base/field.h
@@ -53,6 +53,36 @@
 	const struct shape *item;
 };
 
+/**
+ * FIELD_OF() - row of one field, named as the member is
+ * @kind: U32, U64, I64, NAME or STR
+ * @object: its struct, without the keyword
+ */
+#define FIELD_OF(kind, object, member)                    \
+	{                                                 \
+		.name = #member, .type = FIELD_##kind,    \
+		.offset = offsetof(struct object, member) \
+	}
+
+/**
+ * FIELD_LIST_OF() - row of a list of structures
+ * @items: their shape
+ */
+#define FIELD_LIST_OF(object, member, items)                               \
+	{                                                                  \
+		.name = #member, .type = FIELD_LIST,                       \
+		.offset = offsetof(struct object, member), .item = (items) \
+	}
+
+/**
+ * SHAPE_OF() - shape of a struct from its array of rows
+ */
+#define SHAPE_OF(array, object)                                               \
+	{                                                                     \
+		.rows = (array), .count = sizeof(array) / sizeof((array)[0]), \
+		.size = sizeof(struct object)                                 \
+	}
+
 /**
  * FIELD_LIST_MAX - most items that a decoded list may hold
  */
--- a/src/cell/disturb.c
+++ b/src/cell/disturb.c
@@ -50,23 +50,19 @@
 };
 
 static const struct field row_fields[] = {
-	{"key", FIELD_U64, offsetof(struct learned_row, key), NULL},
-	{"is_base", FIELD_U32, offsetof(struct learned_row, is_base), NULL},
-	{"value", FIELD_I64, offsetof(struct learned_row, value), NULL},
-	{"variance", FIELD_I64, offsetof(struct learned_row, variance), NULL},
+	FIELD_OF(U64, learned_row, key),
+	FIELD_OF(U32, learned_row, is_base),
+	FIELD_OF(I64, learned_row, value),
+	FIELD_OF(I64, learned_row, variance),
 };
 
-static const struct shape row_shape = {row_fields,
-				       sizeof(row_fields) /
-					       sizeof(row_fields[0]),
-				       sizeof(struct learned_row)};
+static const struct shape row_shape = SHAPE_OF(row_fields, learned_row);
 
 static const struct field learned_fields[] = {
-	{"rows", FIELD_LIST, offsetof(struct learned, rows), &row_shape},
+	FIELD_LIST_OF(learned, rows, &row_shape),
 };
 
-static const struct shape learned_shape = {learned_fields, 1,
-					   sizeof(struct learned)};
+static const struct shape learned_shape = SHAPE_OF(learned_fields, learned);
 
 static uint64_t pair_key(uint64_t serving, uint64_t filling)
 {
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -2,28 +2,9 @@
 
 #include <errno.h>
 
-#define STEP(type, field)                                                    \
-	{                                                                    \
-#field, FIELD_##type, offsetof(struct job_step, field), NULL \
-	}
-#define SPEC(type, field)                                                    \
-	{                                                                    \
-#field, FIELD_##type, offsetof(struct job_spec, field), NULL \
-	}
-#define PART(type, field)                                                    \
-	{                                                                    \
-#field, FIELD_##type, offsetof(struct step_progress, field), \
-			NULL                                                 \
-	}
-#define PROGRESS(type, field, item)                                         \
-	{                                                                   \
-#field, FIELD_##type, offsetof(struct job_progress, field), \
-			item                                                \
-	}
-#define SHAPE(rows, type)                                            \
-	{                                                            \
-		rows, sizeof(rows) / sizeof((rows)[0]), sizeof(type) \
-	}
+#define STEP(kind, member) FIELD_OF(kind, job_step, member)
+#define SPEC(kind, member) FIELD_OF(kind, job_spec, member)
+#define PART(kind, member) FIELD_OF(kind, step_progress, member)
 
 static const struct field step_rows[] = {
 	STEP(U32, count),         STEP(U32, cpu),
@@ -35,7 +16,7 @@
 	STEP(NAME, image),
 };
 
-static const struct shape step_shape = SHAPE(step_rows, struct job_step);
+static const struct shape step_shape = SHAPE_OF(step_rows, job_step);
 
 static const struct field spec_rows[] = {
 	SPEC(U64, id),
@@ -50,26 +31,26 @@
 	SPEC(I64, first_ms),
 	SPEC(I64, interval_ms),
 	SPEC(STR, payload),
-	{"steps", FIELD_LIST, offsetof(struct job_spec, steps), &step_shape},
+	FIELD_LIST_OF(job_spec, steps, &step_shape),
 };
 
-static const struct shape spec_shape = SHAPE(spec_rows, struct job_spec);
+static const struct shape spec_shape = SHAPE_OF(spec_rows, job_spec);
 
 static const struct field part_rows[] = {
 	PART(U32, occurrence), PART(U32, step),     PART(U32, all_done),
 	PART(STR, done),       PART(STR, failures), PART(STR, ordered),
 };
 
-static const struct shape part_shape = SHAPE(part_rows, struct step_progress);
+static const struct shape part_shape = SHAPE_OF(part_rows, step_progress);
 
 static const struct field progress_rows[] = {
-	PROGRESS(U64, epoch, NULL),
-	PROGRESS(U32, state, NULL),
-	PROGRESS(LIST, steps, &part_shape),
+	FIELD_OF(U64, job_progress, epoch),
+	FIELD_OF(U32, job_progress, state),
+	FIELD_LIST_OF(job_progress, steps, &part_shape),
 };
 
 static const struct shape progress_shape =
-	SHAPE(progress_rows, struct job_progress);
+	SHAPE_OF(progress_rows, job_progress);
 
 uint32_t job_spec_chain_ms(const struct job_spec *s)
 {
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -14,12 +14,11 @@
 };
 
 static const struct field known_rows[] = {
-	{"address", FIELD_NAME, offsetof(struct known_worker, address), NULL},
-	{"born", FIELD_U64, offsetof(struct known_worker, born), NULL},
+	FIELD_OF(NAME, known_worker, address),
+	FIELD_OF(U64, known_worker, born),
 };
 
-static const struct shape known_shape = {known_rows, 2,
-					 sizeof(struct known_worker)};
+static const struct shape known_shape = SHAPE_OF(known_rows, known_worker);
 
 void job_view_init(struct job_view *t, const struct job_view_ops *ops,
 		   void *ctx)
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -2,21 +2,9 @@
 
 #include <errno.h>
 
-#define ROWS(a) (sizeof(a) / sizeof((a)[0]))
-#define M(type, field)                                                  \
-	{                                                               \
-#field, FIELD_##type, offsetof(struct msg, field), NULL \
-	}
-#define T(type, field)                                                     \
-	{                                                                  \
-#field, FIELD_##type, offsetof(struct task_status, field), \
-			NULL                                               \
-	}
-#define O(type, field)                                                     \
-	{                                                                  \
-#field, FIELD_##type, offsetof(struct owned_shard, field), \
-			NULL                                               \
-	}
+#define M(kind, member) FIELD_OF(kind, msg, member)
+#define T(kind, member) FIELD_OF(kind, task_status, member)
+#define O(kind, member) FIELD_OF(kind, owned_shard, member)
 
 static const struct field task_rows[] = {
 	T(U64, job),           T(U64, shard),      T(U32, attempt),
@@ -27,16 +15,14 @@
 	T(U32, res.slots),     T(U32, res.conns),  T(STR, result),
 };
 
-static const struct shape task_shape = {task_rows, ROWS(task_rows),
-					sizeof(struct task_status)};
+static const struct shape task_shape = SHAPE_OF(task_rows, task_status);
 
 static const struct field owned_rows[] = {
 	O(U64, shard),  O(U64, epoch), O(U32, cpu_milli),
 	O(U32, mem_mb), O(U32, accel), O(U32, slots),
 };
 
-static const struct shape owned_shape = {owned_rows, ROWS(owned_rows),
-					 sizeof(struct owned_shard)};
+static const struct shape owned_shape = SHAPE_OF(owned_rows, owned_shard);
 
 static const struct field msg_rows[] = {
 	M(U32, kind),
@@ -82,11 +68,11 @@
 	M(NAME, zone),
 	M(STR, payload),
 	M(STR, result),
-	{"owned", FIELD_LIST, offsetof(struct msg, owned), &owned_shape},
-	{"tasks", FIELD_LIST, offsetof(struct msg, tasks), &task_shape},
+	FIELD_LIST_OF(msg, owned, &owned_shape),
+	FIELD_LIST_OF(msg, tasks, &task_shape),
 };
 
-const struct shape msg_shape = {msg_rows, ROWS(msg_rows), sizeof(struct msg)};
+const struct shape msg_shape = SHAPE_OF(msg_rows, msg);
 
 void resources_add(struct resources *to, const struct resources *r)
 {
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -4,10 +4,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
-#define R(type, field)                                                     \
-	{                                                                  \
-#field, FIELD_##type, offsetof(struct record, field), NULL \
-	}
+#define R(kind, member) FIELD_OF(kind, record, member)
 #define B(type, name, field)                                            \
 	{                                                               \
 		name, FIELD_##type, offsetof(struct batch, field), NULL \
--- a/src/host/fleet.c
+++ b/src/host/fleet.c
@@ -12,12 +12,11 @@
 };
 
 static const struct field record_rows[] = {
-	{"address", FIELD_NAME, offsetof(struct record, address), NULL},
-	{"cpu_milli", FIELD_U32, offsetof(struct record, cpu_milli), NULL},
+	FIELD_OF(NAME, record, address),
+	FIELD_OF(U32, record, cpu_milli),
 };
 
-static const struct shape record_shape = {record_rows, 2,
-					  sizeof(struct record)};
+static const struct shape record_shape = SHAPE_OF(record_rows, record);
 
 static void ignore_listing(void *ctx)
 {
--- a/src/host/relay_wire.c
+++ b/src/host/relay_wire.c
@@ -1,63 +1,45 @@
 #include "host/relay_wire.h"
 
-#define COUNT(rows) (sizeof(rows) / sizeof((rows)[0]))
-
-#define CALL(name, type)                                             \
-	{                                                            \
-#name, type, offsetof(struct relay_call, name), NULL \
-	}
+#define CALL(member, kind) FIELD_OF(kind, relay_call, member)
+#define RUN(member, kind) FIELD_OF(kind, relay_run, member)
 
 static const struct field call_rows[] = {
-	CALL(seq, FIELD_U64),        CALL(op, FIELD_U32),
-	CALL(worker, FIELD_NAME),    CALL(address, FIELD_NAME),
-	CALL(job, FIELD_U64),        CALL(occurrence, FIELD_U32),
-	CALL(step, FIELD_U32),       CALL(index, FIELD_U32),
-	CALL(run, FIELD_U32),        CALL(fence, FIELD_U64),
-	CALL(deadline, FIELD_I64),   CALL(spec, FIELD_STR),
-	CALL(checkpoint, FIELD_STR), CALL(percent, FIELD_U32),
-	CALL(ack, FIELD_U64),        CALL(wait_ms, FIELD_U32),
+	CALL(seq, U64),        CALL(op, U32),       CALL(worker, NAME),
+	CALL(address, NAME),   CALL(job, U64),      CALL(occurrence, U32),
+	CALL(step, U32),       CALL(index, U32),    CALL(run, U32),
+	CALL(fence, U64),      CALL(deadline, I64), CALL(spec, STR),
+	CALL(checkpoint, STR), CALL(percent, U32),  CALL(ack, U64),
+	CALL(wait_ms, U32),
 };
 
-static const struct shape call_shape = {call_rows, COUNT(call_rows),
-					sizeof(struct relay_call)};
-
-#define RUN(name, type)                                             \
-	{                                                           \
-#name, type, offsetof(struct relay_run, name), NULL \
-	}
+static const struct shape call_shape = SHAPE_OF(call_rows, relay_call);
 
 static const struct field run_rows[] = {
-	RUN(number, FIELD_U64),     RUN(job, FIELD_U64),
-	RUN(occurrence, FIELD_U32), RUN(step, FIELD_U32),
-	RUN(index, FIELD_U32),      RUN(run, FIELD_U32),
-	RUN(how, FIELD_U32),        RUN(checkpoint, FIELD_STR),
-	RUN(percent, FIELD_U32),    RUN(measure, FIELD_U32),
+	RUN(number, U64),  RUN(job, U64),        RUN(occurrence, U32),
+	RUN(step, U32),    RUN(index, U32),      RUN(run, U32),
+	RUN(how, U32),     RUN(checkpoint, STR), RUN(percent, U32),
+	RUN(measure, U32),
 };
 
-static const struct shape run_shape = {run_rows, COUNT(run_rows),
-				       sizeof(struct relay_run)};
+static const struct shape run_shape = SHAPE_OF(run_rows, relay_run);
 
 static const struct field answer_rows[] = {
-	{"seq", FIELD_U64, offsetof(struct relay_answer, seq), NULL},
-	{"status", FIELD_U32, offsetof(struct relay_answer, status), NULL},
-	{"clock", FIELD_I64, offsetof(struct relay_answer, clock), NULL},
-	{"born", FIELD_U64, offsetof(struct relay_answer, born), NULL},
-	{"running", FIELD_LIST, offsetof(struct relay_answer, running),
-	 &run_shape},
-	{"ended", FIELD_LIST, offsetof(struct relay_answer, ended), &run_shape},
+	FIELD_OF(U64, relay_answer, seq),
+	FIELD_OF(U32, relay_answer, status),
+	FIELD_OF(I64, relay_answer, clock),
+	FIELD_OF(U64, relay_answer, born),
+	FIELD_LIST_OF(relay_answer, running, &run_shape),
+	FIELD_LIST_OF(relay_answer, ended, &run_shape),
 };
 
-static const struct shape answer_shape = {answer_rows, COUNT(answer_rows),
-					  sizeof(struct relay_answer)};
+static const struct shape answer_shape = SHAPE_OF(answer_rows, relay_answer);
 
 static const struct field batch_rows[] = {
-	{"calls", FIELD_LIST, offsetof(struct relay_batch, calls), &call_shape},
-	{"answers", FIELD_LIST, offsetof(struct relay_batch, answers),
-	 &answer_shape},
+	FIELD_LIST_OF(relay_batch, calls, &call_shape),
+	FIELD_LIST_OF(relay_batch, answers, &answer_shape),
 };
 
-const struct shape relay_batch_shape = {batch_rows, COUNT(batch_rows),
-					sizeof(struct relay_batch)};
+const struct shape relay_batch_shape = SHAPE_OF(batch_rows, relay_batch);
 
 void relay_call_ref(const struct relay_call *c, struct task_ref *out)
 {
--- a/src/ports/ports.c
+++ b/src/ports/ports.c
@@ -1,9 +1,6 @@
 #include "ports/ports.h"
 
-#define H(type, field)                                                   \
-	{                                                                \
-#field, FIELD_##type, offsetof(struct host, field), NULL \
-	}
+#define H(kind, member) FIELD_OF(kind, host, member)
 
 static const struct field host_rows[] = {
 	H(NAME, name), H(NAME, zone), H(NAME, rack),   H(NAME, addr),
