--- a/src/cell/cell_account.c
+++ b/src/cell/cell_account.c
@@ -1,5 +1,7 @@
 #include "cell/cell_types.h"
 
+#include <stdio.h>
+
 /* Times of a job are added up in steps of at least this length. */
 #define ACCOUNT_PERIOD_MS 50
 
@@ -42,15 +44,17 @@
 	for (i = 0; i < st->spec->count; i++) {
 		const struct cell_task *t = &st->tasks[i];
 
-		if (t->state != TASK_DONE && task_kind(c, t) < kind)
-			kind = task_kind(c, t);
+		enum job_time own = task_kind(c, t);
+
+		if (t->state != TASK_DONE && own < kind)
+			kind = own;
 	}
 	return kind;
 }
 
 static enum job_time job_kind(const struct cell *c, const struct cell_job *j)
 {
-	enum job_time kind = TIME_RUNNING;
+	enum job_time kind = TIME_RUNNING, own;
 	uint32_t k;
 	size_t s;
 
@@ -59,9 +63,11 @@
 			const struct cell_step *st =
 				&j->occurrences[k].steps[s];
 
-			if (st->done < st->spec->count && cell_step_ready(st) &&
-			    step_kind(c, st) < kind)
-				kind = step_kind(c, st);
+			if (st->done == st->spec->count || !cell_step_ready(st))
+				continue;
+			own = step_kind(c, st);
+			if (own < kind)
+				kind = own;
 		}
 	return kind;
 }
--- /dev/null
+++ b/src/cell/cell_gang.c
@@ -0,0 +1,102 @@
+#include "cell/cell_types.h"
+
+#include <stdlib.h>
+
+static bool gang_waits(const struct cell_step *st)
+{
+	uint32_t i;
+
+	for (i = 0; i < st->spec->count; i++)
+		if (st->tasks[i].worker)
+			return false;
+	return true;
+}
+
+static void gang_align(struct cell_step *st)
+{
+	const char *checkpoint = NULL;
+	uint32_t run = 0, i;
+
+	for (i = 0; i < st->spec->count; i++) {
+		const struct cell_task *t = &st->tasks[i];
+
+		if (t->run > run)
+			run = t->run;
+		if (t->checkpoint[0])
+			checkpoint = t->checkpoint;
+	}
+	for (i = 0; i < st->spec->count; i++) {
+		st->tasks[i].run = run;
+		if (checkpoint && st->tasks[i].checkpoint != checkpoint)
+			name_set(st->tasks[i].checkpoint, checkpoint);
+	}
+}
+
+/*
+ * Room for all members is found first, on a copy of nothing but the counters:
+ * each member is charged as it is chosen and given back if one finds none.
+ */
+static bool gang_choose(struct cell *c, struct cell_step *st, uint64_t service,
+			const char *rack, struct cell_worker **chosen)
+{
+	const struct job_step *s = st->spec;
+	bool filler = s->flags & STEP_FILLER;
+	uint32_t i, n = 0;
+
+	while (n < s->count) {
+		struct cell_worker *w =
+			cell_choose(c, &st->tasks[n], service, rack, false, 0);
+
+		if (!w)
+			break;
+		chosen[n++] = w;
+		w->memory_used += s->memory_mb;
+		w->accelerators_used += s->accelerators;
+		w->cpu_used += filler ? 0 : s->cpu;
+		w->cpu_filling += filler ? s->cpu : 0;
+	}
+	for (i = 0; i < n; i++) {
+		chosen[i]->memory_used -= s->memory_mb;
+		chosen[i]->accelerators_used -= s->accelerators;
+		chosen[i]->cpu_used -= filler ? 0 : s->cpu;
+		chosen[i]->cpu_filling -= filler ? s->cpu : 0;
+	}
+	return n == s->count;
+}
+
+static bool gang_choose_rack(struct cell *c, struct cell_step *st,
+			     uint64_t service, struct cell_worker **chosen)
+{
+	const struct cell_worker *w;
+
+	for (w = c->workers; w; w = w->next)
+		if (w->service == service && w->usable &&
+		    gang_choose(c, st, service, cell_worker_rack(w), chosen))
+			return true;
+	return false;
+}
+
+void cell_place_gang(struct cell *c, struct cell_step *st, uint64_t service)
+{
+	struct cell_worker **chosen;
+	bool found = false;
+	uint32_t i;
+
+	if (!gang_waits(st))
+		return;
+	for (i = 0; i < st->spec->count; i++)
+		if (c->now_ms < st->tasks[i].retry_ms ||
+		    (c->uncertain && st->tasks[i].in_doubt))
+			return;
+	chosen = xcalloc(st->spec->count, sizeof(struct cell_worker *));
+	if (step_is(st, STEP_SAME_RACK))
+		found = gang_choose_rack(c, st, service, chosen);
+	if (!found)
+		found = gang_choose(c, st, service, NULL, chosen);
+	if (found) {
+		gang_align(st);
+		for (i = 0; i < st->spec->count; i++)
+			cell_task_place(c, &st->tasks[i], chosen[i]);
+	}
+	free(chosen);
+}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -459,11 +459,58 @@
 /* cell_place.c */
 void cell_place(struct cell *c);
 
+/* cell_queue.c */
+
+/**
+ * cell_queue_fill() - all steps with tasks to place, most urgent first
+ *
+ * Return: their number, in @c->queue.
+ */
+size_t cell_queue_fill(struct cell *c);
+
 /**
  * cell_step_ready() - whether all steps that it comes after are done
  */
 bool cell_step_ready(const struct cell_step *st);
 
+/**
+ * cell_is_away_long() - whether a lasting step lacks a task for too long
+ */
+bool cell_is_away_long(const struct cell *c, const struct cell_step *st);
+
+/* cell_room.c */
+
+/**
+ * cell_choose() - the best worker for a task, of those changed after @since
+ * @rack: only there, or NULL
+ * @starved: take one though the task harms what runs there
+ */
+struct cell_worker *cell_choose(const struct cell *c, const struct cell_task *t,
+				uint64_t service, const char *rack,
+				bool starved, uint64_t since);
+
+/**
+ * cell_keep_room() - keep a worker for the step until its task fits there
+ */
+void cell_keep_room(struct cell *c, const struct cell_step *st,
+		    uint64_t service);
+struct cell_miss cell_need(const struct cell_step *st, uint64_t service);
+
+/**
+ * cell_miss_find() - what is known of a need: it found no worker up to a
+ * version
+ */
+struct cell_miss *cell_miss_find(struct cell *c, const struct cell_miss *need);
+
+/**
+ * cell_miss_note() - the need found no worker, looked at from @known on
+ */
+void cell_miss_note(struct cell *c, const struct cell_miss *need,
+		    struct cell_miss *known);
+
+/* cell_gang.c */
+void cell_place_gang(struct cell *c, struct cell_step *st, uint64_t service);
+
 /* cell_account.c */
 
 /* Room for the sums of a job as text. */
--- a/src/host/candidate.c
+++ b/src/host/candidacy.c
@@ -1,4 +1,4 @@
-#include "host/candidate.h"
+#include "host/candidacy.h"
 
 #include "base/logger.h"
 
@@ -12,7 +12,7 @@
 #define HANDOVER_MS 3000
 #define PARTS_MAX 64
 
-void candidate_init(struct candidate *c, uint32_t cpu_milli, uint32_t parts,
+void candidacy_init(struct candidacy *c, uint32_t cpu_milli, uint32_t parts,
 		    struct member *m, int64_t now_ms)
 {
 	c->reserve = cpu_milli < OWNER_CPU_MILLI;
@@ -24,7 +24,7 @@
 	m->left = c->reserve;
 }
 
-static bool is_needed(struct candidate *c, const struct member *m,
+static bool is_needed(struct candidacy *c, const struct member *m,
 		      uint32_t part, int64_t now_ms)
 {
 	if (!m->generation) /* the first join is not answered yet */
@@ -40,7 +40,7 @@
 	return now_ms - c->shared_since_ms < HANDOVER_MS;
 }
 
-void candidate_tick(struct candidate *c, struct member *m, uint32_t part,
+void candidacy_tick(struct candidacy *c, struct member *m, uint32_t part,
 		    int64_t owner_seen_ms, bool log_fresh, int64_t now_ms)
 {
 	bool entered = !m->left;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -5,7 +5,6 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #include "adapters/clock.h"
 #include "base/logger.h"
@@ -42,13 +41,10 @@
 #define LAST_ROUND_US 3000
 #define TICK_MS 50
 /* A log read within this time shows whether the cell has an owner. */
-#define CANDIDATE_AGE_MS 1500
+#define CANDIDACY_AGE_MS 1500
 /* Part of the descriptors that may hold connections for reuse. */
 #define CONNECTIONS_DIVISOR 2
 #define METRICS_PATH "/metrics"
-/* How often the number of workers, on which the use of relays depends, is
- * looked at. */
-#define SIZE_PERIOD_MS 1000
 #define FILE_PERIOD_MS 2000
 
 static volatile sig_atomic_t stop_asked;
@@ -137,144 +133,6 @@
 						     jobs_apply,
 						     listing_ignored};
 
-static void apply_config(struct host *h, struct str text)
-{
-	struct queue_table t;
-
-	if (config_parse(text, &t)) {
-		log_line(LOG_ERROR, "configuration not readable", "bytes=%zu",
-			 text.len);
-		return;
-	}
-	if (t.version <= h->queues.version) {
-		queue_table_finish(&t);
-		return;
-	}
-	log_line(LOG_INFO, "configuration in force",
-		 "version=%" PRIu64 " before=%" PRIu64 " queues=%zu", t.version,
-		 h->queues.version, t.count);
-	queue_table_finish(&h->queues);
-	h->queues = t;
-}
-
-static void operators_begin(void *ctx)
-{
-	struct host *h = ctx;
-
-	index_finish(&h->listed_zones);
-	index_init(&h->listed_zones);
-}
-
-static void operators_apply(void *ctx, const struct store_record *r)
-{
-	static const size_t prefix = sizeof(KEY_ZONE_CLOSED) - 1;
-	struct host *h = ctx;
-	char zone[NAME_SIZE];
-
-	if (str_eq(r->key, str_of(KEY_CONFIG))) {
-		if (r->value.len)
-			apply_config(h, r->value);
-		return;
-	}
-	if (r->key.len <= prefix || r->key.len - prefix >= NAME_SIZE ||
-	    memcmp(r->key.data, KEY_ZONE_CLOSED, prefix))
-		return;
-	memcpy(zone, r->key.data + prefix, r->key.len - prefix);
-	zone[r->key.len - prefix] = '\0';
-	log_line(LOG_INFO, r->value.len ? "zone taken out" : "zone taken back",
-		 "zone=%s offset=%" PRIu64, zone, r->offset);
-	index_remove(&h->closed_zones, name_hash(zone));
-	if (r->value.len) {
-		index_put(&h->closed_zones, name_hash(zone), h);
-		index_put(&h->listed_zones, name_hash(zone), h);
-	}
-}
-
-/* Zones whose closing was dropped while the history was not readable. */
-static void operators_end(void *ctx)
-{
-	struct host *h = ctx;
-	struct index old = h->closed_zones;
-
-	h->closed_zones = h->listed_zones;
-	index_init(&h->listed_zones);
-	index_finish(&old);
-}
-
-static const struct follower_ops operator_ops = {operators_begin,
-						 operators_apply,
-						 operators_end};
-
-/* What other threads hand to the loop: a request, or a message of a host. */
-struct mail {
-	struct http_request *request;
-	uint64_t from;
-	enum peers_kind kind;
-	struct buf batch;
-};
-
-static void post_request(void *ctx, struct http_request *r)
-{
-	struct mail *m = xcalloc(1, sizeof(*m));
-
-	m->request = r;
-	loop_post(&((struct host *)ctx)->loop, m);
-}
-
-static void post_message(void *ctx, uint64_t from, enum peers_kind kind,
-			 struct str payload)
-{
-	struct mail *m = xcalloc(1, sizeof(*m));
-
-	m->from = from;
-	m->kind = kind;
-	buf_add(&m->batch, payload.data, payload.len);
-	loop_post(&((struct host *)ctx)->loop, m);
-}
-
-static void take_message(struct host *h, const struct mail *m)
-{
-	struct str text = {m->batch.data, m->batch.len};
-	struct relay_batch batch = {{NULL, 0}, {NULL, 0}};
-	struct arena a;
-
-	arena_init(&a);
-	if (shape_read(&relay_batch_shape, text, &batch, &a))
-		log_line(LOG_ERROR, "batch of a host not readable",
-			 "from=%016" PRIx64 " bytes=%zu", m->from, text.len);
-	else if (m->kind == PEERS_CALLS)
-		relay_server_take(&h->relay_server, m->from, &batch);
-	else
-		relay_take(&h->relay, m->from, &batch);
-	arena_finish(&a);
-}
-
-static void take_request(struct host *h, struct http_request *r)
-{
-	struct buf b;
-
-	if (r->server == &h->callers) {
-		host_on_caller(h, r);
-		return;
-	}
-	buf_init(&b);
-	host_write_metrics(h, &b);
-	http_reply(r, 200, 0, b.data, b.len);
-	buf_finish(&b);
-}
-
-static void on_post(void *ctx, void *value)
-{
-	struct mail *m = value;
-
-	if (m->request)
-		take_request(ctx, m->request);
-	else
-		take_message(ctx, m);
-	buf_finish(&m->batch);
-	free(m);
-}
-
 /*
  * On the probe server's thread: reads one flag. Metrics are written by the
  * loop, which changes them.
@@ -284,7 +142,7 @@
 	struct host *h = ctx;
 
 	if (!strcmp(r->path, METRICS_PATH)) {
-		post_request(h, r);
+		host_post_request(h, r);
 		return;
 	}
 	http_reply(r, __atomic_load_n(&h->ready, __ATOMIC_RELAXED) ? 200 : 503,
@@ -358,34 +216,6 @@
 	reload(h);
 }
 
-/*
- * A small host joins only while no owner shows: it could not keep up with a
- * large cell. Once it has joined it stays, for it may hold the cell.
- */
-static void size_relay(struct host *h)
-{
-	struct cell_counts n;
-
-	if (h->owner.phase != OWNER_ACTIVE) {
-		h->relay.workers = 0;
-		h->sized_ms = 0;
-	} else if (h->now_ms - h->sized_ms >= SIZE_PERIOD_MS) {
-		cell_count(h->owner.cell, &n);
-		h->relay.workers = n.workers;
-		h->sized_ms = h->now_ms;
-	}
-}
-
-static int64_t tick_peers(struct host *h)
-{
-	if (!h->peers)
-		return TICK_MS;
-	size_relay(h);
-	fleet_tick(&h->fleet, h->relay.workers > 0, h->now_ms);
-	relay_tick(&h->relay, h->now_ms);
-	return relay_server_tick(&h->relay_server, h->now_ms);
-}
-
 static int64_t on_tick(void *ctx)
 {
 	struct host *h = ctx;
@@ -397,21 +227,21 @@
 	follower_tick(&h->operators, h->now_ms);
 	follower_tick(&h->job_follower, h->now_ms);
 	if (!h->stop_ms)
-		candidate_tick(&h->candidate, &h->member, FIRST_CELL,
+		candidacy_tick(&h->candidacy, &h->member, FIRST_CELL,
 			       h->jobs.owner_ms,
 			       follower_is_fresh(&h->job_follower, h->now_ms,
-						 CANDIDATE_AGE_MS),
+						 CANDIDACY_AGE_MS),
 			       h->now_ms);
 	wait = owner_tick(&h->owner, &h->member, h->now_ms, clock_wall_ms());
 	host_calls_tick(h);
-	peers_wait = tick_peers(h);
+	peers_wait = host_peers_tick(h);
 	check_ready(h);
 	if (peers_wait < wait)
 		wait = peers_wait;
 	return wait < TICK_MS ? wait : TICK_MS;
 }
 
-static const struct loop_ops host_loop_ops = {on_tick, on_post};
+static const struct loop_ops host_loop_ops = {on_tick, host_on_post};
 
 static int split_address(const char *address, char ip[NAME_SIZE],
 			 uint16_t *port)
@@ -488,7 +318,7 @@
 	snprintf(name, sizeof(name), "%.40s-%" PRIx64, h->settings.name,
 		 (uint64_t)clock_wall_ms());
 	member_init(&h->member, &platform_store_ops, &h->platform, name, ttl);
-	candidate_init(&h->candidate, h->settings.cpu_milli,
+	candidacy_init(&h->candidacy, h->settings.cpu_milli,
 		       h->settings.store_parts, &h->member, h->now_ms);
 }
 
@@ -502,7 +332,7 @@
 	index_init(&h->listed_zones);
 	job_view_init(&h->jobs, &job_ops, h);
 	follower_init(&h->operators, &platform_store_ops, &h->platform,
-		      TOPIC_OPERATORS, 0, &operator_ops, h);
+		      TOPIC_OPERATORS, 0, &host_operator_ops, h);
 	follower_init(&h->job_follower, &platform_store_ops, &h->platform,
 		      TOPIC_JOBS, FIRST_CELL, &job_follower_ops, h);
 	h->operators.wait_ms = FOLLOW_WAIT_MS;
@@ -511,66 +341,6 @@
 	follower_start(&h->job_follower, h->now_ms);
 }
 
-static void send_calls(void *ctx, uint64_t to, struct str batch)
-{
-	peers_send(((struct host *)ctx)->peers, to, PEERS_CALLS, batch);
-}
-
-static void send_answers(void *ctx, uint64_t to, struct str batch)
-{
-	peers_send(((struct host *)ctx)->peers, to, PEERS_ANSWERS, batch);
-}
-
-static void drop_peer(void *ctx, uint64_t to)
-{
-	peers_drop(((struct host *)ctx)->peers, to);
-}
-
-static void host_present(void *ctx, const char *name, const char *address,
-			 uint32_t cpu_milli)
-{
-	struct host *h = ctx;
-
-	peers_learn(h->peers, name, address);
-	relay_peer_set(&h->relay, name, address, cpu_milli);
-}
-
-static void host_gone(void *ctx, const char *name)
-{
-	relay_peer_leaves(&((struct host *)ctx)->relay, name);
-}
-
-static const struct fleet_ops fleet_ops = {host_present, host_gone};
-
-static void init_relay(struct host *h)
-{
-	struct relay_net calls = {send_calls, drop_peer, h};
-	struct relay_net answers = {send_answers, drop_peer, h};
-
-	relay_init(&h->relay, &platform_worker_ops, &h->platform, &calls);
-	relay_server_init(&h->relay_server, &platform_worker_ops, &h->platform,
-			  &answers);
-	fleet_init(&h->fleet, &platform_store_ops, &h->platform, &fleet_ops, h);
-	name_set(h->fleet.name, h->settings.name);
-	h->fleet.cpu_milli = h->settings.cpu_milli;
-}
-
-static int start_peers(struct host *h)
-{
-	int err = 0;
-
-	h->peers = peers_start(h->settings.name, h->settings.ip,
-			       (uint16_t)h->settings.peer_port, post_message, h,
-			       &err);
-	if (err)
-		log_line(LOG_ERROR, "cannot listen for hosts",
-			 "port=%u error=%d", h->settings.peer_port, err);
-	else
-		snprintf(h->fleet.address, sizeof(h->fleet.address), "%.48s:%u",
-			 h->settings.ip, peers_port(h->peers));
-	return err;
-}
-
 static bool waits_for_answers(const struct host *h)
 {
 	return http_server_open(&h->callers) || http_server_open(&h->probes) ||
@@ -601,11 +371,7 @@
 	if (h->metrics_port)
 		http_server_stop(&h->metrics);
 	owner_finish(&h->owner);
-	if (h->peers)
-		peers_stop(h->peers);
-	relay_finish(&h->relay);
-	fleet_finish(&h->fleet);
-	relay_server_finish(&h->relay_server);
+	host_peers_finish(h);
 	follower_finish(&h->operators);
 	follower_finish(&h->job_follower);
 	job_view_finish(&h->jobs);
@@ -627,16 +393,15 @@
 	sigaction(SIGHUP, &sa, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	h->now_ms = clock_boot_ms();
-	h->started_ms = h->now_ms;
 	err = loop_init(&h->loop, &host_loop_ops, h,
 			h->settings.descriptors / CONNECTIONS_DIVISOR);
 	if (err)
 		return err;
 	init_store(h);
 	init_member(h);
-	init_relay(h);
+	host_peers_init(h);
 	init_owner(h);
-	err = serve(&h->callers, h->settings.callers, h, post_request);
+	err = serve(&h->callers, h->settings.callers, h, host_post_request);
 	if (!err)
 		err = serve(&h->probes, h->settings.readiness, h, on_probe);
 	if (!err && h->metrics_port) {
@@ -645,7 +410,7 @@
 		err = serve(&h->metrics, address, h, on_probe);
 	}
 	if (!err)
-		err = start_peers(h);
+		err = host_peers_start(h);
 	if (err)
 		return err;
 	log_line(LOG_INFO, "started",
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -5,7 +5,7 @@
 #include "adapters/loop.h"
 #include "base/histogram.h"
 #include "cell/queue_table.h"
-#include "host/candidate.h"
+#include "host/candidacy.h"
 #include "host/fleet.h"
 #include "host/owner.h"
 #include "host/peers.h"
@@ -51,7 +51,7 @@
 	struct follower operators;
 	struct follower job_follower;
 	struct member member;
-	struct candidate candidate;
+	struct candidacy candidacy;
 	struct owner owner;
 	struct peers *peers;
 	struct fleet fleet;
@@ -65,10 +65,8 @@
 	uint32_t store_failures;
 	int64_t store_failed_ms;
 	int64_t now_ms;
-	int64_t started_ms;
 	int64_t stop_ms;
 	int64_t file_due_ms;
-	uint64_t file_digest;
 	bool ready;
 	bool was_ready;
 	struct host_counts counts;
@@ -98,6 +96,29 @@
 void host_calls_tick(struct host *h);
 bool host_calls_pending(const struct host *h);
 
+/* host_operators.c: configuration and zones, as operators publish them */
+extern const struct follower_ops host_operator_ops;
+
+/* host_mail.c: what other threads hand to the loop */
+void host_post_request(void *ctx, struct http_request *r);
+void host_post_message(void *ctx, uint64_t from, enum peers_kind kind,
+		       struct str payload);
+void host_on_post(void *ctx, void *value);
+
+/* host_peers.c: the other hosts, and calls that are made for one another */
+void host_peers_init(struct host *h);
+int host_peers_start(struct host *h);
+void host_peers_finish(struct host *h);
+void host_peers_take(struct host *h, uint64_t from, enum peers_kind kind,
+		     struct str text);
+
+/**
+ * host_peers_tick() - exchange what waits with other hosts
+ *
+ * Return: milliseconds until it wants to be called again.
+ */
+int64_t host_peers_tick(struct host *h);
+
 /**
  * host_calls_finish() - answer all that waits: the process ends
  */
--- /dev/null
+++ b/src/host/host_mail.c
@@ -0,0 +1,57 @@
+#include "host/host.h"
+
+#include <stdlib.h>
+
+/* What other threads hand to the loop: a request, or a message of a host. */
+struct mail {
+	struct http_request *request;
+	uint64_t from;
+	enum peers_kind kind;
+	struct buf batch;
+};
+
+void host_post_request(void *ctx, struct http_request *r)
+{
+	struct mail *m = xcalloc(1, sizeof(*m));
+
+	m->request = r;
+	loop_post(&((struct host *)ctx)->loop, m);
+}
+
+void host_post_message(void *ctx, uint64_t from, enum peers_kind kind,
+		       struct str payload)
+{
+	struct mail *m = xcalloc(1, sizeof(*m));
+
+	m->from = from;
+	m->kind = kind;
+	buf_add(&m->batch, payload.data, payload.len);
+	loop_post(&((struct host *)ctx)->loop, m);
+}
+
+static void take_request(struct host *h, struct http_request *r)
+{
+	struct buf b;
+
+	if (r->server == &h->callers) {
+		host_on_caller(h, r);
+		return;
+	}
+	buf_init(&b);
+	host_write_metrics(h, &b);
+	http_reply(r, 200, 0, b.data, b.len);
+	buf_finish(&b);
+}
+
+void host_on_post(void *ctx, void *value)
+{
+	struct mail *m = value;
+
+	if (m->request)
+		take_request(ctx, m->request);
+	else
+		host_peers_take(ctx, m->from, m->kind,
+				(struct str){m->batch.data, m->batch.len});
+	buf_finish(&m->batch);
+	free(m);
+}
--- /dev/null
+++ b/src/host/host_operators.c
@@ -0,0 +1,73 @@
+#include "host/host.h"
+
+#include <inttypes.h>
+
+#include "base/logger.h"
+#include "platform/config.h"
+
+static void apply_config(struct host *h, struct str text)
+{
+	struct queue_table t;
+
+	if (config_parse(text, &t)) {
+		log_line(LOG_ERROR, "configuration not readable", "bytes=%zu",
+			 text.len);
+		return;
+	}
+	if (t.version <= h->queues.version) {
+		queue_table_finish(&t);
+		return;
+	}
+	log_line(LOG_INFO, "configuration in force",
+		 "version=%" PRIu64 " before=%" PRIu64 " queues=%zu", t.version,
+		 h->queues.version, t.count);
+	queue_table_finish(&h->queues);
+	h->queues = t;
+}
+
+static void operators_begin(void *ctx)
+{
+	struct host *h = ctx;
+
+	index_finish(&h->listed_zones);
+	index_init(&h->listed_zones);
+}
+
+static void operators_apply(void *ctx, const struct store_record *r)
+{
+	static const size_t prefix = sizeof(KEY_ZONE_CLOSED) - 1;
+	struct host *h = ctx;
+	char zone[NAME_SIZE];
+
+	if (str_eq(r->key, str_of(KEY_CONFIG))) {
+		if (r->value.len)
+			apply_config(h, r->value);
+		return;
+	}
+	if (r->key.len <= prefix || r->key.len - prefix >= NAME_SIZE ||
+	    memcmp(r->key.data, KEY_ZONE_CLOSED, prefix))
+		return;
+	memcpy(zone, r->key.data + prefix, r->key.len - prefix);
+	zone[r->key.len - prefix] = '\0';
+	log_line(LOG_INFO, r->value.len ? "zone taken out" : "zone taken back",
+		 "zone=%s offset=%" PRIu64, zone, r->offset);
+	index_remove(&h->closed_zones, name_hash(zone));
+	if (r->value.len) {
+		index_put(&h->closed_zones, name_hash(zone), h);
+		index_put(&h->listed_zones, name_hash(zone), h);
+	}
+}
+
+/* Zones whose closing was dropped while the history was not readable. */
+static void operators_end(void *ctx)
+{
+	struct host *h = ctx;
+	struct index old = h->closed_zones;
+
+	h->closed_zones = h->listed_zones;
+	index_init(&h->listed_zones);
+	index_finish(&old);
+}
+
+const struct follower_ops host_operator_ops = {operators_begin, operators_apply,
+					       operators_end};
--- /dev/null
+++ b/src/host/host_peers.c
@@ -0,0 +1,119 @@
+#include "host/host.h"
+
+#include <inttypes.h>
+
+#include "base/logger.h"
+
+/* How often the number of workers, on which the use of relays depends, is
+ * looked at. */
+#define SIZE_PERIOD_MS 1000
+
+void host_peers_take(struct host *h, uint64_t from, enum peers_kind kind,
+		     struct str text)
+{
+	struct relay_batch batch = {{NULL, 0}, {NULL, 0}};
+	struct arena a;
+
+	arena_init(&a);
+	if (shape_read(&relay_batch_shape, text, &batch, &a))
+		log_line(LOG_ERROR, "batch of a host not readable",
+			 "from=%016" PRIx64 " bytes=%zu", from, text.len);
+	else if (kind == PEERS_CALLS)
+		relay_server_take(&h->relay_server, from, &batch);
+	else
+		relay_take(&h->relay, from, &batch);
+	arena_finish(&a);
+}
+
+static void size_relay(struct host *h)
+{
+	struct cell_counts n;
+
+	if (h->owner.phase != OWNER_ACTIVE) {
+		h->relay.workers = 0;
+		h->sized_ms = 0;
+	} else if (h->now_ms - h->sized_ms >= SIZE_PERIOD_MS) {
+		cell_count(h->owner.cell, &n);
+		h->relay.workers = n.workers;
+		h->sized_ms = h->now_ms;
+	}
+}
+
+int64_t host_peers_tick(struct host *h)
+{
+	if (!h->peers)
+		return INT64_MAX;
+	size_relay(h);
+	fleet_tick(&h->fleet, h->relay.workers > 0, h->now_ms);
+	relay_tick(&h->relay, h->now_ms);
+	return relay_server_tick(&h->relay_server, h->now_ms);
+}
+
+static void send_calls(void *ctx, uint64_t to, struct str batch)
+{
+	peers_send(((struct host *)ctx)->peers, to, PEERS_CALLS, batch);
+}
+
+static void send_answers(void *ctx, uint64_t to, struct str batch)
+{
+	peers_send(((struct host *)ctx)->peers, to, PEERS_ANSWERS, batch);
+}
+
+static void drop_peer(void *ctx, uint64_t to)
+{
+	peers_drop(((struct host *)ctx)->peers, to);
+}
+
+static void host_present(void *ctx, const char *name, const char *address,
+			 uint32_t cpu_milli)
+{
+	struct host *h = ctx;
+
+	peers_learn(h->peers, name, address);
+	relay_peer_set(&h->relay, name, address, cpu_milli);
+}
+
+static void host_gone(void *ctx, const char *name)
+{
+	relay_peer_leaves(&((struct host *)ctx)->relay, name);
+}
+
+static const struct fleet_ops fleet_ops = {host_present, host_gone};
+
+void host_peers_init(struct host *h)
+{
+	struct relay_net calls = {send_calls, drop_peer, h};
+	struct relay_net answers = {send_answers, drop_peer, h};
+
+	relay_init(&h->relay, &platform_worker_ops, &h->platform, &calls);
+	relay_server_init(&h->relay_server, &platform_worker_ops, &h->platform,
+			  &answers);
+	fleet_init(&h->fleet, &platform_store_ops, &h->platform, &fleet_ops, h);
+	name_set(h->fleet.name, h->settings.name);
+	h->fleet.cpu_milli = h->settings.cpu_milli;
+}
+
+int host_peers_start(struct host *h)
+{
+	int err = 0;
+
+	h->peers = peers_start(h->settings.name, h->settings.ip,
+			       (uint16_t)h->settings.peer_port,
+			       host_post_message, h, &err);
+	if (err)
+		log_line(LOG_ERROR, "cannot listen for hosts",
+			 "port=%u error=%d", h->settings.peer_port, err);
+	else
+		snprintf(h->fleet.address, sizeof(h->fleet.address), "%.48s:%u",
+			 h->settings.ip, peers_port(h->peers));
+	return err;
+}
+
+void host_peers_finish(struct host *h)
+{
+	if (h->peers)
+		peers_stop(h->peers);
+	relay_finish(&h->relay);
+	fleet_finish(&h->fleet);
+	relay_server_finish(&h->relay_server);
+}
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -158,6 +158,16 @@
 		announce(id);
 	}
 
+	/* The first owner, with workers of the usual size that have answered.
+	 */
+	void begin(const std::vector<std::string> &ids, int64_t ms = 100)
+	{
+		own(1);
+		for (auto &id : ids)
+			add_worker(id);
+		run(ms);
+	}
+
 	void announce(const std::string &id)
 	{
 		if (c)
@@ -174,6 +184,24 @@
 		return s;
 	}
 
+	/* Serves users with a target of 50 ms, for as long as its job. */
+	static job_step serving_step(uint32_t count, uint32_t cpu)
+	{
+		job_step s = task_step(count, cpu);
+		s.flags = STEP_LASTING;
+		s.target_ms = 50;
+		name_set(s.image, "front");
+		return s;
+	}
+
+	static job_step filling_step(uint32_t count, uint32_t cpu)
+	{
+		job_step s = task_step(count, cpu);
+		s.flags = STEP_FILLER | STEP_CHECKPOINTS;
+		name_set(s.image, "report");
+		return s;
+	}
+
 	void submit(uint64_t id, std::vector<job_step> steps,
 		    uint32_t attempts = 3, uint32_t priority = 0)
 	{
