http_server: keep the listening descriptor until the threads have ended

Cause: http_server_close() closed the descriptor that MHD_quiesce_daemon() hands back while a thread of the library could still name it to epoll_ctl(); its number could by then belong to another file. Change: the socket is shut down, so that the kernel refuses new connections, and closed after MHD_stop_daemon(). Result: Loop.KeepsTheListeningDescriptorUntilTheThreadsHaveEnded fails on (the descriptor is gone after the close) and passes now.

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/logger.h"
@@ -110,6 +111,7 @@
 	if (inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
 		return -EINVAL;
 	s->body_max = body_max;
+	s->listen_fd = -1;
 	s->daemon = MHD_start_daemon(
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL |
 			MHD_ALLOW_SUSPEND_RESUME,
@@ -127,15 +129,21 @@
 	return 0;
 }
 
+/*
+ * The descriptor stays open until the threads of the library have ended: they
+ * may still name it to epoll_ctl(), and its number must not be given to another
+ * file meanwhile. shutdown() makes the kernel refuse new connections.
+ */
 void http_server_close(struct http_server *s)
 {
-	int fd;
-
 	if (__atomic_exchange_n(&s->closed, true, __ATOMIC_SEQ_CST))
 		return;
-	fd = MHD_quiesce_daemon(s->daemon);
-	if (fd >= 0)
-		close(fd);
+	s->listen_fd = MHD_quiesce_daemon(s->daemon);
+	if (s->listen_fd >= 0 && shutdown(s->listen_fd, SHUT_RDWR))
+		log_line(LOG_WARN,
+			 "cannot shut down the listening socket; connections "
+			 "stay in its queue",
+			 "port=%u error=%d", s->port, errno);
 }
 
 bool http_server_has_pending(const struct http_server *s)
@@ -161,6 +169,8 @@
 	}
 	MHD_stop_daemon(s->daemon);
 	s->daemon = NULL;
+	if (s->listen_fd >= 0)
+		close(s->listen_fd);
 }
 
 void http_reply(struct http_request *r, int status, uint32_t retry_ms,
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -48,6 +48,8 @@
  * @threads: size of the thread pool; 0 selects HTTP_THREADS
  * @idle_s: time after which an idle connection is closed; 0 selects
  *	HTTP_IDLE_S
+ * @listen_fd: listening socket, taken over from the library when the server is
+ *	closed; -1 before
  * @port: port that the server listens on
  * @body_max: limit on the content of a request, bytes
  * @handle: called with each complete request, on a thread of the server
@@ -59,6 +61,7 @@
 	unsigned int threads;
 	unsigned int idle_s;
 	struct MHD_Daemon *daemon;
+	int listen_fd;
 	uint16_t port;
 	size_t body_max;
 	void (*handle)(void *ctx, struct http_request *r);
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "adapters/http_server.h"
@@ -212,6 +213,40 @@
 	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 503");
 }
 
+/*
+ * http_server_close() closed the listening descriptor while a thread of the
+ * library could still name it to epoll_ctl(): a data race, and by then the
+ * number could belong to another file. Until the threads have ended, the
+ * descriptor has to stay the listener's, and new connections have to be
+ * refused.
+ */
+TEST_F(Loop, KeepsTheListeningDescriptorUntilTheThreadsHaveEnded)
+{
+	http_server s = {};
+	struct stat listener, now;
+	sockaddr_in sin = {};
+
+	s.threads = 1;
+	s.handle = [](void *, http_request *r) {
+		http_reply(r, 200, 0, "{}", 2);
+	};
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	int fd = MHD_get_daemon_info(s.daemon, MHD_DAEMON_INFO_LISTEN_FD)
+			 ->listen_fd;
+	ASSERT_EQ(fstat(fd, &listener), 0);
+	http_server_close(&s);
+	int client = socket(AF_INET, SOCK_STREAM, 0);
+	ASSERT_EQ(fstat(fd, &now), 0);
+	EXPECT_EQ(now.st_ino, listener.st_ino);
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(s.port);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	EXPECT_EQ(connect(client, (sockaddr *)&sin, sizeof(sin)), -1);
+	close(client);
+	http_server_stop(&s);
+	EXPECT_EQ(fstat(fd, &now), -1);
+}
+
 /*
  * After a connection was refused late, the loop still took its descriptor to be
  * registered with epoll, so that the next connection with the same number never
