job_view: decode a worker record into a fresh struct

Cause: fields that became zero are left out of a record, so a record decoded into the worker of the one before kept the old start time; a record that cannot be decoded left a worker without an address in the view, which an owner would poll.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -202,9 +202,20 @@
 	return 0;
 }
 
+static void drop_worker(struct job_view *v, struct known_worker *w)
+{
+	struct known_worker **at = &v->known_workers;
+
+	while (*at != w)
+		at = &(*at)->next;
+	*at = w->next;
+	index_remove(&v->workers, name_hash(w->id));
+	free(w);
+}
+
 static int apply_worker(struct job_view *v, struct str id, struct str value)
 {
-	struct known_worker *w, **at;
+	struct known_worker stored = {0}, *w;
 	char name[NAME_SIZE];
 	struct arena a;
 	int err;
@@ -215,15 +226,15 @@
 	name[id.len] = '\0';
 	w = index_get(&v->workers, name_hash(name));
 	if (!value.len) {
-		if (!w)
-			return 0;
-		for (at = &v->known_workers; *at != w; at = &(*at)->next)
-			;
-		*at = w->next;
-		index_remove(&v->workers, name_hash(name));
-		free(w);
+		if (w)
+			drop_worker(v, w);
 		return 0;
 	}
+	arena_init(&a);
+	err = shape_read(&known_shape, value, &stored, &a);
+	arena_finish(&a);
+	if (err)
+		return err;
 	if (!w) {
 		w = xcalloc(1, sizeof(*w));
 		name_set(w->id, name);
@@ -231,10 +242,9 @@
 		v->known_workers = w;
 		index_put(&v->workers, name_hash(name), w);
 	}
-	arena_init(&a);
-	err = shape_read(&known_shape, value, w, &a);
-	arena_finish(&a);
-	return err;
+	name_set(w->address, stored.address);
+	w->born = stored.born;
+	return 0;
 }
 
 int job_view_apply(struct job_view *v, struct str key, struct str value,
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -150,6 +150,37 @@
 	EXPECT_FALSE(v.known_workers);
 }
 
+/*
+ * A record leaves out fields that are zero. Decoded into the worker of the
+ * record before it, the worker kept the start time of its former process.
+ */
+TEST_F(JobView, ReplacesAllFieldsOfAKnownWorker)
+{
+	known_worker w = {};
+	buf b;
+
+	name_set(w.address, "10.0.0.1:80");
+	w.born = 77;
+	buf_init(&b);
+	known_worker_write(&w, &b);
+	EXPECT_EQ(job_view_apply(&v, str_of("w/i-1"), {b.data, b.len}, 1), 0);
+	buf_clear(&b);
+	w.born = 0;
+	known_worker_write(&w, &b);
+	EXPECT_EQ(job_view_apply(&v, str_of("w/i-1"), {b.data, b.len}, 1), 0);
+	buf_finish(&b);
+	ASSERT_TRUE(v.known_workers);
+	EXPECT_EQ(v.known_workers->born, 0u);
+}
+
+/* A record that cannot be decoded must not add a worker without an address. */
+TEST_F(JobView, IgnoresAnInvalidWorkerRecord)
+{
+	EXPECT_EQ(job_view_apply(&v, str_of("w/i-1"), str_of("junk"), 1),
+		  -EBADMSG);
+	EXPECT_FALSE(v.known_workers);
+}
+
 TEST(JobId, HasSixteenDigits)
 {
 	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f8")),
