--- a/src/base/histogram.c
+++ b/src/base/histogram.c
@@ -8,7 +8,7 @@
 
 	if (ms < 0)
 		ms = 0;
-	while (n + 1 < HISTOGRAM_BUCKETS && ms >= (int64_t)1 << n)
+	while (n + 1 < HISTOGRAM_BUCKETS && ms > (int64_t)1 << n)
 		n++;
 	h->buckets[n]++;
 	h->count++;
--- a/src/base/histogram.h
+++ b/src/base/histogram.h
@@ -8,7 +8,7 @@
 #endif
 
 /*
- * Bucket n counts durations below 2^n ms that no lower bucket counts; the last
+ * Bucket n counts durations up to 2^n ms that no lower bucket counts; the last
  * bucket counts all longer ones.
  */
 #define HISTOGRAM_BUCKETS 18
