node: read whether it has drained under the lock that node.h states

The last call, for the log line at the stop, was made without it while other threads still ran. Seen on reading; the process test passes as before.

--- a/src/adapters/node.c
+++ b/src/adapters/node.c
@@ -262,7 +262,7 @@
 {
 	struct timespec wait = {0, NODE_TICK_MS * 1000000L};
 	int64_t drain_start_ms = 0;
-	bool done = false;
+	bool done = false, drained = false;
 
 	while (!done) {
 		if (sigtimedwait(stop_signals, NULL, &wait) > 0 &&
@@ -278,10 +278,12 @@
 		if (!drain_start_ms)
 			continue;
 		pthread_mutex_lock(&n->lock);
-		done = n->ops->drained(n->ctx) ||
-		       clock_mono_ms() - drain_start_ms >= DRAIN_MAX_MS;
+		drained = n->ops->drained(n->ctx);
 		pthread_mutex_unlock(&n->lock);
+		done = drained ||
+		       clock_mono_ms() - drain_start_ms >= DRAIN_MAX_MS;
 	}
+	log_line(LOG_INFO, "stopped", "drained=%d", drained);
 }
 
 int node_run(struct node *n, const struct settings *s,
@@ -317,7 +319,6 @@
 	log_line(LOG_INFO, "listening", "port=%u http_port=%u", n->net.port,
 		 n->http.port);
 	serve(n, &stop_signals);
-	log_line(LOG_INFO, "stopped", "drained=%d", n->ops->drained(n->ctx));
 	http_server_stop(&n->http);
 	log_http_stop(&n->log);
 	peer_net_stop(&n->net);
