host_test: note the time of the kill once it is confirmed

Cause: the time was noted before the kill, so that what worker w2 started between the two counted as still running there. A run that ends at the noted time is now counted as running until the process is certainly gone, which is stricter.

--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -100,8 +100,9 @@
 sleep 4
 kill -CONT "${HOST_PID[$owner]}"
 check "jobs are accepted after a pause" submit_range 31 40 "$other"
-killed_worker="w2 $(date +%s%3N)"
 kill -9 "${WORKER_PID[w2]}"
+wait "${WORKER_PID[w2]}"
+killed_worker="w2 $(date +%s%3N)"
 unset "WORKER_PID[w2]"
 kill -USR1 $STORE_PID
 check "a store that takes nothing: refused" status_is 503 "$other" POST \
