core: racks of a zone without a live schedd are claimed from other zones

Only schedds of a zone claimed its racks, so nobody fenced its workers, and the owner of a job that ran there waited for the proof of its end for ever. Ruled out: the workers (alive, their leases run out) and the job shards (taken over after 20 s). Change: after the same 20 s schedds of other zones read that zone's claims and claim its racks, until one of the zone is back. A foreign owner that cannot read the claims renews nothing after 20 s, so the next owner's bound does not rest on contact between zones. A schedd that was paused counts silence from its resumption.

--- a/src/core/sched.c
+++ b/src/core/sched.c
@@ -208,8 +208,13 @@
 		free(s->peers[i]);
 	stream_finish(&s->config_stream);
 	stream_finish(&s->claims_stream);
-	for (i = 0; i < s->zone_count; i++)
+	for (i = 0; i < s->zone_count; i++) {
 		free(s->zones[i].racks);
+		if (s->zones[i].claims == &s->claims_stream)
+			continue;
+		stream_finish(s->zones[i].claims);
+		free(s->zones[i].claims);
+	}
 	free(s->shards);
 	free(s->peers);
 	free(s->streams);
@@ -246,14 +251,30 @@
 	       s->claims_stream.caught_up && s->config.count;
 }
 
-static bool is_fresh(const struct sched *s, const struct stream *st)
+int64_t sched_claims_fresh_ms(const struct sched *s)
+{
+	int64_t oldest = s->claims_stream.fresh_ms;
+	size_t i;
+
+	for (i = 0; i < s->zone_count; i++) {
+		const struct rack_zone *z = &s->zones[i];
+
+		if (z->failed_over && z->claims->caught_up &&
+		    z->claims->fresh_ms < oldest)
+			oldest = z->claims->fresh_ms;
+	}
+	return oldest;
+}
+
+static bool is_fresh(const struct sched *s, int64_t fresh_ms)
 {
-	return s->now_ms - st->fresh_ms <= SCHED_STALENESS_MAX_MS;
+	return s->now_ms - fresh_ms <= SCHED_STALENESS_MAX_MS;
 }
 
 enum log_freshness sched_log_freshness(const struct sched *s)
 {
-	if (!is_fresh(s, &s->config_stream) || !is_fresh(s, &s->claims_stream))
+	if (!is_fresh(s, s->config_stream.fresh_ms) ||
+	    !is_fresh(s, sched_claims_fresh_ms(s)))
 		return FRESHNESS_STALE;
 	if (s->config_stream.status == LOG_REFUSED)
 		return FRESHNESS_LOG_DOWN;
@@ -288,7 +309,7 @@
 
 int64_t sched_fresh_until(const struct sched *s)
 {
-	int64_t a = s->config_stream.fresh_ms, b = s->claims_stream.fresh_ms;
+	int64_t a = s->config_stream.fresh_ms, b = sched_claims_fresh_ms(s);
 
 	if (!sched_has_protection(s, PROTECT_FRESH_READ))
 		return s->now_ms + 3600000;
@@ -437,23 +458,28 @@
 	flush_streams(s);
 }
 
-void sched_on_hosts(struct sched *s, int64_t now_ms,
-		    const struct listed_host *hosts, size_t count)
+static bool may_own_racks_of(const struct sched *s, const char *zone)
 {
 	size_t i;
 
-	s->now_ms = now_ms;
-	s->hosts = xrealloc(s->hosts, count * sizeof(*hosts));
-	if (count)
-		memcpy(s->hosts, hosts, count * sizeof(*hosts));
-	s->host_count = count;
-	s->hosts_ms = now_ms;
-	for (i = 0; i < count; i++) {
-		const struct listed_host *h = &hosts[i];
+	if (!strcmp(zone, s->opts.zone))
+		return true;
+	for (i = 0; i < s->zone_count; i++)
+		if (!strcmp(s->zones[i].name, zone))
+			return s->zones[i].failed_over;
+	return false;
+}
+
+void sched_add_listed_workers(struct sched *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->host_count; i++) {
+		const struct listed_host *h = &s->hosts[i];
 		char rack[NAME_SIZE * 3];
 		struct worker *w;
 
-		if (h->role != HOST_WORKER || strcmp(h->zone, s->opts.zone))
+		if (h->role != HOST_WORKER || !may_own_racks_of(s, h->zone))
 			continue;
 		snprintf(rack, sizeof(rack), "rack-%s-%s", h->zone, h->rack);
 		w = worker_table_add(&s->workers, h->id, h->name,
@@ -462,6 +488,18 @@
 	}
 }
 
+void sched_on_hosts(struct sched *s, int64_t now_ms,
+		    const struct listed_host *hosts, size_t count)
+{
+	s->now_ms = now_ms;
+	s->hosts = xrealloc(s->hosts, count * sizeof(*hosts));
+	if (count)
+		memcpy(s->hosts, hosts, count * sizeof(*hosts));
+	s->host_count = count;
+	s->hosts_ms = now_ms;
+	sched_add_listed_workers(s);
+}
+
 void sched_on_hosts_unchanged(struct sched *s, int64_t now_ms)
 {
 	s->now_ms = now_ms;
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -45,7 +45,8 @@
 #define SCHED_PEER_TIMEOUT_MS 2000
 #define SCHED_CROSS_ZONE_MS 5000     /* heartbeats to other zones */
 #define SCHED_FULL_HEARTBEAT_MS 2000 /* heartbeats that list shards */
-/* Time without a live schedd after which a zone loses its job shards. */
+/* Time without a live schedd after which a zone loses its shards to schedds of
+ * other zones. */
 #define SCHED_ZONE_FAILOVER_MS 20000
 #define SCHED_STARTUP_DELAY_MS 2500 /* from start to first assignment */
 /*
@@ -97,9 +98,15 @@
 
 /**
  * struct rack_zone - the racks of one availability zone
+ * @claims: stream with the claims of the racks; of another zone it is read only
+ *          during its failover
+ * @failed_over: the zone has no live schedd, so schedds of other zones may own
+ *               its racks; stays true until this schedd has none of them
  */
 struct rack_zone {
 	char name[NAME_SIZE];
+	struct stream *claims;
+	bool failed_over;
 	struct shard **racks;
 	size_t count;
 };
--- a/src/core/sched_internal.h
+++ b/src/core/sched_internal.h
@@ -22,8 +22,7 @@
 
 /**
  * struct shard - a job stream or a rack, with its owner
- * @stream: stream with the claims of the shard; of a job shard also its jobs;
- *          NULL for a rack of another zone
+ * @stream: stream with the claims of the shard; of a job shard also its jobs
  * @owns_stream: @stream is freed with the shard
  * @claim: owner and epoch according to the log
  * @owned_ms: time when this schedd became the owner
@@ -130,6 +129,19 @@
  */
 int64_t sched_fresh_until(const struct sched *s);
 
+/**
+ * sched_claims_fresh_ms() - when the oldest of the last reads of the claims
+ * that reached the head was sent, over all zones of which this schedd may own
+ * racks
+ */
+int64_t sched_claims_fresh_ms(const struct sched *s);
+
+/**
+ * sched_add_listed_workers() - add the workers of the newest host list whose
+ * racks this schedd may own
+ */
+void sched_add_listed_workers(struct sched *s);
+
 /* Ownership: sched_owner.c, sched_claim.c, sched_peer.c */
 void sched_set_state(struct sched *s, struct shard *sh, enum shard_state state);
 void sched_start_claim(struct sched *s, struct shard *sh);
--- a/src/core/sched_owner.c
+++ b/src/core/sched_owner.c
@@ -14,6 +14,8 @@
 static const struct stream_ops shard_stream_ops = {sched_load_shard_stream,
 						   sched_shard_caught_up};
 
+static void hand_over_shard(struct sched *s, struct shard *sh);
+
 struct shard *sched_shard(const struct sched *s, uint64_t id)
 {
 	return index_get(&s->shard_by_id, id);
@@ -31,22 +33,23 @@
 	sh->state_since_ms = s->now_ms;
 }
 
-static void add_stream(struct sched *s, struct shard *sh)
+static struct stream *add_stream(struct sched *s, const char *name)
 {
 	struct stream *st = xcalloc(1, sizeof(*st));
 
 	s->streams = xrealloc(s->streams,
 			      (s->stream_count + 1) * sizeof(*s->streams));
-	stream_init(st, sh->name, (uint32_t)s->stream_count, &s->ports,
+	stream_init(st, name, (uint32_t)s->stream_count, &s->ports,
 		    &shard_stream_ops, s);
 	st->writer = s->opts.incarnation;
 	s->streams[s->stream_count++] = st;
-	sh->stream = st;
-	sh->owns_stream = true;
+	return st;
 }
 
+/* A job shard has a stream of its own; @claims is that of a rack's zone. */
 static struct shard *add_shard(struct sched *s, enum shard_kind kind,
-			       const char *name, const char *zone)
+			       const char *name, const char *zone,
+			       struct stream *claims)
 {
 	struct shard *sh = xcalloc(1, sizeof(*sh));
 
@@ -57,10 +60,8 @@
 	job_table_init(&sh->jobs);
 	ledger_init(&sh->ledger, true);
 	index_init(&sh->refused);
-	if (kind == SHARD_JOBS)
-		add_stream(s, sh);
-	else if (!strcmp(zone, s->opts.zone))
-		sh->stream = &s->claims_stream;
+	sh->owns_stream = kind == SHARD_JOBS;
+	sh->stream = sh->owns_stream ? add_stream(s, sh->name) : claims;
 	s->shards =
 		xrealloc(s->shards, (s->shard_count + 1) * sizeof(*s->shards));
 	s->shards[s->shard_count++] = sh;
@@ -78,12 +79,15 @@
 		name[NAME_SIZE - 1] = '\0';
 		if (!sched_shard(s, name_hash(name)))
 			add_shard(s, SHARD_JOBS, name,
-				  d->region.zones[i % d->region.zone_count]);
+				  d->region.zones[i % d->region.zone_count],
+				  NULL);
 	}
 }
 
 static struct rack_zone *find_or_add_zone(struct sched *s, const char *name)
 {
+	char claims[NAME_SIZE * 2];
+	struct rack_zone *z;
 	size_t i;
 
 	for (i = 0; i < s->zone_count; i++)
@@ -91,8 +95,13 @@
 			return &s->zones[i];
 	if (s->zone_count == DOCUMENT_ZONES_MAX)
 		return NULL;
-	name_set(s->zones[s->zone_count].name, name);
-	return &s->zones[s->zone_count++];
+	z = &s->zones[s->zone_count++];
+	name_set(z->name, name);
+	snprintf(claims, sizeof(claims), "claims-%s", name);
+	claims[NAME_SIZE - 1] = '\0';
+	z->claims = strcmp(name, s->opts.zone) ? add_stream(s, claims)
+					       : &s->claims_stream;
+	return z;
 }
 
 static void add_zone(struct sched *s, const struct document *d)
@@ -109,7 +118,8 @@
 			continue;
 		z->racks =
 			xrealloc(z->racks, (z->count + 1) * sizeof(*z->racks));
-		z->racks[z->count++] = add_shard(s, SHARD_RACK, name, d->name);
+		z->racks[z->count++] =
+			add_shard(s, SHARD_RACK, name, d->name, z->claims);
 	}
 }
 
@@ -132,6 +142,13 @@
 	return d && !strcmp(d->zone.region, home_region(s));
 }
 
+static void replay_claims(struct sched *s, struct stream *claims)
+{
+	claims->next = 0;
+	claims->caught_up = false;
+	stream_schedule_read(claims, s->now_ms);
+}
+
 void sched_sync_shards(struct sched *s)
 {
 	size_t i;
@@ -147,9 +164,10 @@
 			add_zone(s, d);
 	}
 	/* Replay the claims: those of racks not known before were skipped. */
-	s->claims_stream.next = 0;
-	s->claims_stream.caught_up = false;
-	stream_schedule_read(&s->claims_stream, s->now_ms);
+	replay_claims(s, &s->claims_stream);
+	for (i = 0; i < s->zone_count; i++)
+		if (s->zones[i].failed_over)
+			replay_claims(s, s->zones[i].claims);
 }
 
 /* Assignment */
@@ -286,7 +304,7 @@
 		sched_set_state(s, sh, SHARD_FOLLOWING);
 		sh->stream->poll_ms = SCHED_POLL_MS;
 		stream_schedule_read(sh->stream, s->now_ms);
-	} else if (!sched_owner_is_alive(s, sh)) {
+	} else if (sh->stream->caught_up && !sched_owner_is_alive(s, sh)) {
 		sched_start_claim(s, sh);
 	}
 }
@@ -331,11 +349,13 @@
 
 /*
  * True when no schedd of a zone has been in contact for
- * SCHED_ZONE_FAILOVER_MS. Schedds of other zones then take over its job shards.
+ * SCHED_ZONE_FAILOVER_MS. Schedds of other zones then take over its shards.
  */
 static bool zone_is_unavailable(const struct sched *s, const char *zone)
 {
-	int64_t newest = s->started_ms;
+	/* Contacts missed while this process was paused do not count. */
+	int64_t newest =
+		s->resumed_ms > s->started_ms ? s->resumed_ms : s->started_ms;
 	size_t i;
 
 	if (!strcmp(zone, s->opts.zone))
@@ -350,6 +370,62 @@
 	return s->now_ms - newest >= SCHED_ZONE_FAILOVER_MS;
 }
 
+/*
+ * Without the failover nobody would learn how the tasks on the racks of a zone
+ * without schedds ended, and their jobs would never end.
+ */
+static void begin_zone_failover(struct sched *s, struct rack_zone *z)
+{
+	size_t i;
+
+	if (z->failed_over)
+		return;
+	z->failed_over = true;
+	z->claims->poll_ms = SCHED_POLL_MS;
+	/* Claims that were missed since the last failover are read again. */
+	for (i = 0; i < z->count; i++)
+		memset(&z->racks[i]->claim, 0, sizeof(z->racks[i]->claim));
+	replay_claims(s, z->claims);
+	sched_add_listed_workers(s);
+	sched_event(s, "zone_failover", 0, 0, "%s: no live schedd", z->name);
+}
+
+static void end_zone_failover(struct sched *s, struct rack_zone *z)
+{
+	size_t i;
+
+	if (!z->failed_over)
+		return;
+	for (i = 0; i < z->count; i++) {
+		hand_over_shard(s, z->racks[i]);
+		if (z->racks[i]->state != SHARD_IDLE)
+			return;
+	}
+	z->failed_over = false;
+	z->claims->poll_ms = 0;
+	z->claims->read_due_ms = 0;
+	sched_event(s, "zone_failover_end", 0, 0, "%s", z->name);
+}
+
+static void assign_racks_of_other_zones(struct sched *s)
+{
+	size_t i, k;
+
+	for (i = 0; i < s->zone_count; i++) {
+		struct rack_zone *z = &s->zones[i];
+
+		if (!strcmp(z->name, s->opts.zone))
+			continue;
+		if (!zone_is_unavailable(s, z->name)) {
+			end_zone_failover(s, z);
+			continue;
+		}
+		begin_zone_failover(s, z);
+		for (k = 0; k < z->count; k++)
+			assign_shards(s, &z->racks[k], 1, NULL);
+	}
+}
+
 static void check_read_back(struct sched *s, struct shard *sh)
 {
 	bool is_pending =
@@ -390,7 +466,8 @@
 		return;
 	}
 	for (i = 0, n = 0; i < s->shard_count; i++)
-		if (s->shards[i]->kind == SHARD_RACK && s->shards[i]->stream)
+		if (s->shards[i]->kind == SHARD_RACK &&
+		    !strcmp(s->shards[i]->zone, s->opts.zone))
 			set[n++] = s->shards[i];
 	assign_shards(s, set, n, s->opts.zone);
 	for (i = 0, n = 0; i < s->shard_count; i++)
@@ -410,5 +487,6 @@
 		else
 			hand_over_shard(s, sh);
 	}
+	assign_racks_of_other_zones(s);
 	free(set);
 }
--- a/src/core/sched_rack.c
+++ b/src/core/sched_rack.c
@@ -195,19 +195,25 @@
 
 /*
  * Latest time at which the previous owner may have sent a renewal, if it can
- * neither read the log nor reach this schedd. A previous owner that has sent
- * heartbeats to this schedd has it among its peers, and stops renewing even
- * for services that keep their tasks (is_isolated()). For any other there is
- * no bound for such services.
+ * neither read the log nor reach this schedd. For services that keep their
+ * tasks it follows from is_isolated(): an owner of another zone than the rack's
+ * stops renewing like for all services, and an owner of the rack's zone does so
+ * when it misses a schedd of that zone that it has been in contact with. For
+ * any other there is no bound for such services.
  */
 static int64_t last_renewal_ms(const struct sched *s, const struct shard *sh,
 			       bool keep)
 {
+	const struct peer *p;
+
 	if (is_previous_owner_gone(s, &sh->claim))
 		return sh->owned_ms;
 	if (!keep)
 		return sh->owned_ms + SCHED_RENEW_STALENESS_MS;
-	if (sched_peer_of_owner(s, sh->claim.previous_owner))
+	p = sched_peer_of_owner(s, sh->claim.previous_owner);
+	if (p && strcmp(p->zone, sh->zone))
+		return sh->owned_ms + SCHED_RENEW_STALENESS_MS;
+	if (p && !strcmp(p->zone, s->opts.zone))
 		return sh->owned_ms + SCHED_RENEW_STALENESS_MS +
 		       SCHED_ISOLATION_MS;
 	return INT64_MAX / 2;
--- a/src/core/sched_worker.c
+++ b/src/core/sched_worker.c
@@ -348,17 +348,20 @@
 }
 
 /*
- * True when the claims cannot be read and a schedd of the own zone is
+ * True when the claims cannot be read and a schedd that may claim the rack is
  * unreachable. That schedd may have claimed the rack and be waiting for the
  * renewals to end. In a zone that is cut off as a whole, the schedds still
- * reach each other, so this is false.
+ * reach each other, so this is false. A rack of another zone may be claimed by
+ * schedds of that zone that have never been in contact.
  */
-static bool is_isolated(const struct sched *s)
+static bool is_isolated(const struct sched *s, const struct shard *sh)
 {
 	size_t i;
 
-	if (s->now_ms - s->claims_stream.fresh_ms <= SCHED_RENEW_STALENESS_MS)
+	if (s->now_ms - sched_claims_fresh_ms(s) <= SCHED_RENEW_STALENESS_MS)
 		return false;
+	if (strcmp(sh->zone, s->opts.zone))
+		return true;
 	for (i = 0; i < s->peer_count; i++) {
 		const struct peer *p = s->peers[i];
 
@@ -408,7 +411,7 @@
 	}
 	if (s->now_ms < w->due_ms)
 		return;
-	if (w->fenced && !is_isolated(s))
+	if (w->fenced && !is_isolated(s, sh))
 		send_renew(s, sh, w);
 	else
 		send_fence(s, sh, w);
