host: callers' records are stored through the owner's append

A partition takes one append at a time (78 times slower then, 13 a second), and 97 hosts append the jobs of 43 callers a second in front of the owner, which is refused when 2 s of appends wait. Ruled out: the owner's processor (0.29 of a second busy then) and the limit of connections to one address (16 instead of 6 changed nothing; not kept). Change: a host passes its records to the owner, which stores them with its next batch and tells the outcome. The owner names itself in the log. Without word that the records were taken within 150 ms, or after a refusal, a host appends itself for 1.5 s. A record without an outcome is appended again as long as its caller waits, since of equal records the first counts; only one whose every append was refused is answered 503, and one that was never sent is withdrawn and refused, not 504. A record whose key does not fit in it is skipped instead of stopping the log's reader. Also: the loop's time by activity, in metrics and, when busy, in the log.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -26,6 +26,7 @@
 	struct buf reply;
 	fetch_done done;
 	void *ctx;
+	enum activity activity;
 	int64_t sent_ms;
 	int64_t due_ms;
 	bool in_flight;
@@ -134,6 +135,7 @@
 	struct epoll_event ev = {0};
 
 	memset(l, 0, sizeof(*l));
+	activity_init(&l->activity);
 	l->ops = ops;
 	l->ctx = ctx;
 	l->connect_ms = LOOP_CONNECT_MS;
@@ -267,6 +269,7 @@
 
 	c->done = done;
 	c->ctx = ctx;
+	c->activity = f->activity;
 	c->sent_ms = clock_boot_ms();
 	c->due_ms = c->sent_ms + f->timeout_ms;
 	call_link(l, c);
@@ -301,6 +304,7 @@
 static void call_finish(struct loop *l, struct loop_call *c, bool is_complete)
 {
 	struct fetch_result f = {0};
+	enum activity before;
 	long sent = 0;
 
 	call_unlink(l, c);
@@ -314,7 +318,9 @@
 		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 		f.not_sent = !sent;
 	}
+	before = activity_enter(&l->activity, c->activity);
 	c->done(c->ctx, &f);
+	activity_enter(&l->activity, before);
 	c->next = l->idle;
 	l->idle = c;
 }
@@ -429,8 +435,11 @@
 static bool process_events(struct loop *l, int timeout_ms)
 {
 	struct epoll_event events[EVENTS_MAX];
-	int running, i;
-	int n = epoll_wait(l->epoll_fd, events, EVENTS_MAX, timeout_ms);
+	int running, i, n;
+
+	activity_enter(&l->activity, ACTIVITY_WAIT);
+	n = epoll_wait(l->epoll_fd, events, EVENTS_MAX, timeout_ms);
+	activity_enter(&l->activity, ACTIVITY_IO);
 
 	for (i = 0; i < n; i++)
 		handle_event(l, &events[i]);
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 #include <pthread.h>
 
+#include "base/activity.h"
 #include "base/buf.h"
 #include "base/lock.h"
 
@@ -26,6 +27,7 @@
  * @content_type: type of @body; read for a POST only
  * @header: an additional header line, or NULL
  * @timeout_ms: time after which the request fails unless its reply has arrived
+ * @activity: what the time of the callback belongs to
  */
 struct fetch {
 	const char *url;
@@ -34,6 +36,7 @@
 	const char *content_type;
 	const char *header;
 	long timeout_ms;
+	enum activity activity;
 };
 
 /**
@@ -84,6 +87,7 @@
  * @expiry_due_ms: boot time before which no call in flight expires
  * @posts: mailbox of values that loop_post() received
  * @fetches: requests started so far
+ * @activity: time of the loop's thread, by what it was spent on
  */
 struct loop {
 	int epoll_fd;
@@ -103,6 +107,7 @@
 	const struct loop_ops *ops;
 	void *ctx;
 	uint64_t fetches;
+	struct activity_meter activity;
 };
 
 /**
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -20,6 +20,13 @@
 
 static const struct shape known_shape = SHAPE_OF(known_rows, known_worker);
 
+static const struct field owner_rows[] = {
+	FIELD_OF(NAME, cell_owner, name),
+	FIELD_OF(NAME, cell_owner, address),
+};
+
+static const struct shape owner_shape = SHAPE_OF(owner_rows, cell_owner);
+
 void job_view_init(struct job_view *v, const struct job_view_ops *ops,
 		   void *ctx)
 {
@@ -247,6 +254,20 @@
 	return 0;
 }
 
+static int apply_owner(struct job_view *v, struct str value)
+{
+	struct cell_owner owner = {"", ""};
+	struct arena a;
+	int err;
+
+	arena_init(&a);
+	err = shape_read(&owner_shape, value, &owner, &a);
+	arena_finish(&a);
+	if (!err)
+		v->owner = owner;
+	return err;
+}
+
 int job_view_apply(struct job_view *v, struct str key, struct str value,
 		   int64_t now_ms)
 {
@@ -259,6 +280,8 @@
 		buf_add(&v->effect_model, value.data, value.len);
 		return 0;
 	}
+	if (str_eq(key, str_of(OWNER_KEY)))
+		return apply_owner(v, value);
 	if (key.len > 2 && !memcmp(key.data, WORKER_KEY_PREFIX, 2)) {
 		struct str w = {key.data + 2, key.len - 2};
 
@@ -321,3 +344,8 @@
 {
 	shape_write(&known_shape, w, out);
 }
+
+void cell_owner_write(const struct cell_owner *o, struct buf *out)
+{
+	shape_write(&owner_shape, o, out);
+}
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -14,6 +14,8 @@
 #define JOB_KEY_SIZE 20
 #define WORKER_KEY_PREFIX "w/"
 #define EFFECT_MODEL_KEY "learned"
+/* Key of the record that names the owner, which each owner writes first. */
+#define OWNER_KEY "owner"
 
 /**
  * struct job_entry - one job as recorded in the store
@@ -55,10 +57,21 @@
 	struct known_worker *next;
 };
 
+/**
+ * struct cell_owner - the host that owns the partition's cell
+ * @name: of the host
+ * @address: on which it takes messages of other hosts
+ */
+struct cell_owner {
+	char name[NAME_SIZE];
+	char address[NAME_SIZE];
+};
+
 /**
  * struct job_view - all jobs of one partition, built from its records
  * @memory: owns the counts in @queues
  * @effect_model: the stored effect model, empty before one has been read
+ * @owner: the newest owner, empty before one is known
  * @owner_seen_ms: boot time at which the last record with the key "learned" was
  *	read, which every owner writes periodically; 0 before
  *
@@ -74,6 +87,7 @@
 	struct job_entry *jobs;
 	struct known_worker *known_workers;
 	struct buf effect_model;
+	struct cell_owner owner;
 	int64_t owner_seen_ms;
 	const struct job_view_ops *ops;
 	void *ctx;
@@ -137,6 +151,7 @@
 uint64_t job_id_parse(struct str text);
 
 void known_worker_write(const struct known_worker *w, struct buf *out);
+void cell_owner_write(const struct cell_owner *o, struct buf *out);
 
 #ifdef __cplusplus
 }
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -44,7 +44,8 @@
 	  "rack owner to worker: drop attempt state")                          \
 	X(WORKER_TASK, "worker_task", "worker to rack owner: state of a task") \
 	X(RELAY, "relay", "owner to entry host: calls to make to workers")     \
-	X(RELAYED, "relayed", "entry host to owner: the workers' answers")
+	X(RELAYED, "relayed", "entry host to owner: the workers' answers")     \
+	X(RECORDS, "records", "entry host to owner and back: callers' records")
 
 enum msg_kind {
 #define MSG_ENUM(sym, name, help) MSG_##sym,
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -56,6 +56,12 @@
 /* One in this many descriptors may hold an idle connection for reuse. */
 #define IDLE_CONNECTIONS_DIVISOR 2
 #define METRICS_PATH "/metrics"
+/* Period of the log lines on a busy loop, and the share of it, percent, that
+ * the loop has to work for a line. */
+#define BUSY_LOG_PERIOD_MS 1000
+#define BUSY_LOG_PERCENT 15
+#define BUSY_TEXT_SIZE 256
+#define NS_PER_MS 1000000
 /* Period at which the settings file is read again. */
 #define SETTINGS_PERIOD_MS 2000
 
@@ -230,6 +236,40 @@
 	settings_reload(h);
 }
 
+/* Logs what a busy loop works on, in milliseconds. */
+static void log_busy_loop(struct host *h)
+{
+	const struct activity_meter *m = &h->loop.activity;
+	int64_t passed = h->now_ms - h->busy_logged_ms, busy = 0;
+	char text[BUSY_TEXT_SIZE];
+	size_t used = 0;
+	int a;
+
+	if (passed < BUSY_LOG_PERIOD_MS)
+		return;
+	for (a = 0; a < ACTIVITY_COUNT; a++) {
+		int64_t ms =
+			(int64_t)(m->spent_ns[a] - h->logged_ns[a]) / NS_PER_MS;
+
+		h->logged_ns[a] = m->spent_ns[a];
+		if (a == ACTIVITY_WAIT)
+			continue;
+		busy += ms;
+		used += (size_t)snprintf(text + used, sizeof(text) - used,
+					 " %s_ms=%lld",
+					 activity_name((enum activity)a),
+					 (long long)ms);
+	}
+	h->busy_logged_ms = h->now_ms;
+	if (busy * 100 >= passed * BUSY_LOG_PERCENT)
+		log_line(LOG_INFO, "loop is busy",
+			 "passed_ms=%lld busy_ms=%lld longest_ms=%lld%s",
+			 (long long)passed, (long long)busy,
+			 (long long)activity_take_longest(&h->loop.activity) /
+				 NS_PER_MS,
+			 text);
+}
+
 static int64_t on_tick(void *ctx)
 {
 	struct host *h = ctx;
@@ -246,8 +286,12 @@
 			       follower_is_fresh(&h->job_follower, h->now_ms,
 						 CANDIDACY_LOG_AGE_MS),
 			       h->now_ms);
+	activity_enter(&h->loop.activity, ACTIVITY_SCHEDULE);
 	wait = owner_tick(&h->owner, &h->member, h->now_ms, clock_wall_ms());
+	activity_enter(&h->loop.activity, ACTIVITY_CALLERS);
 	host_calls_tick(h);
+	activity_enter(&h->loop.activity, ACTIVITY_IO);
+	log_busy_loop(h);
 	peers_wait = host_peers_tick(h);
 	update_readiness(h);
 	if (peers_wait < wait)
@@ -290,6 +334,13 @@
 	return err;
 }
 
+static void on_guest_done(void *ctx, uint64_t from, uint64_t seq,
+			  enum store_status status)
+{
+	record_relay_answer(&((struct host *)ctx)->record_relay, from, seq,
+			    status);
+}
+
 static void init_owner(struct host *h)
 {
 	struct owner *o = &h->owner;
@@ -309,6 +360,7 @@
 	o->cell_ops = &h->cell_ops;
 	o->parse_worker = worker_entry_parse;
 	o->ctx = h;
+	o->guest_done = on_guest_done;
 	o->options.lease_ms = LEASE_MS;
 	if (o->options.lease_ms > h->settings.lease_max_ms)
 		o->options.lease_ms = h->settings.lease_max_ms;
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -5,10 +5,12 @@
 #include "adapters/loop.h"
 #include "base/histogram.h"
 #include "cell/queue_table.h"
+#include "host/append_route.h"
 #include "host/candidacy.h"
 #include "host/fleet.h"
 #include "host/owner.h"
 #include "host/peers.h"
+#include "host/record_relay.h"
 #include "host/relay_server.h"
 #include "platform/platform.h"
 #include "platform/settings.h"
@@ -49,19 +51,23 @@
  * @job_view: state of all jobs, as read from the log
  * @operator_follower: follower of the operators' topic
  * @peers: connections to the other hosts; NULL until host_peers_start()
+ * @known_owner: owner whose address @peers has
  * @workers_counted_ms: boot time of the last update of the relay's worker
  *	count; 0 while this host is not the active owner
  * @calls: callers' requests that are not finished
  * @append_queue: calls whose record waits for the next append
  * @batches_in_flight: appends of callers' records without a reply
+ * @append_route: by which way callers' records are stored
+ * @append_due_ms: after a failed append, boot time of the next one
  * @store_failures: appends that failed since the last successful one
- * @store_failed_ms: boot time of the first of these failures, or of the last
- *	refused append that was queued again
+ * @store_failed_ms: boot time of the first of these failures
  * @stop_began_ms: boot time at which the shutdown began; 0 before
  * @settings_due_ms: boot time at which the settings file is read next
  * @ready: result of the readiness probe; atomic, as the thread of the probe
  *	server reads it
  * @was_ready: @ready as logged last
+ * @busy_logged_ms: boot time at which @logged_ns was set
+ * @logged_ns: time by activity up to the last look at how busy the loop is
  * @accept_ms: time from the arrival of a submission to its acceptance
  *
  * The struct belongs to the loop's thread. Other threads only read @ready, run
@@ -88,6 +94,10 @@
 	struct fleet fleet;
 	struct relay relay;
 	struct relay_server relay_server;
+	struct record_relay record_relay;
+	struct append_route append_route;
+	struct cell_owner known_owner;
+	int64_t append_due_ms;
 	int64_t workers_counted_ms;
 	struct cell_ops cell_ops;
 	struct host_call *calls;
@@ -101,6 +111,8 @@
 	bool ready;
 	bool was_ready;
 	struct host_counts counts;
+	int64_t busy_logged_ms;
+	uint64_t logged_ns[ACTIVITY_COUNT];
 	struct histogram accept_ms;
 };
 
--- /dev/null
+++ b/src/host/host_append.c
@@ -0,0 +1,177 @@
+#include "host/host_call.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "adapters/clock.h"
+#include "base/logger.h"
+
+/* A refused append is retried until its oldest call is this old; then the calls
+ * whose records have never been sent without an answer are refused. */
+#define APPEND_RETRY_MAX_MS 500
+#define APPEND_RETRY_MS 60
+/* Appends of callers' records that one host may have in flight. */
+#define BATCHES_IN_FLIGHT_MAX 4
+
+/**
+ * struct call_batch - an append that holds the records of several calls
+ * @calls: linked by @append_next
+ * @oldest_call_ms: boot time at which the oldest call arrived
+ * @via_owner: the records were passed to the owner of the cell
+ */
+struct call_batch {
+	struct host *host;
+	struct buf frames;
+	struct host_call *calls;
+	int64_t oldest_call_ms;
+	bool via_owner;
+};
+
+void call_queue_append(struct host *h, struct host_call *c)
+{
+	struct host_call **at = &h->append_queue;
+
+	c->append_pending = true;
+	while (*at)
+		at = &(*at)->append_next;
+	*at = c;
+}
+
+bool call_withdraw(struct host *h, struct host_call *c)
+{
+	struct host_call **at = &h->append_queue;
+
+	while (*at && *at != c)
+		at = &(*at)->append_next;
+	if (*at) {
+		*at = c->append_next;
+		c->append_next = NULL;
+		c->append_pending = false;
+	}
+	return !c->append_pending && !c->may_be_stored;
+}
+
+static void batch_free(struct call_batch *b)
+{
+	b->host->batches_in_flight--;
+	buf_finish(&b->frames);
+	free(b);
+}
+
+/*
+ * A record is appended again as long as its caller waits: after a refusal,
+ * since nothing was stored, and after an append without an answer, since of
+ * several equal records the first one counts. Only a record whose every append
+ * was refused makes the call refused.
+ */
+static void settle_call(struct call_batch *b, struct host_call *c,
+			enum store_status status)
+{
+	struct host *h = b->host;
+
+	if (status == STORE_OK) {
+		call_apply_record(h, c);
+		if (c->request)
+			call_answer(h, c, 200, 0, "{}");
+		return;
+	}
+	if (status == STORE_UNKNOWN)
+		c->may_be_stored = true;
+	if (!c->request)
+		return;
+	if (c->may_be_stored ||
+	    h->now_ms - b->oldest_call_ms < APPEND_RETRY_MAX_MS)
+		call_queue_append(h, c);
+	else
+		call_answer(h, c, 503, RETRY_AFTER_STORE_MS, "{}");
+}
+
+static void note_failure(struct call_batch *b, enum store_status status)
+{
+	struct host *h = b->host;
+
+	if (!h->store_failures++)
+		h->store_failed_ms = h->now_ms;
+	h->append_due_ms = h->now_ms + APPEND_RETRY_MS;
+	h->counts.append_failures++;
+	log_line(LOG_WARN, "append of calls' records failed",
+		 "status=%d age_ms=%lld bytes=%zu via_owner=%d", (int)status,
+		 (long long)(h->now_ms - b->oldest_call_ms), b->frames.len,
+		 b->via_owner);
+}
+
+static void on_outcome(void *ctx, enum store_status status)
+{
+	struct call_batch *b = ctx;
+	struct host_call *c, *next;
+	struct host *h = b->host;
+
+	h->now_ms = clock_boot_ms();
+	append_route_note(&h->append_route, b->via_owner, status, h->now_ms);
+	if (status == STORE_OK)
+		h->store_failures = 0;
+	else
+		note_failure(b, status);
+	for (c = b->calls; c; c = next) {
+		next = c->append_next;
+		c->append_next = NULL;
+		c->append_pending = false;
+		settle_call(b, c, status);
+	}
+	batch_free(b);
+}
+
+static void on_append(void *ctx, const struct store_reply *r)
+{
+	on_outcome(ctx, r->status);
+}
+
+static void batch_send(struct call_batch *b)
+{
+	struct str records = {b->frames.data, b->frames.len};
+	const char *owner = b->host->job_view.owner.name;
+	struct host *h = b->host;
+	struct store_append a = {0};
+
+	h->counts.appends++;
+	b->via_owner = owner[0] && h->peers &&
+		       append_route_use_owner(&h->append_route, h->now_ms);
+	if (b->via_owner) {
+		record_relay_send(&h->record_relay, name_hash(owner), records,
+				  on_outcome, b);
+		return;
+	}
+	a.topic = TOPIC_JOBS;
+	a.part = h->owner.part;
+	a.records = records;
+	h->owner.store->append(h->owner.port, &a, on_append, b);
+}
+
+void host_append_queue_send(struct host *h)
+{
+	char key[JOB_KEY_SIZE];
+	struct call_batch *b;
+	struct host_call *c;
+
+	if (!h->append_queue || h->batches_in_flight >= BATCHES_IN_FLIGHT_MAX ||
+	    (h->store_failures && h->now_ms < h->append_due_ms))
+		return;
+	b = xcalloc(1, sizeof(*b));
+	b->host = h;
+	b->calls = h->append_queue;
+	b->oldest_call_ms = h->now_ms;
+	buf_init(&b->frames);
+	h->append_queue = NULL;
+	for (c = b->calls; c; c = c->append_next) {
+		struct str value = {c->record.data, c->record.len};
+
+		store_record_add(&b->frames,
+				 job_key(c->id,
+					 c->kind == CALL_CANCEL ? 'c' : 0, key),
+				 value);
+		if (c->arrived_ms < b->oldest_call_ms)
+			b->oldest_call_ms = c->arrived_ms;
+	}
+	h->batches_in_flight++;
+	batch_send(b);
+}
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -1,4 +1,4 @@
-#include "host/host.h"
+#include "host/host_call.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -14,62 +14,15 @@
 #define DEADLINE_MARGIN_MS 150
 /* How long a call on an unknown job waits for a log read newer than it. */
 #define LOG_READ_WAIT_MS 1200
-/* A refused append is retried until its oldest call is this old; then all of
- * its calls are refused. */
-#define APPEND_RETRY_MAX_MS 500
-#define APPEND_RETRY_MS 60
-/* Appends of callers' records that one host may have in flight. */
-#define BATCHES_IN_FLIGHT_MAX 4
 /* The store counts as down if appends have failed for this long and the log has
  * not been read to its end for twice as long. */
 #define STORE_DOWN_MS 1000
-/* Retry-after times of refusals: during an outage of the store, and while the
- * configuration or the state of a job has not been read. */
-#define RETRY_AFTER_STORE_MS 1000
+/* Retry-after time of refusals while the configuration or the state of a job
+ * has not been read. */
 #define RETRY_AFTER_SHORT_MS 500
 /* Largest payload of a job, in bytes. */
 #define PAYLOAD_MAX 4000
 
-enum call_kind { CALL_SUBMIT, CALL_CANCEL, CALL_QUERY };
-
-/**
- * struct host_call - a caller's request that waits for the log or an append
- * @request: NULL once it is answered
- * @id: id of the job that the call is about
- * @record: record to be appended to the log; empty for a query
- * @append_pending: the record is queued, or its append is in flight
- * @may_be_stored: the append got no reply, so that only the log shows its
- *	result
- * @arrived_ms: boot time
- * @deadline_ms: boot time by which the call has to be answered
- * @append_next: next call in the append queue or in the same batch
- */
-struct host_call {
-	struct http_request *request;
-	enum call_kind kind;
-	uint64_t id;
-	struct buf record;
-	bool append_pending;
-	bool may_be_stored;
-	int64_t arrived_ms;
-	int64_t deadline_ms;
-	struct host_call *next;
-	struct host_call *prev;
-	struct host_call *append_next;
-};
-
-/**
- * struct call_batch - an append that holds the records of several calls
- * @calls: linked by @append_next
- * @oldest_call_ms: boot time at which the oldest call arrived
- */
-struct call_batch {
-	struct host *host;
-	struct buf frames;
-	struct host_call *calls;
-	int64_t oldest_call_ms;
-};
-
 static void reply(struct host *h, struct http_request *r, int status,
 		  uint32_t retry_ms, const char *body)
 {
@@ -89,8 +42,8 @@
 	free(c);
 }
 
-static void call_answer(struct host *h, struct host_call *c, int status,
-			uint32_t retry_ms, const char *body)
+void call_answer(struct host *h, struct host_call *c, int status,
+		 uint32_t retry_ms, const char *body)
 {
 	static const char *const kinds[] = {"submit", "cancel", "query"};
 
@@ -133,17 +86,7 @@
 	return e->cancelled || job_state_is_terminal(e->state);
 }
 
-static void call_queue_append(struct host *h, struct host_call *c)
-{
-	struct host_call **at = &h->append_queue;
-
-	c->append_pending = true;
-	while (*at)
-		at = &(*at)->append_next;
-	*at = c;
-}
-
-static void call_apply_record(struct host *h, struct host_call *c)
+void call_apply_record(struct host *h, struct host_call *c)
 {
 	char key[JOB_KEY_SIZE];
 	struct str value = {c->record.data, c->record.len};
@@ -155,8 +98,6 @@
 
 static void call_queue_cancel(struct host *h, struct host_call *c)
 {
-	if (c->append_pending || c->may_be_stored)
-		return;
 	buf_adds(&c->record, "1");
 	call_queue_append(h, c);
 }
@@ -321,114 +262,16 @@
 		reply(h, r, 404, 0, "{}");
 }
 
-static void batch_free(struct call_batch *b)
+/* A record that was never sent is withdrawn: the caller learns that the job has
+ * not been accepted, and when to come back. */
+static void call_expire(struct host *h, struct host_call *c)
 {
-	buf_finish(&b->frames);
-	free(b);
-}
-
-static void on_append(void *ctx, const struct store_reply *r);
-
-static void batch_send(struct call_batch *b)
-{
-	struct store_append a = {0};
-
-	a.topic = TOPIC_JOBS;
-	a.part = b->host->owner.part;
-	a.records.data = b->frames.data;
-	a.records.len = b->frames.len;
-	b->host->counts.appends++;
-	b->host->owner.store->append(b->host->owner.port, &a, on_append, b);
-}
-
-static void batch_settle(struct call_batch *b, enum store_status status)
-{
-	struct host *h = b->host;
-	struct host_call *c = b->calls, *next;
-
-	for (; c; c = next) {
-		next = c->append_next;
-		c->append_next = NULL;
-		c->append_pending = false;
-		if (status == STORE_OK)
-			call_apply_record(h, c);
-		if (!c->request)
-			continue;
-		if (status == STORE_OK)
-			call_answer(h, c, 200, 0, "{}");
-		else if (status == STORE_UNKNOWN)
-			c->may_be_stored = true;
-		else
-			call_answer(h, c, 503, RETRY_AFTER_STORE_MS, "{}");
-	}
-	batch_free(b);
-	h->batches_in_flight--;
-}
-
-static void on_append(void *ctx, const struct store_reply *r)
-{
-	struct call_batch *b = ctx;
-	struct host *h = b->host;
-
-	h->now_ms = clock_boot_ms();
-	if (r->status == STORE_OK) {
-		h->store_failures = 0;
-	} else {
-		if (!h->store_failures++)
-			h->store_failed_ms = h->now_ms;
-		h->counts.append_failures++;
-		log_line(LOG_WARN, "append of calls' records failed",
-			 "status=%d age_ms=%lld bytes=%zu", (int)r->status,
-			 (long long)(h->now_ms - b->oldest_call_ms),
-			 b->frames.len);
-	}
-	if (r->status == STORE_REFUSED &&
-	    h->now_ms - b->oldest_call_ms < APPEND_RETRY_MAX_MS) {
-		/* A refused append wrote nothing: it is safe to repeat. */
-		struct host_call *c, *next;
-
-		for (c = b->calls; c; c = next) {
-			next = c->append_next;
-			c->append_next = NULL;
-			call_queue_append(h, c);
-		}
-		h->store_failed_ms = h->now_ms;
-		batch_free(b);
-		h->batches_in_flight--;
-		return;
-	}
-	batch_settle(b, r->status);
-}
-
-static void append_queue_send(struct host *h)
-{
-	char key[JOB_KEY_SIZE];
-	struct call_batch *b;
-	struct host_call *c;
-
-	if (!h->append_queue || h->batches_in_flight >= BATCHES_IN_FLIGHT_MAX)
-		return;
-	if (h->store_failures &&
-	    h->now_ms - h->store_failed_ms < APPEND_RETRY_MS)
-		return;
-	b = xcalloc(1, sizeof(*b));
-	b->host = h;
-	b->calls = h->append_queue;
-	b->oldest_call_ms = h->now_ms;
-	buf_init(&b->frames);
-	h->append_queue = NULL;
-	for (c = b->calls; c; c = c->append_next) {
-		struct str value = {c->record.data, c->record.len};
-
-		store_record_add(&b->frames,
-				 job_key(c->id,
-					 c->kind == CALL_CANCEL ? 'c' : 0, key),
-				 value);
-		if (c->arrived_ms < b->oldest_call_ms)
-			b->oldest_call_ms = c->arrived_ms;
-	}
-	h->batches_in_flight++;
-	batch_send(b);
+	if (!c->record.len)
+		return; /* call_resolve() answers it */
+	if (call_withdraw(h, c))
+		call_answer(h, c, 503, RETRY_AFTER_STORE_MS, "{}");
+	else
+		call_answer(h, c, 504, 0, "{}");
 }
 
 void host_calls_tick(struct host *h)
@@ -439,13 +282,12 @@
 		next = c->next;
 		if (c->request)
 			call_resolve(h, c);
-		if (c->request && h->now_ms >= c->deadline_ms &&
-		    (c->may_be_stored || c->append_pending))
-			call_answer(h, c, 504, 0, "{}");
+		if (c->request && h->now_ms >= c->deadline_ms)
+			call_expire(h, c);
 		if (!c->request && !c->append_pending)
 			call_free(h, c);
 	}
-	append_queue_send(h);
+	host_append_queue_send(h);
 }
 
 void host_calls_finish(struct host *h)
@@ -455,7 +297,7 @@
 	for (c = h->calls; c; c = c->next) {
 		if (!c->request)
 			continue;
-		if (c->may_be_stored || c->append_pending)
+		if (c->record.len && !call_withdraw(h, c))
 			call_answer(h, c, 504, 0, "{}");
 		else
 			call_answer(h, c, 503, RETRY_AFTER_STORE_MS, "{}");
--- /dev/null
+++ b/src/host/host_call.h
@@ -0,0 +1,77 @@
+#ifndef HOST_HOST_CALL_H
+#define HOST_HOST_CALL_H
+
+#include "host/host.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Retry-after time of refusals during an outage of the store. */
+#define RETRY_AFTER_STORE_MS 1000
+
+enum call_kind { CALL_SUBMIT, CALL_CANCEL, CALL_QUERY };
+
+/**
+ * struct host_call - a caller's request that waits for the log or an append
+ * @request: NULL once it is answered
+ * @id: id of the job that the call is about
+ * @record: record to be appended to the log; empty for a query
+ * @append_pending: the record is queued, or its append is in flight
+ * @may_be_stored: an append of it got no answer, so that it may be stored
+ * @arrived_ms: boot time
+ * @deadline_ms: boot time by which the call has to be answered
+ * @append_next: next call in the append queue or in the same batch
+ */
+struct host_call {
+	struct http_request *request;
+	enum call_kind kind;
+	uint64_t id;
+	struct buf record;
+	bool append_pending;
+	bool may_be_stored;
+	int64_t arrived_ms;
+	int64_t deadline_ms;
+	struct host_call *next;
+	struct host_call *prev;
+	struct host_call *append_next;
+};
+
+/* host_call.c */
+
+/**
+ * call_answer() - send the final answer to a call
+ */
+void call_answer(struct host *h, struct host_call *c, int status,
+		 uint32_t retry_ms, const char *body);
+
+/**
+ * call_apply_record() - apply the stored record of a call to the job view,
+ * before the log shows it
+ */
+void call_apply_record(struct host *h, struct host_call *c);
+
+/* host_append.c */
+
+/**
+ * call_queue_append() - queue the record of a call for the next append
+ */
+void call_queue_append(struct host *h, struct host_call *c);
+
+/**
+ * call_withdraw() - take back a record that has not been sent
+ *
+ * Return: false when the record has been sent, so that it may be stored.
+ */
+bool call_withdraw(struct host *h, struct host_call *c);
+
+/**
+ * host_append_queue_send() - append the queued records
+ */
+void host_append_queue_send(struct host *h);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/host/host_mail.c
+++ b/src/host/host_mail.c
@@ -35,10 +35,13 @@
 
 static void dispatch_request(struct host *h, struct http_request *r)
 {
+	enum activity before;
 	struct buf b;
 
 	if (r->server == &h->callers) {
+		before = activity_enter(&h->loop.activity, ACTIVITY_CALLERS);
 		host_handle_call(h, r);
+		activity_enter(&h->loop.activity, before);
 		return;
 	}
 	buf_init(&b);
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -2,10 +2,13 @@
 
 #include <inttypes.h>
 
+#define NS_PER_US 1000
+
 void host_write_metrics(const struct host *h, struct buf *out)
 {
 	const struct host_counts *n = &h->counts;
 	struct cell_counts cell = {0};
+	int a;
 
 	if (h->owner.cell)
 		cell_get_counts(h->owner.cell, &cell);
@@ -22,6 +25,8 @@
 	METRIC("not_found", n->not_found);
 	METRIC("call_appends", n->appends);
 	METRIC("call_append_failures", n->append_failures);
+	METRIC("append_batches_via_owner", h->record_relay.sent);
+	METRIC("append_batches_via_owner_lost", h->record_relay.lost);
 	METRIC("owner_appends", h->owner.appends);
 	METRIC("owner_append_failures", h->owner.append_failures);
 	METRIC("owner_phase", h->owner.phase);
@@ -42,5 +47,10 @@
 	METRIC("cell_paces", cell.paces);
 	METRIC("cell_moves", cell.moves);
 #undef METRIC
+	for (a = 0; a < ACTIVITY_COUNT; a++)
+		buf_addf(out,
+			 "basilshift_loop_us{activity=\"%s\"} %" PRIu64 "\n",
+			 activity_name((enum activity)a),
+			 h->loop.activity.spent_ns[a] / NS_PER_US);
 	histogram_write(&h->accept_ms, "basilshift_accept_ms", out);
 }
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -9,6 +9,9 @@
  * that arrive together share one append. */
 #define COMMIT_PERIOD_MS 15
 #define APPEND_RETRY_MS 60
+/* Records of other hosts whose appends the store has refused for this long are
+ * refused. */
+#define GUEST_REFUSED_MS 400
 #define IDLE_TICK_MS 50
 /* Pauses between reads of the job log, by an owner and by any other host: an
  * owner reads new jobs as they arrive, other hosts may lag a little. */
@@ -18,6 +21,15 @@
  * once a second, and a drain must take effect within two seconds. */
 #define WORKERS_READ_GAP_MS 400
 
+/* Records of another host; in the current batch if @in_batch is set, else in
+ * guest_records. */
+struct owner_guest {
+	uint64_t from;
+	uint64_t seq;
+	bool in_batch;
+	struct owner_guest *next;
+};
+
 static void workers_begin(void *ctx)
 {
 	struct owner *o = ctx;
@@ -66,6 +78,7 @@
 void owner_init(struct owner *o)
 {
 	buf_init(&o->batch);
+	buf_init(&o->guest_records);
 	index_init(&o->listed_workers);
 	follower_init(&o->worker_follower, o->store, o->port, o->worker_topic,
 		      0, &worker_follower_ops, o);
@@ -77,10 +90,102 @@
 {
 	owner_step_down(o, "finish");
 	buf_finish(&o->batch);
+	buf_finish(&o->guest_records);
 	index_finish(&o->listed_workers);
 	follower_finish(&o->worker_follower);
 }
 
+bool owner_add_records(struct owner *o, uint64_t from, uint64_t seq,
+		       struct str records)
+{
+	struct owner_guest *g;
+
+	if (o->phase != OWNER_ACTIVE || o->handover_began_ms)
+		return false;
+	g = xcalloc(1, sizeof(*g));
+	g->from = from;
+	g->seq = seq;
+	g->next = o->guests;
+	o->guests = g;
+	buf_add(&o->guest_records, records.data, records.len);
+	return true;
+}
+
+static void take_guest_records(struct owner *o)
+{
+	struct owner_guest *g;
+
+	o->batch_guest_bytes = o->guest_records.len;
+	o->batch_may_be_stored = false;
+	o->batch_began_ms = o->now_ms;
+	buf_add(&o->batch, o->guest_records.data, o->guest_records.len);
+	buf_clear(&o->guest_records);
+	for (g = o->guests; g; g = g->next)
+		g->in_batch = true;
+}
+
+/* Reports the outcome of the batch to the hosts whose records it holds. */
+static void finish_guests(struct owner *o, enum store_status status)
+{
+	struct owner_guest **at = &o->guests, *g;
+
+	while (*at) {
+		g = *at;
+		if (!g->in_batch) {
+			at = &g->next;
+			continue;
+		}
+		*at = g->next;
+		o->guest_done(o->ctx, g->from, g->seq, status);
+		free(g);
+	}
+}
+
+/* Lets the jobs of other hosts be scheduled before the log is read. */
+static void apply_guest_records(struct owner *o)
+{
+	struct str rest = {o->batch.data, o->batch_guest_bytes};
+	struct store_record r;
+
+	while (!store_record_take(&rest, &r))
+		if (job_view_apply(o->job_view, r.key, r.value, o->now_ms))
+			log_line(LOG_ERROR, "cannot decode job record",
+				 "key_bytes=%zu bytes=%zu", r.key.len,
+				 r.value.len);
+}
+
+/*
+ * The store has refused every append of the batch: the records of other hosts
+ * are taken out of it, so that their callers are told in time.
+ */
+static void refuse_guests(struct owner *o)
+{
+	size_t left = o->batch.len - o->batch_guest_bytes;
+
+	if (!o->batch_guest_bytes || o->batch_may_be_stored ||
+	    o->now_ms - o->batch_began_ms < GUEST_REFUSED_MS)
+		return;
+	memmove(o->batch.data, o->batch.data + o->batch_guest_bytes, left);
+	o->batch.len = left;
+	o->batch_guest_bytes = 0;
+	finish_guests(o, STORE_REFUSED);
+	if (!left)
+		cell_batch_stored(o->cell);
+}
+
+/* What waits for the next batch was never sent; the current batch may have
+ * reached the store. */
+static void drop_guests(struct owner *o)
+{
+	struct owner_guest *g;
+
+	finish_guests(o, STORE_UNKNOWN);
+	for (g = o->guests; g; g = g->next)
+		g->in_batch = true;
+	finish_guests(o, STORE_REFUSED);
+	buf_clear(&o->guest_records);
+}
+
 static void owner_append(struct owner *o, store_done done)
 {
 	char producer[NAME_SIZE];
@@ -134,7 +239,9 @@
 				 o->attempt + 1);
 		o->attempt = 0;
 		o->seq++;
+		apply_guest_records(o);
 		buf_clear(&o->batch);
+		finish_guests(o, STORE_OK);
 		cell_batch_stored(o->cell);
 		return;
 	case STORE_FENCED:
@@ -151,11 +258,13 @@
 		break;
 	}
 	o->append_failures++;
+	o->batch_may_be_stored |= r->status == STORE_UNKNOWN;
 	if (!o->attempt++)
 		log_line(LOG_WARN, "append of batch failed",
 			 "seq=%" PRIu64 " bytes=%zu status=%d", o->seq,
 			 o->batch.len, (int)r->status);
 	o->append_due_ms = o->now_ms + APPEND_RETRY_MS;
+	refuse_guests(o);
 }
 
 void owner_step_down(struct owner *o, const char *reason)
@@ -165,6 +274,7 @@
 	log_line(LOG_INFO, "cell released",
 		 "part=%u epoch=%" PRIu64 " reason=\"%s\"", o->part, o->epoch,
 		 reason);
+	drop_guests(o);
 	if (o->cell)
 		cell_stop(o->cell);
 	o->cell = NULL;
@@ -174,6 +284,7 @@
 	o->fenced_by_worker = false;
 	o->attempt = 0;
 	buf_clear(&o->batch);
+	o->batch_guest_bytes = 0;
 	follower_stop(&o->worker_follower);
 	o->job_follower->read_gap_ms = IDLE_READ_GAP_MS;
 }
@@ -205,6 +316,20 @@
 		 "part=%u epoch=%" PRIu64, o->part, generation);
 }
 
+/* Tells all hosts, with the first batch, who owns the cell. */
+static void announce_owner(struct owner *o)
+{
+	struct str value;
+	struct buf b;
+
+	buf_init(&b);
+	cell_owner_write(&o->self, &b);
+	value.data = b.data;
+	value.len = b.len;
+	store_record_add(&o->batch, str_of(OWNER_KEY), value);
+	buf_finish(&b);
+}
+
 static void owner_activate(struct owner *o, int64_t wall_ms)
 {
 	struct cell_counts n;
@@ -214,6 +339,7 @@
 			   wall_ms);
 	o->phase = OWNER_ACTIVE;
 	follower_start(&o->worker_follower, o->now_ms);
+	announce_owner(o);
 	cell_get_counts(o->cell, &n);
 	log_line(LOG_INFO, "cell taken over",
 		 "part=%u epoch=%" PRIu64 " jobs=%u known_workers=%u "
@@ -226,8 +352,11 @@
 {
 	if (o->append_in_flight || o->now_ms < o->append_due_ms)
 		return;
-	if (!o->batch.len && !cell_take_batch(o->cell, &o->batch))
-		return;
+	if (!o->batch.len) {
+		take_guest_records(o);
+		if (!cell_take_batch(o->cell, &o->batch))
+			return;
+	}
 	owner_append(o, on_batch_append);
 }
 
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -11,14 +11,19 @@
 	void *ctx;
 };
 
+/* Kind of the message on the wire, by enum peers_kind. */
+static const uint32_t kinds[] = {MSG_RELAY, MSG_RELAYED, MSG_RECORDS};
+
 static void on_message(void *ctx, const struct msg *m)
 {
 	struct peers *p = ctx;
 
-	if (m->kind == MSG_RELAY)
-		p->on_message(p->ctx, m->from, PEERS_CALLS, m->payload);
-	else if (m->kind == MSG_RELAYED)
-		p->on_message(p->ctx, m->from, PEERS_ANSWERS, m->payload);
+	size_t i;
+
+	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++)
+		if (m->kind == kinds[i])
+			p->on_message(p->ctx, m->from, (enum peers_kind)i,
+				      m->payload);
 }
 
 struct peers *peers_start(const char *name, const char *ip, uint16_t port,
@@ -62,7 +67,7 @@
 {
 	struct msg m = {0};
 
-	m.kind = kind == PEERS_CALLS ? MSG_RELAY : MSG_RELAYED;
+	m.kind = kinds[kind];
 	m.payload = payload;
 	peer_net_send(&p->net, to, &m);
 }
--- a/src/host/peers.h
+++ b/src/host/peers.h
@@ -12,6 +12,7 @@
 enum peers_kind {
 	PEERS_CALLS,   /* worker calls that the receiver makes for the sender */
 	PEERS_ANSWERS, /* answers to such calls */
+	PEERS_RECORDS, /* callers' records for the owner, or their outcome */
 };
 
 /**
--- a/src/ports/cluster.c
+++ b/src/ports/cluster.c
@@ -1,6 +1,8 @@
 #include "ports/cluster.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
 
 void store_record_add(struct buf *out, struct str key, struct str value)
 {
@@ -12,3 +14,42 @@
 	buf_add(out, key.data, key.len);
 	buf_add(out, value.data, value.len);
 }
+
+int store_record_take(struct str *rest, struct store_record *out)
+{
+	uint32_t len;
+	size_t key;
+
+	if (!rest->len)
+		return -ENOENT;
+	if (rest->len < sizeof(len) + 1)
+		return -EBADMSG;
+	memcpy(&len, rest->data, sizeof(len));
+	len = ntohl(len);
+	if (!len || len > rest->len - sizeof(len))
+		return -EBADMSG;
+	key = (unsigned char)rest->data[sizeof(len)];
+	memset(out, 0, sizeof(*out));
+	if (key + 1 <= len) {
+		out->key.data = rest->data + sizeof(len) + 1;
+		out->key.len = key;
+		out->value.data = out->key.data + key;
+		out->value.len = len - 1 - key;
+	}
+	rest->data += sizeof(len) + len;
+	rest->len -= sizeof(len) + len;
+	return key + 1 <= len ? 0 : -EPROTO;
+}
+
+bool store_records_valid(struct str records)
+{
+	struct store_record r;
+	int err;
+
+	if (!records.len)
+		return false;
+	do {
+		err = store_record_take(&records, &r);
+	} while (!err);
+	return err == -ENOENT;
+}
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -105,6 +105,23 @@
  */
 void store_record_add(struct buf *out, struct str key, struct str value);
 
+/**
+ * store_record_take() - take the first record off a sequence of framed records
+ * @rest: the sequence; receives what follows the record
+ * @out: its key and value point into the sequence
+ *
+ * Return: 0; -ENOENT at the end; -EBADMSG when the record is not whole; -EPROTO
+ * for a record whose key does not fit in it, which is taken off, with an empty
+ * key.
+ */
+int store_record_take(struct str *rest, struct store_record *out);
+
+/**
+ * store_records_valid() - whether a text is a sequence of whole records as
+ * store_record_add() frames them, with at least one record
+ */
+bool store_records_valid(struct str records);
+
 /**
  * enum order_status - result of an order to a worker
  */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cell/cell.h"
@@ -113,7 +114,7 @@
 		job_view_init(&view, &view_ops, this);
 	}
 
-	~CellWorld()
+	virtual ~CellWorld()
 	{
 		stop();
 		job_view_finish(&view);
@@ -207,7 +208,8 @@
 	}
 
 	void submit(uint64_t id, std::vector<job_step> steps,
-		    uint32_t attempts = 3, uint32_t priority = 0)
+		    uint32_t attempts = 3, uint32_t priority = 0,
+		    uint32_t objective_ms = 250, uint32_t stretch_milli = 1500)
 	{
 		job_spec s = {};
 		char key[JOB_KEY_SIZE];
@@ -218,8 +220,8 @@
 		name_set(s.service, "pool");
 		s.attempts_max = attempts;
 		s.priority = priority;
-		s.stretch_milli = 1500;
-		s.objective_ms = 250;
+		s.stretch_milli = stretch_milli;
+		s.objective_ms = objective_ms;
 		s.payload = str_of("payload");
 		s.steps.items = steps.data();
 		s.steps.count = steps.size();
@@ -265,6 +267,13 @@
 		}
 	}
 
+	/* Called when a worker has started a run. */
+	virtual void on_start(const std::string &worker, const order &sent)
+	{
+		(void)worker;
+		(void)sent;
+	}
+
 	Row *find(uint64_t job, uint32_t step = 0, uint32_t index = 0)
 	{
 		for (auto &w : workers)
@@ -368,7 +377,7 @@
 	std::map<std::string, uint8_t> paces;
 	cell_options opt = {};
 
-      private:
+      protected:
 	void add_call(Call::Kind kind, const worker_addr *w, const order *o,
 		      order_done d, void *ctx)
 	{
@@ -395,6 +404,13 @@
 			call.done(call.ctx, &call.worker, &call.sent.ref, &r);
 	}
 
+	typedef std::tuple<uint64_t, uint32_t, uint32_t, uint32_t> TaskKey;
+
+	static TaskKey task_key(const task_ref &r)
+	{
+		return TaskKey(r.job, r.occurrence, r.step, r.index);
+	}
+
 	static bool is_same_task(const task_ref &a, const task_ref &b)
 	{
 		return a.job == b.job && a.occurrence == b.occurrence &&
@@ -405,6 +421,13 @@
 	{
 		End e = {++w.ends, w.running[i].ref, how, ""};
 
+		auto range = running_on.equal_range(task_key(e.ref));
+		for (auto k = range.first; k != range.second; k++)
+			if (k->second.second == e.ref.run) {
+				running_on.erase(k);
+				break;
+			}
+
 		if (how == RUN_STOPPED)
 			e.checkpoint = "saved";
 		w.ended.push_back(e);
@@ -413,16 +436,19 @@
 
 	void start(FakeWorker &w, Call &call)
 	{
-		for (auto &other : workers)
-			for (auto &r : other.second.running)
-				if (is_same_task(r.ref, call.sent.ref) &&
-				    (&other.second != &w ||
-				     r.ref.run != call.sent.ref.run))
-					duplicates.push_back(other.first);
+		auto range = running_on.equal_range(task_key(call.sent.ref));
+		for (auto i = range.first; i != range.second; i++)
+			if (i->second.first != call.worker.id ||
+			    i->second.second != call.sent.ref.run)
+				duplicates.push_back(i->second.first);
 		Row row;
 		row.ref = call.sent.ref;
 		w.running.push_back(row);
+		running_on.emplace(task_key(call.sent.ref),
+				   std::make_pair(call.worker.id,
+						  call.sent.ref.run));
 		starts.push_back(call.sent);
+		on_start(call.worker.id, call.sent);
 	}
 
 	void execute(FakeWorker &w, Call &call)
@@ -523,6 +549,8 @@
 		}
 	}
 
+	/* Worker and number of each run that is active. */
+	std::multimap<TaskKey, std::pair<std::string, uint32_t>> running_on;
 	job_view_ops view_ops;
 	cell_ops ops;
 	worker_ops wops;
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -51,6 +51,12 @@
 			return -1;
 		};
 		owner.ctx = this;
+		owner.guest_done = [](void *ctx, uint64_t, uint64_t seq,
+				      store_status outcome) {
+			((Host *)ctx)->guest_outcomes.push_back({seq, outcome});
+		};
+		name_set(owner.self.name, name);
+		name_set(owner.self.address, "10.0.0.1:7720");
 		owner.options.lease_ms = 4000;
 		owner.options.takeover_ms = 8500;
 		owner.options.renew_after_ms = 4000;
@@ -86,6 +92,19 @@
 	worker_ops wops = {};
 	int64_t now = 0;
 	bool started = false;
+	std::vector<std::pair<uint64_t, store_status>> guest_outcomes;
+
+	bool add_records(uint64_t seq, const char *key)
+	{
+		bool taken;
+		buf b;
+
+		buf_init(&b);
+		store_record_add(&b, str_of(key), str_of("v"));
+		taken = owner_add_records(&owner, 9, seq, {b.data, b.len});
+		buf_finish(&b);
+		return taken;
+	}
 };
 
 class Owner : public testing::Test
@@ -197,6 +216,74 @@
 	EXPECT_EQ(copies, 1u);
 }
 
+TEST_F(Owner, NamesItselfToAllHosts)
+{
+	Host a(&store, "a"), b(&store, "b");
+
+	run({&a, &b}, 1000);
+	EXPECT_STREQ(b.view.owner.name, "a");
+	EXPECT_STREQ(b.view.owner.address, "10.0.0.1:7720");
+}
+
+TEST_F(Owner, StoresTheRecordsOfOtherHosts)
+{
+	Host a(&store, "a");
+	size_t copies = 0;
+
+	EXPECT_FALSE(a.add_records(1, "early")); /* not the owner yet */
+	run({&a}, 500);
+	EXPECT_TRUE(a.add_records(7, "guest"));
+	run({&a}, 300);
+	ASSERT_EQ(a.guest_outcomes.size(), 1u);
+	EXPECT_EQ(a.guest_outcomes[0].first, 7u);
+	EXPECT_EQ(a.guest_outcomes[0].second, STORE_OK);
+	for (auto &r : store.topics[TOPIC_JOBS])
+		copies += r.key == "guest";
+	EXPECT_EQ(copies, 1u);
+}
+
+/* A record in a batch whose answer was lost may be stored; one that waited for
+ * the next batch was never sent. */
+TEST_F(Owner, TellsWhatMayBeStoredWhenItStepsDown)
+{
+	Host a(&store, "a");
+
+	run({&a}, 500);
+	store.mode = FakeStore::LOSE_REPLIES;
+	a.add_records(1, "sent");
+	run({&a}, 20);
+	a.add_records(2, "waiting");
+	owner_step_down(&a.owner, "test");
+	ASSERT_EQ(a.guest_outcomes.size(), 2u);
+	EXPECT_EQ(a.guest_outcomes[0].first, 1u);
+	EXPECT_EQ(a.guest_outcomes[0].second, STORE_UNKNOWN);
+	EXPECT_EQ(a.guest_outcomes[1].first, 2u);
+	EXPECT_EQ(a.guest_outcomes[1].second, STORE_REFUSED);
+}
+
+/* The callers of a store that takes nothing were told only at their deadline,
+ * and then that the job may have been accepted. */
+TEST_F(Owner, RefusesTheRecordsOfOtherHostsThatTheStoreRefuses)
+{
+	Host a(&store, "a");
+	size_t copies = 0;
+
+	run({&a}, 500);
+	store.mode = FakeStore::REFUSE;
+	a.add_records(1, "guest");
+	run({&a}, 700);
+	ASSERT_EQ(a.guest_outcomes.size(), 1u);
+	EXPECT_EQ(a.guest_outcomes[0].second, STORE_REFUSED);
+	store.mode = FakeStore::SERVE;
+	a.add_records(2, "later");
+	run({&a}, 300);
+	ASSERT_EQ(a.guest_outcomes.size(), 2u);
+	EXPECT_EQ(a.guest_outcomes[1].second, STORE_OK);
+	for (auto &r : store.topics[TOPIC_JOBS])
+		copies += r.key == "guest";
+	EXPECT_EQ(copies, 0u);
+}
+
 TEST_F(Owner, AnotherHostTakesOverAfterAStop)
 {
 	Host a(&store, "a"), b(&store, "b");
