cell: one look at the workers serves all tasks of a step

Each task looked at all 890 workers, and each waiting step again in each pass, because the cache of 64 demands that fit nowhere does not hold the hundreds of demands of a backlog. Change: the workers that can take a step are collected once and kept in a heap, and what fits nowhere is remembered with the step. A worker that accepts tasks again counts as changed, so what did not fit needs a new look once a second only. Passes start at least four durations of a pass apart. What placement reads of a worker stands together; labels are not compared for steps that ask for none.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -10,6 +10,8 @@
  * TICK_MAX_MS, or TICK_MIN_MS while a placement pass is due. */
 #define TICK_MIN_MS 5
 #define TICK_MAX_MS 50
+/* Time between the starts of two placement passes, in durations of a pass. */
+#define PLACE_GAP_FACTOR 4
 /* Period of the search for terminal jobs whose retention time has passed. */
 #define SWEEP_PERIOD_MS 5000
 #define LOAD_PERIOD_MS 1000
@@ -92,6 +94,7 @@
 	effect_model_finish(&c->effect_model);
 	buf_finish(&c->pending_records);
 	free(c->queue);
+	free(c->candidates);
 	free(c);
 }
 
@@ -253,6 +256,17 @@
 	}
 }
 
+/* On a host that is short of processor time, polls and stored batches must not
+ * wait for placement passes that follow each other without a gap. */
+static void place(struct cell *c)
+{
+	c->placed_at_ms = c->now_ms;
+	cell_place(c);
+	c->place_gap_ms = (c->ops->now(c->ctx) - c->now_ms) * PLACE_GAP_FACTOR;
+	if (c->place_gap_ms < PLACE_PERIOD_MS)
+		c->place_gap_ms = PLACE_PERIOD_MS;
+}
+
 int64_t cell_tick(struct cell *c, int64_t now_ms, int64_t wall_ms)
 {
 	c->now_ms = now_ms;
@@ -286,10 +300,8 @@
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
 		c->place_due = true;
 	if (now_ms < c->authority_until_ms && c->place_due &&
-	    now_ms - c->placed_at_ms >= PLACE_PERIOD_MS) {
-		c->placed_at_ms = now_ms;
-		cell_place(c);
-	}
+	    now_ms - c->placed_at_ms >= c->place_gap_ms)
+		place(c);
 	return c->place_due ? TICK_MIN_MS : TICK_MAX_MS;
 }
 
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -20,17 +20,17 @@
  * @born: start of the worker's present process, ms since 1970
  */
 struct worker_entry {
-	struct worker_addr addr;
-	char zone[NAME_SIZE];
-	char service[NAME_SIZE];
-	char labels[WORKER_LABELS_MAX][NAME_SIZE];
-	uint32_t label_count;
 	uint32_t cpu;
 	uint32_t memory_mb;
 	uint32_t accelerators;
 	bool draining;
 	int64_t leaving_ms;
 	uint64_t born;
+	uint32_t label_count;
+	struct worker_addr addr;
+	char zone[NAME_SIZE];
+	char service[NAME_SIZE];
+	char labels[WORKER_LABELS_MAX][NAME_SIZE];
 };
 
 /**
--- a/src/cell/cell_account.c
+++ b/src/cell/cell_account.c
@@ -48,6 +48,9 @@
 
 		if (t->state != TASK_DONE && own < kind)
 			kind = own;
+		/* Only doubt counts before that, and it ends with recovery. */
+		if (kind == TIME_NO_PLACE && !c->recovering)
+			break;
 	}
 	return kind;
 }
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -51,7 +51,7 @@
 	while (n < s->count) {
 		struct cell_worker *w =
 			cell_choose_worker(c, &st->tasks[n], service, rack,
-					   false, 0);
+					   false);
 
 		if (!w)
 			break;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -61,6 +61,12 @@
 	return p->pool_underused;
 }
 
+static bool is_placeable(const struct cell *c, const struct cell_task *t)
+{
+	return t->state == TASK_WAITING && c->now_ms >= t->retry_at_ms &&
+	       !(c->recovering && t->in_doubt);
+}
+
 static uint64_t service_of(const struct cell *c, const struct cell_step *st)
 {
 	const char *name = c->ops->queue_service(c->ctx, st->job->spec->queue);
@@ -68,39 +74,56 @@
 	return name_hash(name ? name : st->job->spec->service);
 }
 
+/* Places one task of a starved step, whatever the interference. */
+static void place_starved(struct cell *c, struct cell_step *st,
+			  uint64_t service)
+{
+	struct cell_worker *w;
+	uint32_t i;
+
+	for (i = 0; i < st->spec->count; i++) {
+		if (!is_placeable(c, &st->tasks[i]))
+			continue;
+		w = cell_choose_worker(c, &st->tasks[i], service, NULL, true);
+		if (w)
+			cell_task_place(c, &st->tasks[i], w);
+		return;
+	}
+}
+
 static void place_step(struct cell *c, struct cell_step *st, struct pass *p)
 {
 	uint64_t service = service_of(c, st);
-	struct cell_demand demand = cell_step_demand(st, service), *known;
+	struct cell_demand demand = cell_step_demand(st, service);
+	bool is_filled = false;
 	uint64_t since_version;
-	bool starved;
 	uint32_t i;
 
 	if (step_has_flag(st, STEP_GANG)) {
 		cell_place_gang(c, st, service);
 		return;
 	}
-	known = cell_no_fit_find(c, &demand);
-	since_version = known ? known->version : 0;
-	starved = is_starved(c, st, service, p);
-	if (since_version == c->version && !starved)
+	if (is_starved(c, st, service, p))
+		place_starved(c, st, service);
+	since_version = cell_step_no_fit_version(c, st, &demand);
+	if (since_version == c->version)
 		return;
 	for (i = 0; i < st->spec->count && st->waiting; i++) {
 		struct cell_task *t = &st->tasks[i];
 		struct cell_worker *w;
 
-		if (t->state != TASK_WAITING || c->now_ms < t->retry_at_ms ||
-		    (c->recovering && t->in_doubt))
+		if (!is_placeable(c, t))
 			continue;
-		w = cell_choose_worker(c, t, service, NULL, starved,
-				       starved ? 0 : since_version);
+		if (!is_filled)
+			cell_candidates_fill(c, t, service, since_version);
+		is_filled = true;
+		w = cell_candidates_take(c, t);
 		if (!w) {
-			cell_no_fit_record(c, &demand, known);
+			cell_no_fit_record(c, st, &demand);
 			if (cell_is_long_unplaced(c, st))
 				cell_reserve_worker(c, st, service);
 			break;
 		}
-		starved = false;
 		cell_task_place(c, t, w);
 	}
 }
@@ -112,8 +135,14 @@
 	size_t n, i;
 
 	memset(&p, 0, sizeof(p));
-	for (w = c->workers; w; w = w->next)
+	for (w = c->workers; w; w = w->next) {
+		bool accepted = w->accepts_tasks;
+
 		w->accepts_tasks = worker_accepts_tasks(c, w);
+		/* The end of a back-off, or its zone was opened. */
+		if (w->accepts_tasks && !accepted)
+			cell_worker_mark_changed(c, w);
+	}
 	c->place_due = false;
 	n = cell_queue_fill(c);
 	for (i = 0; i < n; i++)
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -4,19 +4,22 @@
 #define RESERVE_MS 1500
 /* No further worker is reserved while more than one in this many is. */
 #define RESERVE_SHARE 20
-/* Entries of the cache expire after this time: the end of a back-off, the
- * opening of a zone and updates of the effect model change what workers accept
- * without a new version of the worker. */
-#define NO_FIT_KEEP_MS 250
+#define CANDIDATES_INITIAL_CAP 64
+/* What is known not to fit is tried again after this time: the end of a
+ * back-off, the opening of a zone and updates of the effect model change what
+ * workers accept without a new version of the worker. */
+#define NO_FIT_KEEP_MS 1000
 
 static bool has_label(const struct cell_worker *w, const char *label)
 {
 	uint32_t i;
 
+	if (!label[0])
+		return true;
 	for (i = 0; i < w->entry.label_count; i++)
 		if (!strcmp(w->entry.labels[i], label))
 			return true;
-	return !label[0];
+	return false;
 }
 
 static bool is_reserved_for_other(const struct cell *c,
@@ -63,21 +66,27 @@
 	best->reserved_until_ms = c->now_ms + RESERVE_MS;
 }
 
+/* Whether a worker is in the pool, accepts tasks and has the capacity. */
+static bool may_take(const struct cell *c, const struct cell_worker *w,
+		     const struct cell_step *st, uint64_t service)
+{
+	return w->service == service && w->accepts_tasks && cell_fits(st, w) &&
+	       !is_reserved_for_other(c, w, st) &&
+	       has_label(w, st->spec->worker_label);
+}
+
 struct cell_worker *cell_choose_worker(const struct cell *c,
 				       const struct cell_task *t,
 				       uint64_t service, const char *rack,
-				       bool starved, uint64_t since_version)
+				       bool starved)
 {
 	struct cell_worker *w, *best = NULL;
 	double best_cost = 0;
 
-	for (w = c->changed; w && w->version > since_version; w = w->older) {
+	for (w = c->changed; w; w = w->older) {
 		double cost;
 
-		if (w->service != service || !w->accepts_tasks ||
-		    !cell_fits(t->step, w) ||
-		    is_reserved_for_other(c, w, t->step) ||
-		    !has_label(w, t->step->spec->worker_label) ||
+		if (!may_take(c, w, t->step, service) ||
 		    (rack && strcmp(rack, cell_worker_rack(w))))
 			continue;
 		if (cell_placement_cost(c, t, w, starved, &cost) ||
@@ -89,6 +98,76 @@
 	return best;
 }
 
+/* Moves an entry down to its place in the heap, whose first entry is cheapest.
+ */
+static void candidates_sift(struct cell *c, size_t i)
+{
+	struct cell_candidate *all = c->candidates, moved = all[i];
+	size_t child;
+
+	for (; (child = 2 * i + 1) < c->candidate_count; i = child) {
+		if (child + 1 < c->candidate_count &&
+		    all[child + 1].cost < all[child].cost)
+			child++;
+		if (all[child].cost >= moved.cost)
+			break;
+		all[i] = all[child];
+	}
+	all[i] = moved;
+}
+
+static void candidate_add(struct cell *c, struct cell_worker *w, double cost)
+{
+	if (c->candidate_count == c->candidate_cap) {
+		c->candidate_cap = c->candidate_cap ? c->candidate_cap * 2
+						    : CANDIDATES_INITIAL_CAP;
+		c->candidates =
+			xrealloc(c->candidates,
+				 c->candidate_cap * sizeof(*c->candidates));
+	}
+	c->candidates[c->candidate_count].cost = cost;
+	c->candidates[c->candidate_count++].worker = w;
+}
+
+void cell_candidates_fill(struct cell *c, const struct cell_task *t,
+			  uint64_t service, uint64_t since_version)
+{
+	struct cell_worker *w;
+	double cost;
+	size_t i;
+
+	c->candidate_count = 0;
+	for (w = c->changed; w && w->version > since_version; w = w->older)
+		if (may_take(c, w, t->step, service) &&
+		    !cell_placement_cost(c, t, w, false, &cost))
+			candidate_add(c, w, cost);
+	for (i = c->candidate_count / 2; i-- > 0;)
+		candidates_sift(c, i);
+}
+
+struct cell_worker *cell_candidates_take(struct cell *c,
+					 const struct cell_task *t)
+{
+	while (c->candidate_count) {
+		struct cell_candidate *first = &c->candidates[0];
+		struct cell_worker *w = first->worker;
+		double cost;
+
+		if (!cell_fits(t->step, w) ||
+		    cell_placement_cost(c, t, w, false, &cost)) {
+			*first = c->candidates[--c->candidate_count];
+			candidates_sift(c, 0);
+			continue;
+		}
+		/* Tasks placed since have changed the cost. */
+		first->cost = cost;
+		candidates_sift(c, 0);
+		if (c->candidates[0].worker == w)
+			return w;
+	}
+	return NULL;
+}
+
 struct cell_demand cell_step_demand(const struct cell_step *st,
 				    uint64_t service)
 {
@@ -124,8 +203,8 @@
  * A demand that is as large as or larger than one that no worker met is not met
  * either, except by workers that have changed since.
  */
-struct cell_demand *cell_no_fit_find(struct cell *c,
-				     const struct cell_demand *demand)
+static struct cell_demand *no_fit_find(struct cell *c,
+				       const struct cell_demand *demand)
 {
 	struct cell_demand *best = NULL;
 	size_t i;
@@ -141,17 +220,29 @@
 	return best;
 }
 
-void cell_no_fit_record(struct cell *c, const struct cell_demand *demand,
-			struct cell_demand *known)
+void cell_no_fit_record(struct cell *c, struct cell_step *st,
+			const struct cell_demand *demand)
 {
-	struct cell_demand *m = known;
+	struct cell_demand *m = no_fit_find(c, demand);
 
+	st->no_fit_version = c->version;
 	if (!m || !is_no_larger(demand, m)) {
 		m = &c->no_fit[c->no_fit_next++ % NO_FIT_MAX];
-		if (m == known) /* do not overwrite the entry in use */
-			m = &c->no_fit[c->no_fit_next++ % NO_FIT_MAX];
 		*m = *demand;
-		m->at_ms = known ? known->at_ms : c->now_ms;
+		m->at_ms = st->no_fit_at_ms;
 	}
 	m->version = c->version;
 }
+
+uint64_t cell_step_no_fit_version(struct cell *c, struct cell_step *st,
+				  const struct cell_demand *demand)
+{
+	const struct cell_demand *known;
+
+	if (st->no_fit_at_ms && c->now_ms - st->no_fit_at_ms < NO_FIT_KEEP_MS)
+		return st->no_fit_version;
+	known = no_fit_find(c, demand);
+	st->no_fit_at_ms = known ? known->at_ms : c->now_ms;
+	st->no_fit_version = known ? known->version : 0;
+	return st->no_fit_version;
+}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -146,6 +146,9 @@
  * @done: tasks that are done, of @spec->count
  * @image: name_hash() of the image
  * @curve: load curve; NULL unless the step is latency-critical
+ * @no_fit_version: no worker whose @version is not higher meets its demand, as
+ *of
+ *	@no_fit_at_ms; 0 if that is not known
  */
 struct cell_step {
 	struct cell_job *job;
@@ -156,6 +159,8 @@
 	uint32_t done;
 	uint64_t image;
 	struct load_curve *curve;
+	uint64_t no_fit_version;
+	int64_t no_fit_at_ms;
 	struct cell_task *tasks;
 };
 
@@ -229,6 +234,9 @@
 
 /**
  * struct cell_worker - one worker
+ *
+ * What placement reads of each worker stands together at the start.
+ *
  * @id: name_hash() of its id
  * @service: name_hash() of the service whose pool it belongs to
  * @registered: the platform's registry lists it
@@ -270,9 +278,22 @@
  *	forgets them
  */
 struct cell_worker {
+	struct cell_worker *older;
+	struct cell_worker *newer;
+	struct cell_worker *next;
+	uint64_t version;
+	uint64_t service;
+	uint32_t cpu_used;
+	uint32_t memory_used;
+	uint32_t accelerators_used;
+	uint32_t cpu_serving;
+	uint32_t cpu_best_effort;
+	uint32_t task_count;
+	struct cell_task *first_task;
+	const struct cell_step *reserved_for;
+	int64_t reserved_until_ms;
 	struct worker_entry entry;
 	uint64_t id;
-	uint64_t service;
 	bool registered;
 	bool confirmed;
 	bool recorded;
@@ -294,23 +315,10 @@
 	uint64_t last_end;
 	uint64_t storing_end;
 	uint64_t acked_end;
-	uint32_t cpu_used;
-	uint32_t memory_used;
-	uint32_t accelerators_used;
-	uint32_t cpu_serving;
-	uint32_t cpu_best_effort;
-	uint32_t task_count;
-	struct cell_task *first_task;
 	bool headroom_stale;
 	struct serving_headroom headroom[SERVING_STEPS_MAX];
 	size_t headroom_count;
 	int64_t paced_ms;
-	uint64_t version;
-	const struct cell_step *reserved_for;
-	int64_t reserved_until_ms;
-	struct cell_worker *older;
-	struct cell_worker *newer;
-	struct cell_worker *next;
 };
 
 /* Size of the cache of demands that no worker met. */
@@ -358,6 +366,15 @@
 	struct cell_step *step;
 };
 
+/**
+ * struct cell_candidate - a worker that can take a task of the step being
+ * placed
+ */
+struct cell_candidate {
+	double cost;
+	struct cell_worker *worker;
+};
+
 /**
  * struct cell - the schedule of one partition under one owner
  * @now_ms: boot time of the last tick or call, and @wall_ms since 1970
@@ -373,6 +390,8 @@
  *	@no_fit_next
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
+ * @candidates: heap of @candidate_count workers, cheapest first
+ * @place_gap_ms: least time between two placement passes
  */
 struct cell {
 	struct cell_options opt;
@@ -411,6 +430,10 @@
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
+	struct cell_candidate *candidates;
+	size_t candidate_count;
+	size_t candidate_cap;
+	int64_t place_gap_ms;
 	struct buf pending_records; /* framed; all but progress */
 	struct cell_counts counts;
 };
@@ -677,14 +700,33 @@
  * cell_choose_worker() - find the cheapest worker for a task
  * @rack: only workers in this rack, or NULL for any
  * @starved: see cell_placement_cost()
- * @since_version: only workers with a higher @version; 0 for all
  *
  * Return: the worker, or NULL.
  */
 struct cell_worker *cell_choose_worker(const struct cell *c,
 				       const struct cell_task *t,
 				       uint64_t service, const char *rack,
-				       bool starved, uint64_t since_version);
+				       bool starved);
+
+/**
+ * cell_candidates_fill() - collect the workers that can take a task, for all
+ * tasks of its step
+ * @since_version: only workers with a higher @version; 0 for all
+ *
+ * One look at the workers serves the whole step: it answers many tasks that
+ * wait for many workers.
+ */
+void cell_candidates_fill(struct cell *c, const struct cell_task *t,
+			  uint64_t service, uint64_t since_version);
+
+/**
+ * cell_candidates_take() - find the cheapest of the candidates for a task
+ *
+ * Return: the worker, which stays a candidate for the next task of the step, or
+ * NULL.
+ */
+struct cell_worker *cell_candidates_take(struct cell *c,
+					 const struct cell_task *t);
 
 /**
  * cell_reserve_worker() - reserve a worker until a task of the step fits there
@@ -699,20 +741,19 @@
 				    uint64_t service);
 
 /**
- * cell_no_fit_find() - find an entry that shows which workers do not meet a
- * demand
+ * cell_step_no_fit_version() - up to which version of the cell no worker meets
+ * the demand of a step
  *
- * Return: the entry with the highest version, or NULL.
+ * Return: the version: only workers with a higher one need to be tried; or 0.
  */
-struct cell_demand *cell_no_fit_find(struct cell *c,
-				     const struct cell_demand *demand);
+uint64_t cell_step_no_fit_version(struct cell *c, struct cell_step *st,
+				  const struct cell_demand *demand);
 
 /**
- * cell_no_fit_record() - record that no worker meets a demand
- * @known: entry from cell_no_fit_find() that limited the search, or NULL
+ * cell_no_fit_record() - record that no worker meets the demand of a step
  */
-void cell_no_fit_record(struct cell *c, const struct cell_demand *demand,
-			struct cell_demand *known);
+void cell_no_fit_record(struct cell *c, struct cell_step *st,
+			const struct cell_demand *demand);
 
 /* cell_gang.c */
 
