--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -75,7 +75,7 @@
 	       has_label(w, st->spec->worker_label);
 }
 
-struct cell_worker *cell_choose_worker(const struct cell *c,
+struct cell_worker *cell_choose_worker(struct cell *c,
 				       const struct cell_task *t,
 				       uint64_t service, const char *rack,
 				       bool starved)
@@ -86,6 +86,7 @@
 	for (w = c->changed; w; w = w->older) {
 		double cost;
 
+		c->counts.looks++;
 		if (!may_take(c, w, t->step, service) ||
 		    (rack && strcmp(rack, cell_worker_rack(w))))
 			continue;
@@ -137,10 +138,12 @@
 	size_t i;
 
 	c->candidate_count = 0;
-	for (w = c->changed; w && w->version > since_version; w = w->older)
+	for (w = c->changed; w && w->version > since_version; w = w->older) {
+		c->counts.looks++;
 		if (may_take(c, w, t->step, service) &&
 		    !cell_placement_cost(c, t, w, false, &cost))
 			candidate_add(c, w, cost);
+	}
 	for (i = c->candidate_count / 2; i-- > 0;)
 		candidates_sift(c, i);
 }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -703,7 +703,7 @@
  *
  * Return: the worker, or NULL.
  */
-struct cell_worker *cell_choose_worker(const struct cell *c,
+struct cell_worker *cell_choose_worker(struct cell *c,
 				       const struct cell_task *t,
 				       uint64_t service, const char *rack,
 				       bool starved);
