cell, job_spec: no start on a permission that ran out in a pause; bounded jobs

A paused process: after a pause the reply to an append is handled before the next tick, and the starts it allows were checked against the time of the last tick; within a placement pass not at all. Fence, stored intents and the lease in the order kept such starts harmless, but they went out. They are now checked against the clock. A malformed message: a job with 4,000,000,000 occurrences was accepted, and its owner died allocating them, as would each next owner. A job has at most 50,000 tasks. Result: Cell.StartsNothingAfterAPauseThatOutlastsItsAuthority, Cell.RestartsNothingAfterAPauseWithinAPass (both fail with the time of the tick), Job.RejectsMoreTasksThanAHostCanKeep, StoreRead.SkipsARecordWhoseKeyDoesNotFit.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -201,12 +201,21 @@
 	c->worker_ops->start(c->port, &w->entry.addr, &o, on_start, c);
 }
 
+/* By the clock and not by the time of the last tick: the process may have been
+ * paused since, and the permission to start tasks may have run out. */
+static bool has_authority(const struct cell *c)
+{
+	return c->ops->now(c->ctx) < c->authority_until_ms;
+}
+
 /*
  * The next owner learns of a task that may run only from the store. The first
  * start of a task is therefore sent once its intent is stored.
  */
 void cell_task_place(struct cell *c, struct cell_task *t, struct cell_worker *w)
 {
+	if (t->intent_stored && !has_authority(c))
+		return;
 	task_attach(c, t, w);
 	if (t->intent_stored) {
 		send_start(c, t);
@@ -239,8 +248,8 @@
 		t->intent_stored = true;
 		if (t->state != TASK_STORING)
 			continue;
-		if (c->now_ms < c->authority_until_ms &&
-		    !t->worker->missed_polls && !t->worker->entry.draining &&
+		if (has_authority(c) && !t->worker->missed_polls &&
+		    !t->worker->entry.draining &&
 		    c->ops->zone_open(c->ctx, t->worker->entry.zone))
 			send_start(c, t);
 		else
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -72,6 +72,7 @@
 
 int job_spec_check(const struct job_spec *s)
 {
+	uint64_t tasks = 0;
 	size_t i;
 
 	if (!s->id || !s->steps.count || s->steps.count > JOB_STEPS_MAX)
@@ -81,8 +82,10 @@
 
 		if (!st->count || st->after >> i)
 			return -EINVAL;
+		tasks += st->count;
 	}
-	return 0;
+	return tasks * job_spec_occurrence_count(s) <= JOB_TASKS_MAX ? 0
+								     : -EINVAL;
 }
 
 void job_spec_write(const struct job_spec *s, struct buf *out)
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -10,6 +10,9 @@
 #endif
 
 #define JOB_STEPS_MAX 64
+/* Tasks of one job, all occurrences together. The owner keeps about 300 bytes
+ * for each, and a host has 160 MB. */
+#define JOB_TASKS_MAX 50000
 
 /**
  * enum step_flag - how the tasks of a step run
@@ -122,8 +125,8 @@
  * job_spec_check() - check that a job has an id and valid steps
  *
  * Return: 0, or -EINVAL when the id is 0, there are no steps or more than
- * JOB_STEPS_MAX, a step has no tasks, or a step depends on itself or on a later
- * one.
+ * JOB_STEPS_MAX, a step has no tasks, a step depends on itself or on a later
+ * one, or there are more than JOB_TASKS_MAX tasks.
  */
 int job_spec_check(const struct job_spec *s);
 
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -118,10 +118,59 @@
 	EXPECT_EQ(w.runs(7), 1u);
 }
 
+/*
+ * A host that was paused between storing an intent and its reply acted on the
+ * time of its last tick: the reply was handled first after the pause, and the
+ * tasks were started although another host could own the cell by then.
+ */
+TEST(Cell, StartsNothingAfterAPauseThatOutlastsItsAuthority)
+{
+	CellWorld w;
+	buf b;
+
+	w.begin({"w1"}, 50);
+	w.storing = false;
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(100);
+	buf_init(&b);
+	ASSERT_TRUE(cell_take_batch(w.c, &b));
+	w.now += 5000;
+	cell_batch_stored(w.c);
+	w.answer_all();
+	buf_finish(&b);
+	EXPECT_EQ(w.starts.size(), 0u);
+}
+
+/* The same within a placement pass, for a task whose intent is stored already.
+ */
+TEST(Cell, RestartsNothingAfterAPauseWithinAPass)
+{
+	CellWorld w;
+
+	w.begin({"w1"}, 50);
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(200);
+	w.end(7, RUN_FAILED);
+	w.closed_zones.insert("z1");
+	w.run(200); /* it waits to be placed again */
+	ASSERT_EQ(w.starts.size(), 1u);
+	w.closed_zones.clear();
+	w.pause_in_pass_ms = 5000;
+	while (w.pause_in_pass_ms) {
+		w.now += 5;
+		cell_set_authority(w.c, w.now + 1000);
+		cell_tick(w.c, w.now, w.now);
+		if (w.pause_in_pass_ms)
+			w.answer_all();
+	}
+	w.answer_all();
+	EXPECT_EQ(w.starts.size(), 1u);
+}
+
 /*
  * The time between two placement passes follows the duration of a pass. A host
- * that was frozen for four seconds within one placed nothing for 16 s: tasks that
- * run until they are cancelled stayed down although there was room.
+ * that was frozen for four seconds within one placed nothing for 16 s: tasks
+ * that run until they are cancelled stayed down although there was room.
  */
 TEST(Cell, PlacesAgainSoonAfterAPauseWithinAPass)
 {
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -299,8 +299,8 @@
 	EXPECT_EQ(a.guest_outcomes[0].second, STORE_REFUSED);
 }
 
-/* An owner that lost its membership in an outage told callers that their jobs may
- * have been accepted, although the store had refused them. */
+/* An owner that lost its membership in an outage told callers that their jobs
+ * may have been accepted, although the store had refused them. */
 TEST_F(Owner, StepsDownWithRecordsThatWereRefused)
 {
 	Host a(&store, "a");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -133,6 +133,46 @@
 	arena_finish(&a);
 }
 
+/*
+ * A job with thousands of millions of occurrences made the owner allocate them
+ * all: it died, and every host that took the cell over died after it.
+ */
+TEST(Job, RejectsMoreTasksThanAHostCanKeep)
+{
+	queue q = {};
+	job_spec s;
+	arena a;
+
+	arena_init(&a);
+	for (const char *text :
+	     {"{\"repeatCount\":4000000000,\"startAtMs\":1,\"intervalMs\":1,"
+	      "\"steps\":[{\"count\":1,\"cpu\":1}]}",
+	      "{\"steps\":[{\"count\":4000000000,\"cpu\":1}]}",
+	      "{\"steps\":[{\"count\":40000,\"cpu\":1},"
+	      "{\"count\":40000,\"cpu\":1}]}"})
+		EXPECT_EQ(job_parse(str_of(text), &q, 7, 0, &s, &a), -EINVAL)
+			<< text;
+	arena_finish(&a);
+}
+
+/* One record that cannot be read must not stop the reader of the log. */
+TEST(StoreRead, SkipsARecordWhoseKeyDoesNotFit)
+{
+	std::string body(16, '\0');
+	store_reply r = {};
+	arena a;
+
+	body += std::string("\0\0\0\x02\x05x", 6);
+	body += std::string("\0\0\0\x03\x01kv", 7);
+	arena_init(&a);
+	ASSERT_EQ(store_read_parse({body.data(), body.size()}, 40, &r, &a), 0);
+	ASSERT_EQ(r.count, 2u);
+	EXPECT_EQ(r.records[0].key.len, 0u);
+	EXPECT_EQ(r.records[1].offset, 41u);
+	EXPECT_TRUE(str_eq(r.records[1].key, str_of("k")));
+	arena_finish(&a);
+}
+
 TEST(StoreRead, DecodesRecordsAndRejectsTruncatedOnes)
 {
 	std::string body(16, '\0');
