--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -158,7 +158,7 @@
  * @no_room: starts refused for lack of capacity
  * @unanswered: starts without a reply
  * @paces: changes of pace sent
- * @looks: workers that placement has tried for a task or a step
+ * @examined: workers that placement has examined for a task or a step
  * @moves: best-effort tasks stopped so that they resume on another worker
  */
 struct cell_counts {
@@ -176,7 +176,7 @@
 	uint64_t no_room;
 	uint64_t unanswered;
 	uint64_t paces;
-	uint64_t looks;
+	uint64_t examined;
 	uint64_t moves;
 };
 
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -86,7 +86,7 @@
 	for (w = c->changed; w; w = w->older) {
 		double cost;
 
-		c->counts.looks++;
+		c->counts.examined++;
 		if (!may_take(c, w, t->step, service) ||
 		    (rack && strcmp(rack, cell_worker_rack(w))))
 			continue;
@@ -139,7 +139,7 @@
 
 	c->candidate_count = 0;
 	for (w = c->changed; w && w->version > since_version; w = w->older) {
-		c->counts.looks++;
+		c->counts.examined++;
 		if (may_take(c, w, t->step, service) &&
 		    !cell_placement_cost(c, t, w, false, &cost))
 			candidate_add(c, w, cost);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -334,8 +334,8 @@
 	return err;
 }
 
-static void on_guest_done(void *ctx, uint64_t from, uint64_t seq,
-			  enum store_status status)
+static void on_peer_records_done(void *ctx, uint64_t from, uint64_t seq,
+				 enum store_status status)
 {
 	record_relay_answer(&((struct host *)ctx)->record_relay, from, seq,
 			    status);
@@ -360,7 +360,7 @@
 	o->cell_ops = &h->cell_ops;
 	o->parse_worker = worker_entry_parse;
 	o->ctx = h;
-	o->guest_done = on_guest_done;
+	o->peer_records_done = on_peer_records_done;
 	o->options.lease_ms = LEASE_MS;
 	if (o->options.lease_ms > h->settings.lease_max_ms)
 		o->options.lease_ms = h->settings.lease_max_ms;
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -46,7 +46,7 @@
 	METRIC("cell_unanswered", cell.unanswered);
 	METRIC("cell_paces", cell.paces);
 	METRIC("cell_moves", cell.moves);
-	METRIC("cell_looks", cell.looks);
+	METRIC("cell_workers_examined", cell.examined);
 #undef METRIC
 	for (a = 0; a < ACTIVITY_COUNT; a++)
 		buf_addf(out,
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -11,7 +11,7 @@
 #define APPEND_RETRY_MS 60
 /* Records of other hosts whose appends the store has refused for this long are
  * refused. */
-#define GUEST_REFUSED_MS 500
+#define PEER_REFUSED_MS 500
 /* A store that gives no answer for this long is dark: records that wait for the
  * next batch are refused, as they were never sent. */
 #define STORE_DARK_MS 2000
@@ -25,12 +25,12 @@
 #define WORKERS_READ_GAP_MS 400
 
 /* Records of another host; in the current batch if @in_batch is set, else in
- * guest_records. */
-struct owner_guest {
+ * peer_record_buf. */
+struct peer_records {
 	uint64_t from;
 	uint64_t seq;
 	bool in_batch;
-	struct owner_guest *next;
+	struct peer_records *next;
 };
 
 static void workers_begin(void *ctx)
@@ -81,7 +81,7 @@
 void owner_init(struct owner *o)
 {
 	buf_init(&o->batch);
-	buf_init(&o->guest_records);
+	buf_init(&o->peer_record_buf);
 	index_init(&o->listed_workers);
 	follower_init(&o->worker_follower, o->store, o->port, o->worker_topic,
 		      0, &worker_follower_ops, o);
@@ -93,7 +93,7 @@
 {
 	owner_step_down(o, "finish");
 	buf_finish(&o->batch);
-	buf_finish(&o->guest_records);
+	buf_finish(&o->peer_record_buf);
 	index_finish(&o->listed_workers);
 	follower_finish(&o->worker_follower);
 }
@@ -101,53 +101,53 @@
 bool owner_add_records(struct owner *o, uint64_t from, uint64_t seq,
 		       struct str records)
 {
-	struct owner_guest *g;
+	struct peer_records *p;
 
 	if (o->phase != OWNER_ACTIVE || o->handover_began_ms)
 		return false;
-	g = xcalloc(1, sizeof(*g));
-	g->from = from;
-	g->seq = seq;
-	g->next = o->guests;
-	o->guests = g;
-	buf_add(&o->guest_records, records.data, records.len);
+	p = xcalloc(1, sizeof(*p));
+	p->from = from;
+	p->seq = seq;
+	p->next = o->peers;
+	o->peers = p;
+	buf_add(&o->peer_record_buf, records.data, records.len);
 	return true;
 }
 
-static void take_guest_records(struct owner *o)
+static void take_peer_records(struct owner *o)
 {
-	struct owner_guest *g;
+	struct peer_records *p;
 
-	o->batch_guest_bytes = o->guest_records.len;
+	o->batch_peer_bytes = o->peer_record_buf.len;
 	o->batch_may_be_stored = false;
 	o->batch_began_ms = o->now_ms;
-	buf_add(&o->batch, o->guest_records.data, o->guest_records.len);
-	buf_clear(&o->guest_records);
-	for (g = o->guests; g; g = g->next)
-		g->in_batch = true;
+	buf_add(&o->batch, o->peer_record_buf.data, o->peer_record_buf.len);
+	buf_clear(&o->peer_record_buf);
+	for (p = o->peers; p; p = p->next)
+		p->in_batch = true;
 }
 
 /* Reports the outcome of the batch to the hosts whose records it holds. */
-static void finish_guests(struct owner *o, enum store_status status)
+static void answer_peers(struct owner *o, enum store_status status)
 {
-	struct owner_guest **at = &o->guests, *g;
+	struct peer_records **at = &o->peers, *p;
 
 	while (*at) {
-		g = *at;
-		if (!g->in_batch) {
-			at = &g->next;
+		p = *at;
+		if (!p->in_batch) {
+			at = &p->next;
 			continue;
 		}
-		*at = g->next;
-		o->guest_done(o->ctx, g->from, g->seq, status);
-		free(g);
+		*at = p->next;
+		o->peer_records_done(o->ctx, p->from, p->seq, status);
+		free(p);
 	}
 }
 
 /* Lets the jobs of other hosts be scheduled before the log is read. */
-static void apply_guest_records(struct owner *o)
+static void apply_peer_records(struct owner *o)
 {
-	struct str rest = {o->batch.data, o->batch_guest_bytes};
+	struct str rest = {o->batch.data, o->batch_peer_bytes};
 	struct store_record r;
 
 	while (!store_record_take(&rest, &r))
@@ -161,55 +161,55 @@
  * The store has refused every append of the batch: the records of other hosts
  * are taken out of it, so that their callers are told in time.
  */
-static void refuse_guests(struct owner *o)
+static void refuse_batch_peers(struct owner *o)
 {
-	size_t left = o->batch.len - o->batch_guest_bytes;
+	size_t left = o->batch.len - o->batch_peer_bytes;
 
-	if (!o->batch_guest_bytes || o->batch_may_be_stored ||
-	    o->now_ms - o->batch_began_ms < GUEST_REFUSED_MS)
+	if (!o->batch_peer_bytes || o->batch_may_be_stored ||
+	    o->now_ms - o->batch_began_ms < PEER_REFUSED_MS)
 		return;
-	memmove(o->batch.data, o->batch.data + o->batch_guest_bytes, left);
+	memmove(o->batch.data, o->batch.data + o->batch_peer_bytes, left);
 	o->batch.len = left;
-	o->batch_guest_bytes = 0;
-	finish_guests(o, STORE_REFUSED);
+	o->batch_peer_bytes = 0;
+	answer_peers(o, STORE_REFUSED);
 	if (!left)
 		cell_batch_stored(o->cell);
 }
 
-/* Without it, callers whose records wait behind a batch that cannot be stored would
- * be told at their deadline that they may have been accepted. */
-static void refuse_waiting_guests(struct owner *o, enum store_status status)
+/* Without it, callers whose records wait behind a batch that cannot be stored
+ * would be told at their deadline that they may have been accepted. */
+static void refuse_waiting_peers(struct owner *o, enum store_status status)
 {
-	struct owner_guest **at = &o->guests, *g;
+	struct peer_records **at = &o->peers, *p;
 
 	if (o->now_ms - o->batch_began_ms <
-	    (status == STORE_REFUSED ? GUEST_REFUSED_MS : STORE_DARK_MS))
+	    (status == STORE_REFUSED ? PEER_REFUSED_MS : STORE_DARK_MS))
 		return;
-	buf_clear(&o->guest_records);
+	buf_clear(&o->peer_record_buf);
 	while (*at) {
-		g = *at;
-		if (g->in_batch) {
-			at = &g->next;
+		p = *at;
+		if (p->in_batch) {
+			at = &p->next;
 			continue;
 		}
-		*at = g->next;
-		o->guest_done(o->ctx, g->from, g->seq, STORE_REFUSED);
-		free(g);
+		*at = p->next;
+		o->peer_records_done(o->ctx, p->from, p->seq, STORE_REFUSED);
+		free(p);
 	}
 }
 
 /* What waits for the next batch was never sent; the current batch may be stored
  * unless every append of it was refused. */
-static void drop_guests(struct owner *o)
+static void drop_peer_records(struct owner *o)
 {
 	bool may_be_stored = o->append_in_flight || o->batch_may_be_stored;
-	struct owner_guest *g;
+	struct peer_records *p;
 
-	finish_guests(o, may_be_stored ? STORE_UNKNOWN : STORE_REFUSED);
-	for (g = o->guests; g; g = g->next)
-		g->in_batch = true;
-	finish_guests(o, STORE_REFUSED);
-	buf_clear(&o->guest_records);
+	answer_peers(o, may_be_stored ? STORE_UNKNOWN : STORE_REFUSED);
+	for (p = o->peers; p; p = p->next)
+		p->in_batch = true;
+	answer_peers(o, STORE_REFUSED);
+	buf_clear(&o->peer_record_buf);
 }
 
 static void owner_append(struct owner *o, store_done done)
@@ -265,9 +265,9 @@
 				 o->attempt + 1);
 		o->attempt = 0;
 		o->seq++;
-		apply_guest_records(o);
+		apply_peer_records(o);
 		buf_clear(&o->batch);
-		finish_guests(o, STORE_OK);
+		answer_peers(o, STORE_OK);
 		cell_batch_stored(o->cell);
 		return;
 	case STORE_FENCED:
@@ -290,8 +290,8 @@
 			 "seq=%" PRIu64 " bytes=%zu status=%d", o->seq,
 			 o->batch.len, (int)r->status);
 	o->append_due_ms = o->now_ms + APPEND_RETRY_MS;
-	refuse_guests(o);
-	refuse_waiting_guests(o, r->status);
+	refuse_batch_peers(o);
+	refuse_waiting_peers(o, r->status);
 }
 
 void owner_step_down(struct owner *o, const char *reason)
@@ -301,7 +301,7 @@
 	log_line(LOG_INFO, "cell released",
 		 "part=%u epoch=%" PRIu64 " reason=\"%s\"", o->part, o->epoch,
 		 reason);
-	drop_guests(o);
+	drop_peer_records(o);
 	if (o->cell)
 		cell_stop(o->cell);
 	o->cell = NULL;
@@ -311,7 +311,7 @@
 	o->fenced_by_worker = false;
 	o->attempt = 0;
 	buf_clear(&o->batch);
-	o->batch_guest_bytes = 0;
+	o->batch_peer_bytes = 0;
 	follower_stop(&o->worker_follower);
 	o->job_follower->read_gap_ms = IDLE_READ_GAP_MS;
 }
@@ -381,7 +381,7 @@
 	if (o->append_in_flight || o->now_ms < o->append_due_ms)
 		return;
 	if (!o->batch.len) {
-		take_guest_records(o);
+		take_peer_records(o);
 		if (!cell_take_batch(o->cell, &o->batch))
 			return;
 	}
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -45,13 +45,13 @@
  * @takeover_began_ms: boot time at which the takeover began
  * @batch: framed records of the current batch; empty if there is none
  * @self: this host, named in the first batch of each ownership
- * @batch_guest_bytes: length of the records of other hosts at the start of
+ * @batch_peer_bytes: length of the records of other hosts at the start of
  *@batch
  * @batch_may_be_stored: an append of @batch got no answer
  * @batch_began_ms: boot time at which @batch was filled
- * @guest_records: framed records of other hosts for the next batch
- * @guests: batches of other hosts without an outcome
- * @guest_done: called with @ctx and the outcome of such a batch
+ * @peer_record_buf: framed records of other hosts for the next batch
+ * @peers: batches of other hosts without an outcome
+ * @peer_records_done: called with @ctx and the outcome of such a batch
  * @cell: NULL unless this host is the active owner
  */
 struct owner {
@@ -84,13 +84,13 @@
 	int64_t now_ms;
 	struct buf batch;
 	struct cell_owner self;
-	size_t batch_guest_bytes;
+	size_t batch_peer_bytes;
 	bool batch_may_be_stored;
 	int64_t batch_began_ms;
-	struct buf guest_records;
-	struct owner_guest *guests;
-	void (*guest_done)(void *ctx, uint64_t from, uint64_t seq,
-			   enum store_status status);
+	struct buf peer_record_buf;
+	struct peer_records *peers;
+	void (*peer_records_done)(void *ctx, uint64_t from, uint64_t seq,
+				  enum store_status status);
 	struct cell *cell;
 	uint64_t appends;
 	uint64_t append_failures;
@@ -126,7 +126,7 @@
 
 /**
  * owner_add_records() - store records of another host with the next batch
- * @from: id of the host, and @seq its number of them, for guest_done()
+ * @from: id of the host, and @seq its number of them, for peer_records_done()
  *
  * Return: false if this host is not the active owner; nothing is done then.
  */
--- a/tests/cell_load_test.cc
+++ b/tests/cell_load_test.cc
@@ -24,7 +24,7 @@
 }
 
 /* Workers that placement looks at for each start, in a burst on @workers. */
-double looks_per_start(size_t workers)
+double examined_per_start(size_t workers)
 {
 	double share = (double)workers / 890;
 	CellLoad l(workers, 75000, 1);
@@ -35,7 +35,7 @@
 	l.play(mixed(share, 2.6), 4000);
 	after = l.counts();
 	EXPECT_TRUE(l.duplicates.empty());
-	return (double)(after.looks - before.looks) /
+	return (double)(after.examined - before.examined) /
 	       (double)(after.starts - before.starts);
 }
 
@@ -48,7 +48,7 @@
  */
 TEST(CellLoad, PlacementLooksAtFewWorkersForEachTask)
 {
-	double small = looks_per_start(65), large = looks_per_start(890);
+	double small = examined_per_start(65), large = examined_per_start(890);
 
 	EXPECT_LT(large, 890 / 2);
 	EXPECT_LT(large, small * 890 / 65);
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -51,9 +51,9 @@
 			return -1;
 		};
 		owner.ctx = this;
-		owner.guest_done = [](void *ctx, uint64_t, uint64_t seq,
-				      store_status outcome) {
-			((Host *)ctx)->guest_outcomes.push_back({seq, outcome});
+		owner.peer_records_done = [](void *ctx, uint64_t, uint64_t seq,
+					     store_status outcome) {
+			((Host *)ctx)->peer_outcomes.push_back({seq, outcome});
 		};
 		name_set(owner.self.name, name);
 		name_set(owner.self.address, "10.0.0.1:7720");
@@ -92,7 +92,7 @@
 	worker_ops wops = {};
 	int64_t now = 0;
 	bool started = false;
-	std::vector<std::pair<uint64_t, store_status>> guest_outcomes;
+	std::vector<std::pair<uint64_t, store_status>> peer_outcomes;
 
 	bool add_records(uint64_t seq, const char *key)
 	{
@@ -234,9 +234,9 @@
 	run({&a}, 500);
 	EXPECT_TRUE(a.add_records(7, "guest"));
 	run({&a}, 300);
-	ASSERT_EQ(a.guest_outcomes.size(), 1u);
-	EXPECT_EQ(a.guest_outcomes[0].first, 7u);
-	EXPECT_EQ(a.guest_outcomes[0].second, STORE_OK);
+	ASSERT_EQ(a.peer_outcomes.size(), 1u);
+	EXPECT_EQ(a.peer_outcomes[0].first, 7u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_OK);
 	for (auto &r : store.topics[TOPIC_JOBS])
 		copies += r.key == "guest";
 	EXPECT_EQ(copies, 1u);
@@ -254,11 +254,11 @@
 	run({&a}, 20);
 	a.add_records(2, "waiting");
 	owner_step_down(&a.owner, "test");
-	ASSERT_EQ(a.guest_outcomes.size(), 2u);
-	EXPECT_EQ(a.guest_outcomes[0].first, 1u);
-	EXPECT_EQ(a.guest_outcomes[0].second, STORE_UNKNOWN);
-	EXPECT_EQ(a.guest_outcomes[1].first, 2u);
-	EXPECT_EQ(a.guest_outcomes[1].second, STORE_REFUSED);
+	ASSERT_EQ(a.peer_outcomes.size(), 2u);
+	EXPECT_EQ(a.peer_outcomes[0].first, 1u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_UNKNOWN);
+	EXPECT_EQ(a.peer_outcomes[1].first, 2u);
+	EXPECT_EQ(a.peer_outcomes[1].second, STORE_REFUSED);
 }
 
 /* The callers of a store that takes nothing were told only at their deadline,
@@ -272,13 +272,13 @@
 	store.mode = FakeStore::REFUSE;
 	a.add_records(1, "guest");
 	run({&a}, 700);
-	ASSERT_EQ(a.guest_outcomes.size(), 1u);
-	EXPECT_EQ(a.guest_outcomes[0].second, STORE_REFUSED);
+	ASSERT_EQ(a.peer_outcomes.size(), 1u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_REFUSED);
 	store.mode = FakeStore::SERVE;
 	a.add_records(2, "later");
 	run({&a}, 300);
-	ASSERT_EQ(a.guest_outcomes.size(), 2u);
-	EXPECT_EQ(a.guest_outcomes[1].second, STORE_OK);
+	ASSERT_EQ(a.peer_outcomes.size(), 2u);
+	EXPECT_EQ(a.peer_outcomes[1].second, STORE_OK);
 	for (auto &r : store.topics[TOPIC_JOBS])
 		copies += r.key == "guest";
 	EXPECT_EQ(copies, 0u);
@@ -295,8 +295,8 @@
 	run({&a}, 100);
 	a.add_records(1, "guest");
 	run({&a}, 700);
-	ASSERT_EQ(a.guest_outcomes.size(), 1u);
-	EXPECT_EQ(a.guest_outcomes[0].second, STORE_REFUSED);
+	ASSERT_EQ(a.peer_outcomes.size(), 1u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_REFUSED);
 }
 
 /* An owner that lost its membership in an outage told callers that their jobs
@@ -310,8 +310,8 @@
 	a.add_records(1, "guest");
 	run({&a}, 100);
 	owner_step_down(&a.owner, "test");
-	ASSERT_EQ(a.guest_outcomes.size(), 1u);
-	EXPECT_EQ(a.guest_outcomes[0].second, STORE_REFUSED);
+	ASSERT_EQ(a.peer_outcomes.size(), 1u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_REFUSED);
 }
 
 TEST_F(Owner, AnotherHostTakesOverAfterAStop)
