--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -364,7 +364,8 @@
 	job_view view;
 	int64_t now = 100000;
 	bool authority = true;
-	/* The process is paused for this long within the next placement pass. */
+	/* The process is paused for this long within the next placement pass.
+	 */
 	int64_t pause_in_pass_ms = 0;
 	bool storing = true;
 	bool fenced = false;
