--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -325,8 +325,8 @@
 #define NO_FIT_MAX 64
 
 /**
- * struct cell_demand - demand of a step; as an entry of the cache @no_fit of
- *the cell, a demand that no worker met
+ * struct cell_demand - demand of a step; in the cache @no_fit of the cell, a
+ * demand that no worker met
  * @service: name_hash() of the service whose pool runs the step
  * @step: identifies the step if it limits its tasks per worker; else 0
  * @image: name_hash() of the image of a best-effort step, else 0
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -45,8 +45,8 @@
  * @takeover_began_ms: boot time at which the takeover began
  * @batch: framed records of the current batch; empty if there is none
  * @self: this host, named in the first batch of each ownership
- * @batch_peer_bytes: length of the records of other hosts at the start of
- *@batch
+ * @batch_peer_bytes: bytes of @batch, from its start, with records of other
+ *	hosts
  * @batch_may_be_stored: an append of @batch got no answer
  * @batch_began_ms: boot time at which @batch was filled
  * @peer_record_buf: framed records of other hosts for the next batch
--- a/src/host/record_relay.c
+++ b/src/host/record_relay.c
@@ -5,8 +5,8 @@
 
 #include "base/logger.h"
 
-/* The owner says within this time that it has taken records. Without that it is
- * down, cut off, or not the owner any more. */
+/* The owner says within this time that it has taken records, also when it is
+ * busy. Without that it is down, cut off, or not the owner any more. */
 #define TAKEN_TIMEOUT_MS 400
 /* It then says that they are stored, within the longest time that a partition
  * lets an append wait and that of the append before. Appending them a second
--- a/src/host/retry_after.c
+++ b/src/host/retry_after.c
@@ -1,11 +1,10 @@
 #include "host/retry_after.h"
 
 #define WAIT_MIN_MS 1000
-/* The longest outage that callers are expected to outlast with their tries is
- * about three times as long. */
+/* A caller with five tries outlasts an outage of twice this. */
 #define WAIT_MAX_MS 4000
-/* Waits differ by up to this share of them. */
-#define SPREAD_DIVISOR 2
+/* Waits of callers that are refused at once differ by up to this. */
+#define SPREAD_MS 1000
 
 uint32_t retry_after_ms(int64_t outage_ms, uint64_t id)
 {
@@ -15,8 +14,6 @@
 		wait = WAIT_MIN_MS;
 	if (wait > WAIT_MAX_MS)
 		wait = WAIT_MAX_MS;
-	/* The low bits of an ID, which callers choose, are as good as random.
-	 */
-	return (uint32_t)(wait - WAIT_MIN_MS / SPREAD_DIVISOR +
-			  (int64_t)(id % WAIT_MIN_MS));
+	/* Callers choose IDs at random. */
+	return (uint32_t)(wait - SPREAD_MS / 2 + (int64_t)(id % SPREAD_MS));
 }
