cell, metrics: tell which tasks are in doubt after a takeover and which workers are unheard

Cause: the logs of the LOST incident name neither the tasks that a new owner holds back nor the workers it waits for, and no line tells of a run that ended stopped, so the four hypotheses cannot be told apart. Change: one line a second while tasks are in doubt, a line for each run that ends unfinished, two gauges.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -199,6 +199,70 @@
 	}
 }
 
+static uint32_t step_count_in_doubt(const struct cell_step *st)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; st->waiting && i < st->spec->count; i++)
+		n += st->tasks[i].in_doubt &&
+		     st->tasks[i].state == TASK_WAITING;
+	return n;
+}
+
+static uint32_t job_count_in_doubt(const struct cell_job *j)
+{
+	uint32_t k, n = 0;
+	size_t s;
+
+	for (k = 0; k < j->count; k++)
+		for (s = 0; j->occurrences[k].open && s < j->steps; s++)
+			n += step_count_in_doubt(&j->occurrences[k].steps[s]);
+	return n;
+}
+
+static uint32_t count_in_doubt(const struct cell *c)
+{
+	const struct cell_job *j;
+	uint32_t n = 0;
+
+	for (j = c->jobs; c->recovering && j; j = j->next)
+		n += job_count_in_doubt(j);
+	return n;
+}
+
+/* Return: a worker of a former owner that has not answered this one, or NULL;
+ * @count receives the number of them. */
+static const struct cell_worker *find_unheard(const struct cell *c,
+					      uint32_t *count)
+{
+	const struct cell_worker *w, *found = NULL;
+
+	*count = 0;
+	for (w = c->workers; c->recovering && w; w = w->next) {
+		if (!w->recorded || w->confirmed)
+			continue;
+		found = w;
+		(*count)++;
+	}
+	return found;
+}
+
+static void log_recovery(const struct cell *c)
+{
+	const struct cell_worker *w;
+	uint32_t unheard;
+
+	if (!c->recovering)
+		return;
+	w = find_unheard(c, &unheard);
+	log_line(LOG_INFO, "tasks of the previous owner in doubt",
+		 "epoch=%" PRIu64 " in_doubt=%u unheard=%u worker=%s "
+		 "registered=%d left_ms=%lld",
+		 c->epoch, count_in_doubt(c), unheard,
+		 w ? w->entry.addr.id : "", w ? w->registered : 0,
+		 (long long)(c->recovery_end_ms - c->now_ms));
+}
+
 /*
  * Log one line per LOAD_PERIOD_MS: capacity of the workers, processors declared
  * and in use on them, and tasks that wait. The processor figures are in whole
@@ -289,6 +353,7 @@
 	if (now_ms >= c->load_due_ms) {
 		c->load_due_ms = now_ms + LOAD_PERIOD_MS;
 		log_load(c);
+		log_recovery(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
@@ -317,6 +382,8 @@
 	*out = c->counts;
 	out->epoch = c->epoch;
 	out->recovering = c->recovering;
+	out->in_doubt = count_in_doubt(c);
+	find_unheard(c, &out->unheard);
 	for (w = c->workers; w; w = w->next) {
 		out->workers++;
 		out->usable += w->registered && w->confirmed &&
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -153,6 +153,8 @@
  * @waiting: tasks without a worker that are not done
  * @placed: tasks that have a worker
  * @recovering: runs of a former owner may still be active
+ * @in_doubt: tasks that wait because of such a run
+ * @unheard: workers of a former owner that have not answered this one
  * @starts: starts sent
  * @ends_other: runs that ended as neither done nor failed
  * @no_room: starts refused for lack of capacity
@@ -169,6 +171,8 @@
 	uint32_t waiting;
 	uint32_t placed;
 	bool recovering;
+	uint32_t in_doubt;
+	uint32_t unheard;
 	uint64_t starts;
 	uint64_t ends_done;
 	uint64_t ends_failed;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -244,6 +244,26 @@
 	cell_stop_orphan(c, w, &r->ref);
 }
 
+static void log_unfinished_end(const struct cell_worker *w,
+			       const struct cell_task *t,
+			       const struct ended_run *e)
+{
+	static const char *const names[] = {
+		[RUN_STOPPED] = "stopped",
+		[RUN_EXPIRED] = "expired",
+		[RUN_GANG_BROKEN] = "gang_broken",
+		[RUN_GANG_INCOMPLETE] = "gang_incomplete",
+	};
+
+	if (e->how == RUN_DONE || e->how == RUN_FAILED)
+		return;
+	log_line(LOG_INFO, "run ended unfinished",
+		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s how=%s "
+		 "current=%d in_doubt=%d",
+		 e->ref.job, e->ref.step, e->ref.index, e->ref.run,
+		 w->entry.addr.id, names[e->how], t->worker == w, t->in_doubt);
+}
+
 static void apply_end(struct cell *c, struct cell_worker *w,
 		      const struct ended_run *e)
 {
@@ -254,6 +274,7 @@
 	w->last_end = e->number;
 	if (!t)
 		return;
+	log_unfinished_end(w, t, e);
 	if (t->worker == w && t->run == e->ref.run) {
 		if (e->how == RUN_FAILED) {
 			t->avoid_worker = w->id;
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -38,6 +38,8 @@
 	METRIC("cell_tasks_waiting", cell.waiting);
 	METRIC("cell_tasks_placed", cell.placed);
 	METRIC("cell_uncertain", cell.recovering);
+	METRIC("cell_tasks_in_doubt", cell.in_doubt);
+	METRIC("cell_workers_unheard", cell.unheard);
 	METRIC("cell_starts", cell.starts);
 	METRIC("cell_ends_done", cell.ends_done);
 	METRIC("cell_ends_failed", cell.ends_failed);
