tests: the busy loop leaves the server time to take the request

Seen once, beside other builds: Loop.AcceptsAReplyThatArrivedWhileItWasBusy failed with status 0 after 116 ms. The tick that keeps the loop busy for 200 ms starts once the server has the request; it cannot have run in 116 ms, so the server's thread got no processor within the call's time-out of 100 ms, and no reply had arrived that could be lost. Change: the time-out is 1 s and the tick takes 1.2 s, so the tick still outlasts the time-out and the check is the same.

--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -16,6 +16,10 @@
 
 std::atomic<int> requests;
 
+/* Duration of a tick that keeps the loop from reading replies. The server's
+ * thread may need a good part of it to take the request on a busy machine. */
+const unsigned int BUSY_US = 1200000;
+
 struct Results {
 	loop *l;
 	int left;
@@ -45,7 +49,7 @@
 			Loop *t = (Loop *)ctx;
 			if (t->busy_once && requests) {
 				t->busy_once = false;
-				usleep(200000);
+				usleep(BUSY_US);
 			}
 			if (t->ticks++ == 10 && t->full_fd >= 0)
 				close(t->full_fd);
@@ -139,7 +143,7 @@
 	struct fetch f = {};
 
 	f.url = url.c_str();
-	f.timeout_ms = 100;
+	f.timeout_ms = BUSY_US / 1000 - 200;
 	busy_once = true; /* for longer than the call's time-out */
 	requests = 0;
 	loop_fetch(&l, &f, on_result, &a);
