tests, known red: tasks that stay down through a takeover, and stops that come too late

What callers see: tasks that run until they are cancelled stay down for 8.5 to 17 s while hosts and workers are replaced in turn, with capacity for them (LOST). The heartbeat period reaches the cell's options; nothing reads it yet.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -44,6 +44,7 @@
  * @early_ms: how long before its due time an occurrence may start
  * @terminal_retention_ms: retention of jobs in a terminal state
  * @poll_wait_ms: how long a worker may delay the reply to a long poll
+ * @heartbeat_ms: period at which a worker renews its entry in the registry
  */
 struct cell_options {
 	int64_t lease_ms;
@@ -52,6 +53,7 @@
 	int64_t early_ms;
 	int64_t terminal_retention_ms;
 	uint32_t poll_wait_ms;
+	int64_t heartbeat_ms;
 };
 
 struct cell;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -372,6 +372,7 @@
 		(int64_t)h->settings.terminal_keep_s * SECOND_MS *
 		TERMINAL_KEEP_FACTOR;
 	o->options.poll_wait_ms = WORKER_POLL_WAIT_MS;
+	o->options.heartbeat_ms = h->settings.heartbeat_ms;
 	owner_init(o);
 }
 
--- /dev/null
+++ b/tests/cell_recovery_test.cc
@@ -0,0 +1,160 @@
+#include "tests/cell_world.h"
+
+namespace
+{
+
+class CellRecovery : public testing::Test
+{
+      protected:
+	/* Starts one task of job 7 on "w1" under the first owner; "w2" has
+	 * capacity as well, and "w3" leaves at once. */
+	void start_on_w1(job_step step = CellWorld::task_step(1))
+	{
+		w.begin({"w1"});
+		w.submit(7, {step});
+		w.run(200);
+		w.add_worker("w2");
+		w.add_worker("w3");
+		w.run(200);
+		ASSERT_EQ(w.workers["w1"].running.size(), step.count);
+		leave("w3");
+	}
+
+	/* The worker's process has ended, and its registry entry is gone. */
+	void leave(const char *id)
+	{
+		w.workers[id].reachable = false;
+		w.entries.erase(id);
+		cell_worker_gone(w.c, id);
+	}
+
+	/* Whether all tasks of job 7 run within @ms on other workers than "w1".
+	 */
+	bool runs_elsewhere(size_t count, int64_t ms)
+	{
+		w.run(ms);
+		return w.runs(7) == count && w.workers["w1"].running.empty();
+	}
+
+	void drain(const char *id, int64_t leaving_ms)
+	{
+		w.entries[id].draining = true;
+		w.entries[id].leaving_ms = leaving_ms;
+		w.announce(id);
+	}
+
+	CellWorld w;
+};
+
+/* A worker that left kept all tasks of the previous owner waiting for the end
+ * of all leases, also those whose own worker had answered. */
+TEST_F(CellRecovery, RestartsATaskOnceItsOwnWorkerHasAnswered)
+{
+	start_on_w1();
+	w.storing = false;
+	w.end_all(7, RUN_STOPPED);
+	w.take_over(2);
+	w.storing = true;
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_TRUE(w.duplicates.empty());
+}
+
+/* The same for a gang, which waits for all its members. */
+TEST_F(CellRecovery, RestartsAGangOnceItsOwnWorkersHaveAnswered)
+{
+	job_step gang = CellWorld::task_step(3);
+
+	gang.flags = STEP_GANG;
+	start_on_w1(gang);
+	w.storing = false;
+	w.end_all(7, RUN_STOPPED);
+	w.take_over(2);
+	w.storing = true;
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 3u);
+	EXPECT_TRUE(w.duplicates.empty());
+}
+
+/* The previous owner had heard that a run was stopped and acknowledged it. It
+ * stored nothing of that, and the worker, which alone could have told, left. */
+TEST_F(CellRecovery, KnowsOfAStoppedRunThatThePreviousOwnerHeardOf)
+{
+	start_on_w1();
+	w.closed_zones.insert("z1");
+	w.end_all(7, RUN_STOPPED);
+	w.run(200);
+	leave("w1");
+	w.take_over(2);
+	w.closed_zones.clear();
+	EXPECT_TRUE(runs_elsewhere(1, 500));
+}
+
+/* The wait for a silent worker began anew with each owner, although no owner
+ * after the first had renewed its lease: two takeovers doubled it. */
+TEST_F(CellRecovery, CountsTheWaitForASilentWorkerFromTheFirstTakeover)
+{
+	start_on_w1();
+	w.workers["w1"].reachable = false;
+	w.take_over(2);
+	w.run(w.opt.takeover_ms - 2000);
+	EXPECT_EQ(w.starts.size(), 1u);
+	w.take_over(3);
+	w.workers["w1"].running.clear(); /* its lease has expired */
+	EXPECT_TRUE(runs_elsewhere(1, 2500));
+}
+
+/* A task that was started again elsewhere is looked for where it runs now, and
+ * not on the worker of its first run. */
+TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
+{
+	start_on_w1();
+	w.closed_zones.insert("z1");
+	w.end_all(7, RUN_FAILED);
+	w.run(200);
+	w.entries["w1"].draining = true;
+	w.announce("w1");
+	w.closed_zones.clear();
+	w.run(300);
+	ASSERT_EQ(w.workers["w2"].running.size(), 1u);
+	w.workers["w2"].reachable = false;
+	w.add_worker("w4");
+	w.take_over(2);
+	w.run(6000);
+	EXPECT_EQ(w.starts.size(), 2u);
+	w.run(w.opt.takeover_ms);
+	EXPECT_EQ(w.starts.size(), 3u);
+}
+
+/* The registry entry that a new owner reads first is up to a heartbeat old. It
+ * counted the time left from its own reading, so the stop came too late and the
+ * run ended with the worker, unreported. */
+TEST_F(CellRecovery, StopsTasksInTimeOnAWorkerWhoseEntryIsOld)
+{
+	const int64_t left_ms = 3000, stop_takes_ms = 900;
+	job_step step = CellWorld::task_step(1);
+
+	step.flags = STEP_LONG_RUNNING;
+	w.opt.heartbeat_ms = 1100;
+	start_on_w1(step);
+	drain("w1", left_ms + w.opt.heartbeat_ms);
+	w.take_over(2);
+	w.run(left_ms - stop_takes_ms);
+	EXPECT_TRUE(w.workers["w1"].running.empty());
+}
+
+/* A later entry may be older relative to its reading than the one before. */
+TEST_F(CellRecovery, KeepsTheEarliestEstimateOfTheTimeAtWhichAWorkerLeaves)
+{
+	job_step step = CellWorld::task_step(1);
+
+	step.flags = STEP_LONG_RUNNING;
+	start_on_w1(step);
+	drain("w1", 3000);
+	w.run(1000);
+	drain("w1", 3000);
+	w.run(1000);
+	EXPECT_TRUE(w.workers["w1"].running.empty());
+}
+
+} /* namespace */
