cell: a task waits after a takeover for its own worker, not for all of them

What callers see: after a takeover, tasks that were between two runs stay down for 8.5 s, though their worker has told the new owner that it does not run them (LOST). Cause: the store says that a task may run, and not where. A new owner therefore held back each task that no worker listed until every recorded worker had answered, or until all leases had expired. While workers are replaced in turn some recorded worker is always gone. The class of fault: one condition for the whole cell where each task has its own. Change: the intent to start a task names the worker, two bytes a task; the next owner waits for the workers of that reference only (cell_recovery). Each start, not only the first one of a task, is sent once its intent is stored, so that the store names the worker of the latest run. Records of older releases name no worker and wait as before. A worker counts as answered when it has listed all its ends and not only the first page: a task whose end stood on a later page was started again. The test of a failure that is reported after a later run lets the owner lose sight of the worker instead of the store: without the store there is no later run any more. Its checks are the same.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -67,14 +67,12 @@
 	c->now_ms = now_ms;
 	c->accounted_ms = now_ms;
 	c->wall_ms = wall_ms;
-	c->recovery_end_ms = now_ms + o->takeover_ms;
 	index_init(&c->worker_ids);
 	effect_model_init(&c->effect_model);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
 	for (k = view->known_workers; k; k = k->next)
 		cell_worker_recover(c, k);
-	c->recovering = c->workers != NULL;
 	for (e = view->jobs; e; e = e->next)
 		if (e->spec && !job_state_is_terminal(e->state))
 			cell_job_add(c, e, true);
@@ -150,8 +148,10 @@
 	c->dirty = NULL;
 	buf_add(out, c->pending_records.data, c->pending_records.len);
 	buf_clear(&c->pending_records);
-	for (t = c->intents; t; t = t->next_intent)
+	for (t = c->intents; t; t = t->next_intent) {
 		t->storing_intent = true;
+		t->storing_worker = t->worker ? t->worker->id : 0;
+	}
 	for (w = c->workers; w; w = w->next) {
 		w->storing_end = w->last_end;
 		w->storing_record = w->recorded;
@@ -199,70 +199,6 @@
 	}
 }
 
-static uint32_t step_count_in_doubt(const struct cell_step *st)
-{
-	uint32_t i, n = 0;
-
-	for (i = 0; st->waiting && i < st->spec->count; i++)
-		n += st->tasks[i].in_doubt &&
-		     st->tasks[i].state == TASK_WAITING;
-	return n;
-}
-
-static uint32_t job_count_in_doubt(const struct cell_job *j)
-{
-	uint32_t k, n = 0;
-	size_t s;
-
-	for (k = 0; k < j->count; k++)
-		for (s = 0; j->occurrences[k].open && s < j->steps; s++)
-			n += step_count_in_doubt(&j->occurrences[k].steps[s]);
-	return n;
-}
-
-static uint32_t count_in_doubt(const struct cell *c)
-{
-	const struct cell_job *j;
-	uint32_t n = 0;
-
-	for (j = c->jobs; c->recovering && j; j = j->next)
-		n += job_count_in_doubt(j);
-	return n;
-}
-
-/* Return: a worker of a former owner that has not answered this one, or NULL;
- * @count receives the number of them. */
-static const struct cell_worker *find_unheard(const struct cell *c,
-					      uint32_t *count)
-{
-	const struct cell_worker *w, *found = NULL;
-
-	*count = 0;
-	for (w = c->workers; c->recovering && w; w = w->next) {
-		if (!w->recorded || w->confirmed)
-			continue;
-		found = w;
-		(*count)++;
-	}
-	return found;
-}
-
-static void log_recovery(const struct cell *c)
-{
-	const struct cell_worker *w;
-	uint32_t unheard;
-
-	if (!c->recovering)
-		return;
-	w = find_unheard(c, &unheard);
-	log_line(LOG_INFO, "tasks of the previous owner in doubt",
-		 "epoch=%" PRIu64 " in_doubt=%u unheard=%u worker=%s "
-		 "registered=%d left_ms=%lld",
-		 c->epoch, count_in_doubt(c), unheard,
-		 w ? w->entry.addr.id : "", w ? w->registered : 0,
-		 (long long)(c->recovery_end_ms - c->now_ms));
-}
-
 /*
  * Log one line per LOAD_PERIOD_MS: capacity of the workers, processors declared
  * and in use on them, and tasks that wait. The processor figures are in whole
@@ -353,19 +289,11 @@
 	if (now_ms >= c->load_due_ms) {
 		c->load_due_ms = now_ms + LOAD_PERIOD_MS;
 		log_load(c);
-		log_recovery(c);
+		cell_recovery_log(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
 	jobs_tick(c);
-	if (c->recovering && now_ms >= c->recovery_end_ms) {
-		c->recovering = false;
-		c->place_due = true;
-		log_line(LOG_WARN,
-			 "takeover wait ended: some workers were not reached",
-			 "epoch=%" PRIu64 " after_ms=%lld", c->epoch,
-			 (long long)c->opt.takeover_ms);
-	}
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
 		c->place_due = true;
 	if (now_ms < c->authority_until_ms && c->place_due &&
@@ -381,9 +309,8 @@
 
 	*out = c->counts;
 	out->epoch = c->epoch;
-	out->recovering = c->recovering;
-	out->in_doubt = count_in_doubt(c);
-	find_unheard(c, &out->unheard);
+	out->in_doubt = cell_recovery_count_tasks(c);
+	out->unheard = c->unheard;
 	for (w = c->workers; w; w = w->next) {
 		out->workers++;
 		out->usable += w->registered && w->confirmed &&
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -154,9 +154,9 @@
  * @usable: workers that are registered and reachable
  * @waiting: tasks without a worker that are not done
  * @placed: tasks that have a worker
- * @recovering: runs of a former owner may still be active
- * @in_doubt: tasks that wait because of such a run
- * @unheard: workers of a former owner that have not answered this one
+ * @in_doubt: tasks of which a former owner may have started a run that is
+ *	still active
+ * @unheard: workers on which there may be such runs
  * @starts: starts sent
  * @ends_other: runs that ended as neither done nor failed
  * @no_room: starts refused for lack of capacity
@@ -172,7 +172,6 @@
 	uint32_t usable;
 	uint32_t waiting;
 	uint32_t placed;
-	bool recovering;
 	uint32_t in_doubt;
 	uint32_t unheard;
 	uint64_t starts;
--- a/src/cell/cell_account.c
+++ b/src/cell/cell_account.c
@@ -15,7 +15,7 @@
 static enum job_time waiting_kind(const struct cell *c,
 				  const struct cell_task *t)
 {
-	if (c->recovering && t->in_doubt)
+	if (cell_task_is_in_doubt(c, t))
 		return TIME_IN_DOUBT;
 	return c->now_ms < t->retry_at_ms ? TIME_PAUSED : TIME_NO_PLACE;
 }
@@ -49,7 +49,7 @@
 		if (t->state != TASK_DONE && own < kind)
 			kind = own;
 		/* Only doubt counts before that, and it ends with recovery. */
-		if (kind == TIME_NO_PLACE && !c->recovering)
+		if (kind == TIME_NO_PLACE && !c->unheard)
 			break;
 	}
 	return kind;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -64,7 +64,7 @@
 static bool is_placeable(const struct cell *c, const struct cell_task *t)
 {
 	return t->state == TASK_WAITING && c->now_ms >= t->retry_at_ms &&
-	       !(c->recovering && t->in_doubt);
+	       !cell_task_is_in_doubt(c, t);
 }
 
 static uint64_t service_of(const struct cell *c, const struct cell_step *st)
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -10,6 +10,7 @@
 #define RUN_EPOCHS 1000000
 #define BITS 8
 #define RUN_LOW_BYTES 2
+#define WORKER_REF_BYTES 2
 
 /*
  * Decode the failed runs of one task from the start of @p.
@@ -51,11 +52,32 @@
 	       ((unsigned char)bits.data[i / BITS] >> i % BITS & 1);
 }
 
+/* Takes the reference of a worker off the start of @refs. */
+static uint16_t worker_ref_read(struct str *refs)
+{
+	const unsigned char *b = (const unsigned char *)refs->data;
+
+	if (refs->len < WORKER_REF_BYTES)
+		return WORKER_REF_UNKNOWN;
+	refs->data += WORKER_REF_BYTES;
+	refs->len -= WORKER_REF_BYTES;
+	return (uint16_t)(b[0] | b[1] << BITS);
+}
+
+static void worker_ref_write(const struct cell_task *t, char *p)
+{
+	uint16_t ref = t->worker ? cell_worker_ref(t->worker) : t->doubt_ref;
+
+	p[0] = (char)ref;
+	p[1] = (char)(ref >> BITS);
+}
+
 static void progress_apply(struct cell *c, struct cell_job *j,
 			   const struct step_progress *p)
 {
 	struct cell_occurrence *o;
 	struct str failures = p->failures;
+	struct str workers = p->workers;
 	struct cell_step *st;
 	uint32_t i;
 
@@ -78,14 +100,14 @@
 		failures.len -= used;
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
-			t->intent_stored = true;
-			t->in_doubt = true;
 			t->run = (uint32_t)(c->epoch % RUN_EPOCHS) *
 				 RUNS_PER_EPOCH;
 		}
-		if (!p->all_done && !has_bit(p->done, i))
+		if (!p->all_done && !has_bit(p->done, i)) {
+			if (t->ordered)
+				t->doubt_ref = worker_ref_read(&workers);
 			continue;
-		t->in_doubt = false;
+		}
 		t->state = TASK_DONE;
 		st->done++;
 		st->waiting--;
@@ -118,8 +140,8 @@
 {
 	uint32_t n = st->spec->count, i;
 	size_t bytes = (n + BITS - 1) / BITS;
-	size_t used = 0;
-	char *done, *ordered, *failures;
+	size_t used = 0, named = 0;
+	char *done, *ordered, *failures, *workers;
 	bool failed = false, any = false;
 
 	out->occurrence = st->occurrence;
@@ -129,6 +151,7 @@
 		return;
 	done = arena_alloc(a, bytes);
 	ordered = arena_alloc(a, bytes);
+	workers = arena_alloc(a, (size_t)n * WORKER_REF_BYTES);
 	failures =
 		arena_alloc(a, (size_t)n * (1 + FAILURES_KEPT * RUN_LOW_BYTES));
 	for (i = 0; i < n; i++) {
@@ -137,6 +160,9 @@
 		if (st->tasks[i].ordered)
 			ordered[i / BITS] |= (char)(1 << i % BITS);
 		any |= st->tasks[i].ordered;
+		if (st->tasks[i].ordered && st->tasks[i].state != TASK_DONE)
+			worker_ref_write(&st->tasks[i],
+					 workers + WORKER_REF_BYTES * named++);
 		used += failures_write(&st->tasks[i], failures + used);
 		failed |= st->tasks[i].failures > 0;
 	}
@@ -144,6 +170,8 @@
 	out->done.len = st->done ? bytes : 0;
 	out->ordered.data = ordered;
 	out->ordered.len = any ? bytes : 0;
+	out->workers.data = workers;
+	out->workers.len = named * WORKER_REF_BYTES;
 	out->failures.data = failures;
 	out->failures.len = failed ? used : 0;
 }
--- /dev/null
+++ b/src/cell/cell_recovery.c
@@ -0,0 +1,100 @@
+#include "cell/cell_types.h"
+
+#include <inttypes.h>
+
+#include "base/logger.h"
+
+uint16_t cell_worker_ref(const struct cell_worker *w)
+{
+	return (uint16_t)(w->id % (WORKER_REF_UNKNOWN - 1) + 1);
+}
+
+void cell_recovery_expect(struct cell *c, struct cell_worker *w)
+{
+	w->unheard = true;
+	w->former_leases_end_ms = c->now_ms + c->opt.takeover_ms;
+	c->unheard_by_ref[cell_worker_ref(w)]++;
+	c->unheard++;
+}
+
+void cell_recovery_resolve(struct cell *c, struct cell_worker *w)
+{
+	if (!w->unheard)
+		return;
+	w->unheard = false;
+	c->unheard_by_ref[cell_worker_ref(w)]--;
+	c->unheard--;
+	c->place_due = true;
+	if (!c->unheard)
+		log_line(LOG_INFO, "all workers of the previous owner resolved",
+			 "epoch=%" PRIu64, c->epoch);
+}
+
+void cell_recovery_expire(struct cell *c, struct cell_worker *w)
+{
+	if (!w->unheard || c->now_ms < w->former_leases_end_ms)
+		return;
+	log_line(LOG_WARN,
+		 "worker of the previous owner not reached; its leases have "
+		 "expired",
+		 "epoch=%" PRIu64 " worker=%s registered=%d", c->epoch,
+		 w->entry.addr.id, w->registered);
+	cell_recovery_resolve(c, w);
+}
+
+bool cell_task_is_in_doubt(const struct cell *c, const struct cell_task *t)
+{
+	if (t->doubt_ref == WORKER_REF_UNKNOWN)
+		return c->unheard > 0;
+	return t->doubt_ref && c->unheard_by_ref[t->doubt_ref];
+}
+
+static uint32_t step_count_in_doubt(const struct cell *c,
+				    const struct cell_step *st)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; st->waiting && i < st->spec->count; i++)
+		n += st->tasks[i].state == TASK_WAITING &&
+		     cell_task_is_in_doubt(c, &st->tasks[i]);
+	return n;
+}
+
+static uint32_t job_count_in_doubt(const struct cell *c,
+				   const struct cell_job *j)
+{
+	uint32_t k, n = 0;
+	size_t s;
+
+	for (k = 0; k < j->count; k++)
+		for (s = 0; j->occurrences[k].open && s < j->steps; s++)
+			n += step_count_in_doubt(c,
+						 &j->occurrences[k].steps[s]);
+	return n;
+}
+
+uint32_t cell_recovery_count_tasks(const struct cell *c)
+{
+	const struct cell_job *j;
+	uint32_t n = 0;
+
+	for (j = c->jobs; c->unheard && j; j = j->next)
+		n += job_count_in_doubt(c, j);
+	return n;
+}
+
+void cell_recovery_log(const struct cell *c)
+{
+	const struct cell_worker *w = c->workers;
+
+	if (!c->unheard)
+		return;
+	while (!w->unheard)
+		w = w->next;
+	log_line(LOG_INFO, "tasks of the previous owner in doubt",
+		 "epoch=%" PRIu64 " in_doubt=%u unheard=%u worker=%s "
+		 "registered=%d left_ms=%lld",
+		 c->epoch, cell_recovery_count_tasks(c), c->unheard,
+		 w->entry.addr.id, w->registered,
+		 (long long)(w->former_leases_end_ms - c->now_ms));
+}
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -39,6 +39,7 @@
 	t->step->waiting--;
 	t->step->job->waiting--;
 	t->step->job->placed++;
+	t->doubt_ref = WORKER_REF_NONE;
 	t->stop_confirmed_ms = 0;
 	t->stop_sent_ms = 0;
 	t->reported_ms = 0;
@@ -208,28 +209,26 @@
 	return c->ops->now(c->ctx) < c->authority_until_ms;
 }
 
+static void intent_push(struct cell *c, struct cell_task *t)
+{
+	t->in_intents = true;
+	t->storing_intent = false;
+	t->next_intent = c->intents;
+	c->intents = t;
+}
+
 /*
- * The next owner learns of a task that may run only from the store. The first
- * start of a task is therefore sent once its intent is stored.
+ * The next owner learns only from the store that a task may run, and where. A
+ * start is therefore sent once its intent, which names the worker, is stored.
  */
 void cell_task_place(struct cell *c, struct cell_task *t, struct cell_worker *w)
 {
-	if (t->intent_stored && !has_authority(c))
-		return;
 	task_attach(c, t, w);
-	if (t->intent_stored) {
-		send_start(c, t);
-		return;
-	}
 	t->state = TASK_STORING;
 	t->ordered = true;
-	if (t->in_intents)
-		return;
-	t->in_intents = true;
-	t->storing_intent = false;
-	t->next_intent = c->intents;
-	c->intents = t;
 	cell_job_mark_dirty(c, t->step->job);
+	if (!t->in_intents)
+		intent_push(c, t);
 }
 
 void cell_start_stored(struct cell *c)
@@ -239,13 +238,13 @@
 	c->intents = NULL;
 	for (; t; t = next) {
 		next = t->next_intent;
-		if (!t->storing_intent) {
-			t->next_intent = c->intents;
-			c->intents = t;
+		t->in_intents = false;
+		if (t->state == TASK_STORING &&
+		    (!t->storing_intent ||
+		     t->storing_worker != t->worker->id)) {
+			intent_push(c, t);
 			continue;
 		}
-		t->in_intents = false;
-		t->intent_stored = true;
 		if (t->state != TASK_STORING)
 			continue;
 		if (has_authority(c) && !t->worker->missed_polls &&
@@ -349,8 +348,6 @@
 {
 	task_attach(c, t, w);
 	t->ordered = true;
-	t->intent_stored = true;
-	t->in_doubt = false;
 	t->run = run;
 	t->pace_sent = PACE_UNKNOWN;
 	mark_running(c, t);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -44,6 +44,13 @@
  * this check. */
 #define FAILURES_KEPT 8
 
+/* A progress record names the worker of a task by a reference: a hash of the
+ * worker's id. Workers may share a reference; a task that may run on one of
+ * them then waits for all of them. */
+#define WORKER_REF_NONE 0
+#define WORKER_REF_UNKNOWN 0xffff
+#define WORKER_REF_COUNT 0x10000
+
 enum task_state {
 	TASK_WAITING,
 	TASK_STORING,  /* placed; the intent to start is being stored */
@@ -60,9 +67,9 @@
  *	have run
  * @in_intents: it is in the list @intents of struct cell
  * @storing_intent: the intent is part of the batch that is being stored
- * @intent_stored: the intent is stored, so the task may be started
- * @in_doubt: a former owner stored an intent to start it, and no worker has
- *	reported a run of it since
+ * @storing_worker: id of the worker that this batch names
+ * @doubt_ref: reference of the worker on which a run that a former owner
+ *	started may be active, see cell_task_is_in_doubt(); or WORKER_REF_NONE
  * @stop_sent_ms: when the last stop was sent; 0 before
  * @stop_confirmed_ms: when the worker confirmed the stop; 0 before
  * @confirmed_ms: when the worker confirmed the start; 0 before
@@ -94,10 +101,10 @@
 	bool ordered;
 	bool in_intents;
 	bool storing_intent;
-	bool intent_stored;
-	bool in_doubt;
 	uint8_t pace;
 	uint8_t pace_sent;
+	uint16_t doubt_ref;
+	uint64_t storing_worker;
 	int64_t confirmed_ms;
 	int64_t reported_ms;
 	int64_t stop_sent_ms;
@@ -240,7 +247,10 @@
  * @id: name_hash() of its id
  * @service: name_hash() of the service whose pool it belongs to
  * @registered: the platform's registry lists it
- * @confirmed: answered a poll under this epoch, so that all its runs are known
+ * @confirmed: answered a poll under this epoch
+ * @unheard: runs of a former owner may be active there, as it has not listed
+ *	all its runs and ends to this owner; until @former_leases_end_ms, boot
+ *	time, at the latest
  * @recorded: its record is stored or waits to be stored
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
@@ -296,6 +306,7 @@
 	uint64_t id;
 	bool registered;
 	bool confirmed;
+	bool unheard;
 	bool recorded;
 	bool storing_record;
 	bool stored;
@@ -305,6 +316,7 @@
 	int64_t clock;
 	int64_t clock_received_ms;
 	int64_t lease_end_ms;
+	int64_t former_leases_end_ms;
 	int64_t answered_ms;
 	int64_t poll_due_ms;
 	int64_t backoff_until_ms;
@@ -379,8 +391,8 @@
  * struct cell - the schedule of one partition under one owner
  * @now_ms: boot time of the last tick or call, and @wall_ms since 1970
  * @authority_until_ms: tasks may be started before this time
- * @recovering: runs of a former owner may be active on workers that have not
- *	answered yet; ends at @recovery_end_ms at the latest
+ * @unheard: workers with @unheard set; @unheard_by_ref counts them by
+ *	reference
  * @stopped: cell_stop() was called; memory is freed after the last call
  * @batch_open: a batch has been taken and is not stored yet
  * @place_due: something changed that a placement pass may make use of
@@ -405,8 +417,8 @@
 	int64_t wall_ms;
 	int64_t ticked_ms;
 	int64_t authority_until_ms;
-	int64_t recovery_end_ms;
-	bool recovering;
+	uint32_t unheard;
+	uint16_t unheard_by_ref[WORKER_REF_COUNT];
 	bool stopped;
 	bool batch_open;
 	bool place_due;
@@ -588,6 +600,48 @@
  */
 void cell_task_set_pace(struct cell *c, struct cell_task *t, uint8_t percent);
 
+/* cell_recovery.c */
+
+/**
+ * cell_worker_ref() - reference of a worker in progress records
+ */
+uint16_t cell_worker_ref(const struct cell_worker *w);
+
+/**
+ * cell_recovery_expect() - note that runs of a former owner may be active on
+ * a worker
+ */
+void cell_recovery_expect(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_recovery_resolve() - note that all runs on a worker are known
+ *
+ * The worker has seen the fencing token of this owner, so that it takes no late
+ * order of a former one; or its process or all its leases have ended.
+ */
+void cell_recovery_resolve(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_recovery_expire() - resolve a worker whose leases have all expired
+ */
+void cell_recovery_expire(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_task_is_in_doubt() - whether a run that a former owner started may be
+ * active on a worker that is not resolved
+ */
+bool cell_task_is_in_doubt(const struct cell *c, const struct cell_task *t);
+
+/**
+ * cell_recovery_count_tasks() - count the tasks that wait because of such a run
+ */
+uint32_t cell_recovery_count_tasks(const struct cell *c);
+
+/**
+ * cell_recovery_log() - log what the cell still waits for; nothing after that
+ */
+void cell_recovery_log(const struct cell *c);
+
 /* cell_worker.c */
 
 /**
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -79,8 +79,9 @@
 
 /* The worker process has restarted: no run of the previous process is left, and
  * its clock, leases and numbering of ends are void. */
-static void worker_reset(struct cell_worker *w, uint64_t born)
+static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born)
 {
+	cell_recovery_resolve(c, w);
 	log_line(LOG_INFO, "worker restarted",
 		 "worker=%s born=%" PRIu64 " before=%" PRIu64 " tasks=%u",
 		 w->entry.addr.id, born, w->entry.born, w->task_count);
@@ -108,6 +109,7 @@
 	w->entry.born = k->born;
 	w->recorded = true;
 	w->stored = true;
+	cell_recovery_expect(c, w);
 	return w;
 }
 
@@ -125,7 +127,7 @@
 	old = *w;
 	if (e->born > w->entry.born) {
 		mark_all_runs_lost(c, w);
-		worker_reset(w, e->born);
+		worker_reset(c, w, e->born);
 		w->poll_due_ms = c->now_ms;
 	}
 	w->entry = *e;
@@ -176,14 +178,14 @@
 
 /* Once the last lease sent has expired on the worker's clock, which may run
  * slow, no run is left there. A worker that has not answered under this epoch
- * may hold a lease of the former owner until the takeover wait is over. */
+ * may hold a lease of a former owner, see cell_recovery_expire(). */
 bool cell_worker_leases_expired(const struct cell *c,
 				const struct cell_worker *w)
 {
 	int64_t left;
 
 	if (!w->confirmed)
-		return !c->recovering;
+		return !w->unheard;
 	left = w->lease_end_ms - w->clock;
 	if (left < 0)
 		left = 0;
@@ -261,7 +263,8 @@
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s how=%s "
 		 "current=%d in_doubt=%d",
 		 e->ref.job, e->ref.step, e->ref.index, e->ref.run,
-		 w->entry.addr.id, names[e->how], t->worker == w, t->in_doubt);
+		 w->entry.addr.id, names[e->how], t->worker == w,
+		 t->doubt_ref != WORKER_REF_NONE);
 }
 
 static void apply_end(struct cell *c, struct cell_worker *w,
@@ -320,21 +323,6 @@
 	}
 }
 
-static void check_recovery_done(struct cell *c)
-{
-	const struct cell_worker *w;
-
-	if (!c->recovering)
-		return;
-	for (w = c->workers; w; w = w->next)
-		if (w->recorded && !w->confirmed)
-			return;
-	c->recovering = false;
-	c->place_due = true;
-	log_line(LOG_INFO, "all workers of the previous owner answered",
-		 "epoch=%" PRIu64, c->epoch);
-}
-
 static void apply_poll_reply(struct cell *c, struct cell_worker *w,
 			     const struct poll_reply *r)
 {
@@ -345,7 +333,7 @@
 	if (r->born > w->entry.born) {
 		if (w->entry.born)
 			mark_all_runs_lost(c, w);
-		worker_reset(w, r->born);
+		worker_reset(c, w, r->born);
 	}
 	w->clock = r->clock;
 	w->clock_received_ms = c->now_ms;
@@ -358,12 +346,13 @@
 		apply_running(c, w, &r->running[i], r->sent_ms);
 	for (i = 0; i < r->ended_count; i++)
 		apply_end(c, w, &r->ended[i]);
-	if (r->ended_count < ENDED_PAGE_MAX)
+	if (r->ended_count < ENDED_PAGE_MAX) {
 		mark_missing_runs_lost(c, w, r->sent_ms);
+		cell_recovery_resolve(c, w);
+	}
 	if (!w->confirmed) {
 		w->confirmed = true;
 		c->place_due = true;
-		check_recovery_done(c);
 	}
 	cell_pace_worker(c, w);
 	cell_worker_mark_changed(c, w);
@@ -402,7 +391,7 @@
 		w->confirmed = true;
 		w->clock_received_ms = c->now_ms;
 		w->lease_end_ms = w->clock;
-		check_recovery_done(c);
+		cell_recovery_resolve(c, w);
 		return;
 	}
 	log_line(LOG_DEBUG, "worker did not answer", "worker=%s status=%d",
@@ -479,6 +468,7 @@
 
 static void worker_tick(struct cell *c, struct cell_worker *w, bool stops_due)
 {
+	cell_recovery_expire(c, w);
 	if (w->first_task && cell_worker_leases_expired(c, w)) {
 		log_line(LOG_WARN, "lease expired, runs marked lost",
 			 "worker=%s tasks=%u answered_ms_ago=%lld",
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -166,6 +166,9 @@
  *	for each of the first failed runs the low 16 bits of its number, low
  *	byte first; empty when no run has failed
  * @ordered: bit set of the tasks that may have been started
+ * @workers: for each of them that is not done, in the order of the tasks, the
+ *	reference of the worker that may run it, low byte first, 0 for none;
+ *	empty in records of releases that did not write it
  */
 struct step_progress {
 	uint32_t occurrence;
@@ -174,6 +177,7 @@
 	struct str done;
 	struct str failures;
 	struct str ordered;
+	struct str workers;
 };
 
 /**
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -37,7 +37,7 @@
 	METRIC("cell_workers_usable", cell.usable);
 	METRIC("cell_tasks_waiting", cell.waiting);
 	METRIC("cell_tasks_placed", cell.placed);
-	METRIC("cell_uncertain", cell.recovering);
+	METRIC("cell_uncertain", cell.unheard > 0);
 	METRIC("cell_tasks_in_doubt", cell.in_doubt);
 	METRIC("cell_workers_unheard", cell.unheard);
 	METRIC("cell_starts", cell.starts);
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -126,6 +126,43 @@
 	EXPECT_EQ(w.starts.size(), 3u);
 }
 
+/* The next owner looks for the task where the store says that it was sent. */
+TEST_F(CellRecovery, RestartsOnAnotherWorkerOnlyOnceThatIsStored)
+{
+	start_on_w1();
+	w.entries["w1"].draining = true;
+	w.announce("w1");
+	w.end_all(7, RUN_FAILED);
+	w.storing = false;
+	w.run(500);
+	EXPECT_EQ(w.starts.size(), 1u);
+	w.storing = true;
+	w.run(200);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
+/* A reply lists 500 ends at most. The end of a task on a later page was not
+ * known yet when the first page ended the doubt about it: it ran again. */
+TEST_F(CellRecovery, WaitsForAllPagesOfEnds)
+{
+	w.begin({"w1"});
+	w.entries["w1"].cpu = 1000000;
+	w.announce("w1");
+	w.submit(7, {CellWorld::task_step(600)});
+	w.run(400);
+	ASSERT_EQ(w.runs(7), 600u);
+	w.add_worker("w2", 1000000);
+	w.run(200);
+	w.storing = false;
+	w.end_all(7, RUN_DONE);
+	w.take_over(2);
+	w.run(400); /* the first page is neither stored nor acknowledged */
+	w.storing = true;
+	w.run(1000);
+	EXPECT_EQ(w.starts.size(), 600u);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+}
+
 /* The registry entry that a new owner reads first is up to a heartbeat old. It
  * counted the time left from its own reading, so the stop came too late and the
  * run ended with the worker, unreported. */
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -259,13 +259,13 @@
 	w.submit(7, {CellWorld::task_step(1)}, 2);
 	w.run(100);
 	std::string first = w.workers["w1"].running.empty() ? "w2" : "w1";
-	w.storing = false; /* the failure is neither stored nor acknowledged */
+	/* The owner does not hear of the failure: it takes the run for lost and
+	 * starts the task on the other worker. */
+	w.workers[first].reachable = false;
 	w.end_all(7, RUN_FAILED);
-	w.run(500);
+	w.run(6000);
 	ASSERT_TRUE(w.workers[first].running.empty());
 	ASSERT_EQ(w.runs(7), 1u);
-	w.storing = true;
-	w.workers[first].reachable = false;
 	w.take_over(2);
 	w.run(200);
 	w.workers[first].reachable = true;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -412,6 +412,9 @@
 
 	typedef std::tuple<uint64_t, uint32_t, uint32_t, uint32_t> TaskKey;
 
+	/* A worker lists this many ends in one reply. */
+	static const size_t ENDED_PAGE = 500;
+
 	static TaskKey task_key(const task_ref &r)
 	{
 		return TaskKey(r.job, r.occurrence, r.step, r.index);
@@ -522,6 +525,8 @@
 			rows.push_back(row);
 		}
 		for (auto &e : w.ended) {
+			if (ends.size() == ENDED_PAGE)
+				break;
 			ended_run row = {};
 			row.number = e.number;
 			row.ref = e.ref;
