cell: store that a run has ended, also when it was stopped or lost

What callers see: a task that was stopped on a worker about to leave stays down through a takeover, until all leases on that worker would have expired (LOST). Cause: only ends that finish or fail a task changed its stored progress. An end that was stopped or expired was acknowledged, so that the worker forgot it, and the next owner took the task for one that may still run there. The same holds for what an owner finds out about the runs of the one before it. Class of fault: a belief that decides what may start is kept in one process. Evidence: the owner of epoch 10 logged the end of run 1 at 23.05 s, handed over at 23.10 s, and the task of that run was the one in doubt after the takeover. Change: a task that loses its worker, and a doubt that is over, have the progress of the job stored. Result: KnowsOfAStoppedRunThatThePreviousOwnerHeardOf and KnowsThatThePreviousOwnerFoundARunEnded failed before, pass.

--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -49,6 +49,17 @@
 	return t->doubt_ref && c->unheard_by_ref[t->doubt_ref];
 }
 
+bool cell_task_check_doubt(struct cell *c, struct cell_task *t)
+{
+	if (cell_task_is_in_doubt(c, t))
+		return true;
+	if (t->doubt_ref) {
+		t->doubt_ref = WORKER_REF_NONE;
+		cell_job_mark_dirty(c, t->step->job);
+	}
+	return false;
+}
+
 static uint32_t step_count_in_doubt(const struct cell *c,
 				    const struct cell_step *st)
 {
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -54,8 +54,12 @@
 		w->poll_due_ms = c->now_ms;
 }
 
+/* The next owner learns from the job's progress that the run is over: the
+ * worker forgets the end and may leave before that owner asks it. */
 static void task_detach(struct cell *c, struct cell_task *t)
 {
+	if (!job_state_is_terminal(t->step->job->state))
+		cell_job_mark_dirty(c, t->step->job);
 	task_add_usage(t, -1);
 	if (t->prev)
 		t->prev->next = t->next;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -632,6 +632,11 @@
  */
 bool cell_task_is_in_doubt(const struct cell *c, const struct cell_task *t);
 
+/**
+ * cell_task_check_doubt() - the same, and have the end of the doubt stored
+ */
+bool cell_task_check_doubt(struct cell *c, struct cell_task *t);
+
 /**
  * cell_recovery_count_tasks() - count the tasks that wait because of such a run
  */
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -90,6 +90,22 @@
 	EXPECT_TRUE(runs_elsewhere(1, 500));
 }
 
+/* What one owner has found out is not asked again by the next one. */
+TEST_F(CellRecovery, KnowsThatThePreviousOwnerFoundARunEnded)
+{
+	start_on_w1();
+	w.storing = false;
+	w.closed_zones.insert("z1");
+	w.end_all(7, RUN_STOPPED);
+	w.take_over(2);
+	w.storing = true;
+	w.run(200);
+	leave("w1");
+	w.take_over(3);
+	w.closed_zones.clear();
+	EXPECT_TRUE(runs_elsewhere(1, 500));
+}
+
 /* The wait for a silent worker began anew with each owner, although no owner
  * after the first had renewed its lease: two takeovers doubled it. */
 TEST_F(CellRecovery, CountsTheWaitForASilentWorkerFromTheFirstTakeover)
