cell: count the time until a worker leaves from the writing of its entry

What callers see: tasks that run until they are cancelled end with the worker that leaves, and stay down until its leases have expired (LOST). Cause: the time left in a registry entry was counted from its reading. A new owner reads entries that are up to a heartbeat old, so it ordered the stops up to 1.1 s late, while a stop may take 900 ms and was ordered 1.5 s before the supposed end. A listing of the registry that repeats an entry had the same effect. Class of fault: an age is taken for zero where it is unknown. Change: the estimate of an entry that is read for the first time is taken a heartbeat earlier, and of several estimates the earliest is kept. Result: StopsTasksInTimeOnAWorkerWhoseEntryIsOld and KeepsTheEarliestEstimateOfTheTimeAtWhichAWorkerLeaves failed before, pass.

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -113,10 +113,35 @@
 	return w;
 }
 
+/*
+ * The time left in an entry counts from its writing. An entry that is read for
+ * the first time may be as old as the heartbeat; a later one is read soon after
+ * it is written, unless the registry is listed again. The earliest estimate is
+ * therefore the best.
+ */
+static int64_t estimate_leaving(const struct cell *c,
+				const struct cell_worker *old,
+				const struct worker_entry *e)
+{
+	bool was_draining = old->registered && old->entry.draining &&
+			    old->entry.born == e->born;
+	int64_t at = c->now_ms + e->leaving_ms;
+
+	if (!e->draining)
+		return 0;
+	if (was_draining && (!e->leaving_ms || old->leaving_at_ms < at) &&
+	    old->leaving_at_ms)
+		return old->leaving_at_ms;
+	if (!e->leaving_ms)
+		return 0;
+	return old->registered ? at : at - c->opt.heartbeat_ms;
+}
+
 void cell_worker_update(struct cell *c, const struct worker_entry *e)
 {
 	struct cell_worker *w = cell_worker_find(c, e->addr.id);
 	struct cell_worker old;
+	int64_t left_ms;
 
 	if (!w) {
 		w = worker_add(c, e->addr.id);
@@ -132,12 +157,12 @@
 	}
 	w->entry = *e;
 	w->service = name_hash(e->service);
+	w->leaving_at_ms = estimate_leaving(c, &old, e);
+	left_ms = w->leaving_at_ms ? w->leaving_at_ms - c->now_ms : 0;
 	if (e->draining && !old.entry.draining)
 		log_line(LOG_INFO, "worker is draining",
-			 "worker=%s leaving_ms=%lld", e->addr.id,
-			 (long long)e->leaving_ms);
-	w->leaving_at_ms =
-		e->draining && e->leaving_ms ? c->now_ms + e->leaving_ms : 0;
+			 "worker=%s leaving_ms=%lld left_ms=%lld", e->addr.id,
+			 (long long)e->leaving_ms, (long long)left_ms);
 	if (!old.registered)
 		c->place_due = true;
 	w->registered = true;
