cell: the end of a silent worker's leases is stored and outlasts a takeover

What callers see: tasks of a worker that is lost while hosts are restarted in turn stay down as long as the restarts go on, and 8.5 s longer (LOST). Cause: each new owner waited for a silent worker as long as the owner before it could have extended its leases, from its own takeover on, although nobody had extended them since the worker fell silent. Change: an owner that does not reach a worker stores how long its leases last, once a second while tasks depend on it, and extends none before a record that allows it again is stored. The next owner waits no longer than that, counted from its reading; records are applied at the time of reading and not of the last tick, after which the process may have been paused. Result: CountsTheWaitForASilentWorkerFromTheFirstTakeover failed before, passes; ...AcrossHostsThatRestart fails without the repeated record. ExtendsAFrozenLeaseOnlyOnce- ThatIsStored holds the other side.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -10,7 +10,7 @@
 static bool worker_accepts_tasks(const struct cell *c,
 				 const struct cell_worker *w)
 {
-	return w->registered && w->confirmed && w->stored &&
+	return w->registered && w->confirmed && w->stored && !w->lease_frozen &&
 	       !w->entry.draining && w->clock_received_ms &&
 	       c->now_ms >= w->backoff_until_ms &&
 	       c->now_ms - w->answered_ms < WORKER_REACHABLE_MS &&
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -9,10 +9,13 @@
 	return (uint16_t)(w->id % (WORKER_REF_UNKNOWN - 1) + 1);
 }
 
-void cell_recovery_expect(struct cell *c, struct cell_worker *w)
+void cell_recovery_expect(struct cell *c, struct cell_worker *w,
+			  int64_t leases_end_ms)
 {
 	w->unheard = true;
 	w->former_leases_end_ms = c->now_ms + c->opt.takeover_ms;
+	if (leases_end_ms && leases_end_ms < w->former_leases_end_ms)
+		w->former_leases_end_ms = leases_end_ms;
 	c->unheard_by_ref[cell_worker_ref(w)]++;
 	c->unheard++;
 }
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -252,6 +252,7 @@
 		if (t->state != TASK_STORING)
 			continue;
 		if (has_authority(c) && !t->worker->missed_polls &&
+		    t->worker->stored && !t->worker->lease_frozen &&
 		    !t->worker->entry.draining &&
 		    c->ops->zone_open(c->ctx, t->worker->entry.zone))
 			send_start(c, t);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -254,6 +254,8 @@
  * @recorded: its record is stored or waits to be stored
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
+ * @lease_frozen: its record, written at @frozen_ms, says that its leases are
+ *	not extended; they are not until a record without this is stored
  * @poll_in_flight: a poll has not been answered yet
  * @accepts_tasks: takes new tasks, evaluated at the start of each placement
  *	pass
@@ -310,6 +312,7 @@
 	bool recorded;
 	bool storing_record;
 	bool stored;
+	bool lease_frozen;
 	bool poll_in_flight;
 	bool accepts_tasks;
 	int64_t leaving_at_ms;
@@ -317,6 +320,7 @@
 	int64_t clock_received_ms;
 	int64_t lease_end_ms;
 	int64_t former_leases_end_ms;
+	int64_t frozen_ms;
 	int64_t answered_ms;
 	int64_t poll_due_ms;
 	int64_t backoff_until_ms;
@@ -610,8 +614,10 @@
 /**
  * cell_recovery_expect() - note that runs of a former owner may be active on
  * a worker
+ * @leases_end_ms: boot time at which its leases have ended; 0 if not known
  */
-void cell_recovery_expect(struct cell *c, struct cell_worker *w);
+void cell_recovery_expect(struct cell *c, struct cell_worker *w,
+			  int64_t leases_end_ms);
 
 /**
  * cell_recovery_resolve() - note that all runs on a worker are known
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -23,6 +23,9 @@
 #define ENDED_PAGE_MAX 500
 /* Period of the pass that sends stops and repeats unconfirmed ones. */
 #define STOPS_PERIOD_MS 50
+/* Period at which the record of a silent worker is written again: a host that
+ * starts counts the time left in it from its own reading. */
+#define FROZEN_RECORD_MS 1000
 /* Time before a draining worker leaves at which its long-running and
  * checkpointing tasks are stopped. */
 #define DRAIN_MARGIN_MS 1500
@@ -96,6 +99,7 @@
 	w->recorded = false;
 	w->storing_record = false;
 	w->stored = false;
+	w->lease_frozen = false;
 	w->backoff_level = 0;
 	w->fail_streak = 0;
 }
@@ -109,7 +113,8 @@
 	w->entry.born = k->born;
 	w->recorded = true;
 	w->stored = true;
-	cell_recovery_expect(c, w);
+	w->lease_frozen = k->leases_end_ms != 0;
+	cell_recovery_expect(c, w, k->leases_end_ms);
 	return w;
 }
 
@@ -201,21 +206,29 @@
 	return w->lease_end_ms;
 }
 
-/* Once the last lease sent has expired on the worker's clock, which may run
- * slow, no run is left there. A worker that has not answered under this epoch
- * may hold a lease of a former owner, see cell_recovery_expire(). */
-bool cell_worker_leases_expired(const struct cell *c,
-				const struct cell_worker *w)
+/* Time until all leases on a worker have ended, on the owner's clock. */
+static int64_t leases_left_ms(const struct cell *c, const struct cell_worker *w)
 {
 	int64_t left;
 
 	if (!w->confirmed)
-		return !w->unheard;
+		return w->unheard ? w->former_leases_end_ms - c->now_ms : 0;
 	left = w->lease_end_ms - w->clock;
 	if (left < 0)
 		left = 0;
 	left += left * WORKER_CLOCK_SLOW_PERMILLE / 1000 + LEASE_MARGIN_MS;
-	return c->now_ms - w->clock_received_ms > left;
+	return left - (c->now_ms - w->clock_received_ms);
+}
+
+/* Once the last lease sent has expired on the worker's clock, which may run
+ * slow, no run is left there. A worker that has not answered under this epoch
+ * may hold a lease of a former owner, see cell_recovery_expire(). */
+bool cell_worker_leases_expired(const struct cell *c,
+				const struct cell_worker *w)
+{
+	if (!w->confirmed)
+		return !w->unheard;
+	return leases_left_ms(c, w) < 0;
 }
 
 void cell_worker_back_off(struct cell *c, struct cell_worker *w)
@@ -348,6 +361,17 @@
 	}
 }
 
+/* The leases are extended again once a record that allows it is stored. */
+static void thaw_lease(struct cell_worker *w)
+{
+	if (!w->lease_frozen)
+		return;
+	w->lease_frozen = false;
+	w->recorded = false;
+	w->storing_record = false;
+	w->stored = false;
+}
+
 static void apply_poll_reply(struct cell *c, struct cell_worker *w,
 			     const struct poll_reply *r)
 {
@@ -364,6 +388,7 @@
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
 	w->missed_polls = 0;
+	thaw_lease(w);
 	/* The former owner may have renewed the lease up to now. */
 	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
 		w->lease_end_ms = r->clock + c->opt.lease_ms;
@@ -431,7 +456,8 @@
 	/* An unanswered renewal may have arrived and extended the lease. A
 	 * worker that does not answer gets no further renewals, so that its
 	 * lease runs out and its runs end within a known time. */
-	h.lease_deadline_ms = w->missed_polls ? 0 : cell_worker_lease(c, w);
+	if (!w->missed_polls && w->stored && !w->lease_frozen)
+		h.lease_deadline_ms = cell_worker_lease(c, w);
 	h.ack = w->acked_end;
 	if (w->confirmed && w->task_count && w->last_end == w->acked_end)
 		h.wait_ms = has_mixed_load(w) ? POLL_SAMPLE_MS
@@ -450,6 +476,10 @@
 
 	name_set(k.address, w->entry.addr.address);
 	k.born = w->entry.born;
+	if (w->lease_frozen && leases_left_ms(c, w) > 0)
+		k.lease_left_ms = (uint64_t)leases_left_ms(c, w);
+	else if (w->lease_frozen)
+		k.lease_left_ms = 1;
 	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
 	buf_init(&b);
 	known_worker_write(&k, &b);
@@ -460,6 +490,33 @@
 	w->recorded = true;
 }
 
+/*
+ * Whether the next owner has to learn when the leases of a worker end. It
+ * otherwise waits for as long as this owner could have extended them, from its
+ * own takeover on.
+ */
+static bool should_freeze_lease(const struct cell *c,
+				const struct cell_worker *w)
+{
+	if (!w->recorded || !w->missed_polls ||
+	    !(w->unheard || w->first_task) ||
+	    c->now_ms >= c->authority_until_ms ||
+	    c->now_ms - w->answered_ms < WORKER_REACHABLE_MS)
+		return false;
+	return !w->lease_frozen || c->now_ms - w->frozen_ms >= FROZEN_RECORD_MS;
+}
+
+static void freeze_lease(struct cell *c, struct cell_worker *w)
+{
+	if (!w->lease_frozen)
+		log_line(LOG_INFO, "worker silent: leases not extended",
+			 "worker=%s tasks=%u left_ms=%lld", w->entry.addr.id,
+			 w->task_count, (long long)leases_left_ms(c, w));
+	w->lease_frozen = true;
+	w->frozen_ms = c->now_ms;
+	record_worker(c, w);
+}
+
 static void worker_remove(struct cell *c, struct cell_worker **at)
 {
 	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
@@ -501,7 +558,9 @@
 			 (long long)(c->now_ms - w->answered_ms));
 		mark_all_runs_lost(c, w);
 	}
-	if (!w->recorded && w->registered)
+	if (should_freeze_lease(c, w))
+		freeze_lease(c, w);
+	if (!w->recorded && (w->registered || w->first_task))
 		record_worker(c, w);
 	if (stops_due)
 		stop_due_tasks(c, w);
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -16,6 +16,7 @@
 static const struct field known_rows[] = {
 	FIELD_OF(NAME, known_worker, address),
 	FIELD_OF(U64, known_worker, born),
+	FIELD_OF(U64, known_worker, lease_left_ms),
 };
 
 static const struct shape known_shape = SHAPE_OF(known_rows, known_worker);
@@ -220,7 +221,8 @@
 	free(w);
 }
 
-static int apply_worker(struct job_view *v, struct str id, struct str value)
+static int apply_worker(struct job_view *v, struct str id, struct str value,
+			int64_t now_ms)
 {
 	struct known_worker stored = {0}, *w;
 	char name[NAME_SIZE];
@@ -251,6 +253,10 @@
 	}
 	name_set(w->address, stored.address);
 	w->born = stored.born;
+	w->lease_left_ms = stored.lease_left_ms;
+	w->leases_end_ms = stored.lease_left_ms
+				   ? now_ms + (int64_t)stored.lease_left_ms
+				   : 0;
 	return 0;
 }
 
@@ -285,7 +291,7 @@
 	if (key.len > 2 && !memcmp(key.data, WORKER_KEY_PREFIX, 2)) {
 		struct str w = {key.data + 2, key.len - 2};
 
-		return apply_worker(v, w, value);
+		return apply_worker(v, w, value, now_ms);
 	}
 	if (key.len < JOB_ID_DIGITS)
 		return -ENOENT;
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -49,11 +49,18 @@
 /**
  * struct known_worker - a worker that an owner may have sent orders to
  * @born: start time of the worker process, ms since 1970
+ * @lease_left_ms: the worker does not answer; its leases end within this time
+ *	from the writing of the record, and none is extended before another
+ *	record is stored. 0 if leases may be extended.
+ * @leases_end_ms: boot time at which these leases have ended; 0 if they may be
+ *	extended. Not stored.
  */
 struct known_worker {
 	char id[NAME_SIZE];
 	char address[NAME_SIZE];
 	uint64_t born;
+	uint64_t lease_left_ms;
+	int64_t leases_end_ms;
 	struct known_worker *next;
 };
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -139,7 +139,10 @@
 static void jobs_apply(void *ctx, const struct store_record *r)
 {
 	struct host *h = ctx;
-	int err = job_view_apply(&h->job_view, r->key, r->value, h->now_ms);
+	/* Not the time of the last tick, after which the process may have been
+	 * paused: the ends of leases count from here. */
+	int err =
+		job_view_apply(&h->job_view, r->key, r->value, clock_boot_ms());
 
 	if (err)
 		log_line(LOG_ERROR, "cannot decode job record",
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -120,6 +120,44 @@
 	EXPECT_TRUE(runs_elsewhere(1, 2500));
 }
 
+/* While hosts are restarted in turn, each owner is a process that has read the
+ * records only a moment ago. */
+TEST_F(CellRecovery, CountsTheWaitForASilentWorkerAcrossHostsThatRestart)
+{
+	start_on_w1();
+	w.workers["w1"].reachable = false;
+	w.take_over(2);
+	w.run(w.opt.takeover_ms / 2);
+	w.take_over_on_a_new_host(3);
+	w.run(w.opt.takeover_ms / 2 - 2000);
+	EXPECT_EQ(w.starts.size(), 1u);
+	w.take_over_on_a_new_host(4);
+	w.workers["w1"].running.clear(); /* its lease has expired */
+	EXPECT_TRUE(runs_elsewhere(1, 4500));
+}
+
+/* A worker that answers again gets no longer lease before the store says so:
+ * the next owner counts on the end that it read there. */
+TEST_F(CellRecovery, ExtendsAFrozenLeaseOnlyOnceThatIsStored)
+{
+	int64_t before;
+
+	start_on_w1();
+	w.workers["w1"].reachable = false;
+	w.run(3000);
+	before = w.workers["w1"].lease;
+	w.storing = false;
+	w.workers["w1"].reachable = true;
+	w.run(500);
+	EXPECT_EQ(w.workers["w1"].lease, before);
+	w.storing = true;
+	w.run(500);
+	EXPECT_GT(w.workers["w1"].lease, before);
+	w.run(5000);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 1u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -132,6 +132,19 @@
 			announce(e.first);
 	}
 
+	/* The next owner is a process that has just started: it reads the
+	 * newest record of each key, all of them now. */
+	void take_over_on_a_new_host(uint64_t epoch)
+	{
+		stop();
+		job_view_finish(&view);
+		job_view_init(&view, &view_ops, this);
+		for (auto &r : newest)
+			job_view_apply(&view, {r.first.data(), r.first.size()},
+				       {r.second.data(), r.second.size()}, now);
+		take_over(epoch);
+	}
+
 	/* Calls in flight end without a reply, as when a host crashes. */
 	void stop()
 	{
@@ -233,6 +246,7 @@
 		ASSERT_EQ(job_view_apply(&view, job_key(id, 0, key),
 					 {b.data, b.len}, now),
 			  0);
+		newest[key] = std::string(b.data, b.len);
 		buf_finish(&b);
 	}
 
@@ -377,6 +391,8 @@
 	std::map<std::string, worker_entry> entries;
 	std::vector<Call> calls;
 	size_t polls = 0;
+	/* Newest stored record of each key; cancellations are not kept. */
+	std::map<std::string, std::string> newest;
 	/* Workers that ran a task when it was started a second time. */
 	std::vector<std::string> duplicates;
 	std::vector<order> starts;
@@ -556,6 +572,8 @@
 			str value = {key.data + key.len, len - 1 - key.len};
 
 			job_view_apply(&view, key, value, now);
+			newest[std::string(key.data, key.len)] =
+				std::string(value.data, value.len);
 			at += 4 + len;
 		}
 	}
