member, owner: a host that joins the group does not take the cell from its owner

What callers see: while hosts are restarted in turn, 0.2 s without starts for each host that comes back, and each hand-over leaves tasks whose state has to be found out again. Cause: the group spreads its partitions evenly, so each join deals them anew, and the owner gave up the cell with its next join although it served it well. Change: a partition changes hands once its member joins with the new generation. An owner that serves the cell, and is no standby, goes on joining with the generation before, until it stops, loses its membership or is fenced. A group that assigns all cells anew by force is met by the fence: the next append of the owner fails, and it steps down.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -289,6 +289,9 @@
 			       follower_is_fresh(&h->job_follower, h->now_ms,
 						 CANDIDACY_LOG_AGE_MS),
 			       h->now_ms);
+	h->member.retained = 0;
+	if (owner_is_active(&h->owner) && !h->candidacy.is_standby)
+		h->member.retained = 1ULL << CELL_INDEX;
 	activity_enter(&h->loop.activity, ACTIVITY_SCHEDULE);
 	wait = owner_tick(&h->owner, &h->member, h->now_ms, clock_wall_ms());
 	activity_enter(&h->loop.activity, ACTIVITY_CALLERS);
--- a/src/host/member.c
+++ b/src/host/member.c
@@ -23,17 +23,8 @@
 	name_set(m->name, name);
 }
 
-static void on_join(void *ctx, const struct store_reply *r)
+static void adopt_generation(struct member *m, const struct store_reply *r)
 {
-	struct member *m = ctx;
-
-	m->join_in_flight = false;
-	if (m->out_of_group)
-		return;
-	if (r->status != STORE_OK) {
-		m->due_ms = m->now_ms + JOIN_RETRY_MS;
-		return;
-	}
 	if (r->assigned != m->assigned)
 		log_line(LOG_INFO, "cells assigned",
 			 "generation=%llu held=%llx before=%llx",
@@ -44,6 +35,36 @@
 		m->fast_until_ms = r->sent_ms + FAST_JOIN_FOR_MS;
 	m->generation = r->generation;
 	m->assigned = r->assigned;
+}
+
+static void decline_generation(struct member *m, const struct store_reply *r)
+{
+	if (r->generation != m->declined)
+		log_line(LOG_INFO, "cells retained",
+			 "generation=%llu declined=%llu retained=%llx "
+			 "assigned=%llx",
+			 (unsigned long long)m->generation,
+			 (unsigned long long)r->generation,
+			 (unsigned long long)m->retained,
+			 (unsigned long long)r->assigned);
+	m->declined = r->generation;
+}
+
+static void on_join(void *ctx, const struct store_reply *r)
+{
+	struct member *m = ctx;
+
+	m->join_in_flight = false;
+	if (m->out_of_group)
+		return;
+	if (r->status != STORE_OK) {
+		m->due_ms = m->now_ms + JOIN_RETRY_MS;
+		return;
+	}
+	if (m->retained & m->assigned & ~r->assigned)
+		decline_generation(m, r);
+	else
+		adopt_generation(m, r);
 	m->assigned_until_ms =
 		r->sent_ms + m->ttl_ms - m->ttl_ms / TTL_MARGIN_DIVISOR;
 	m->due_ms = r->sent_ms + (r->sent_ms < m->fast_until_ms
--- a/src/host/member.h
+++ b/src/host/member.h
@@ -18,6 +18,11 @@
  *	after a leave
  * @assigned: cells assigned to this member, as a bit set
  * @assigned_until_ms: time until which @assigned is valid
+ * @retained: cells that this member gives up only with its membership, as a bit
+ *	set: a cell that the group assigns to another member is handed over once
+ *	this one has joined with the new generation, so it joins with the one
+ *	before
+ * @declined: newest generation that was not adopted for this reason
  * @due_ms: time of the next join
  * @fast_until_ms: joins use the short interval until this time
  * @join_in_flight: a join is in flight
@@ -31,6 +36,8 @@
 	uint64_t generation;
 	uint64_t assigned;
 	int64_t assigned_until_ms;
+	uint64_t retained;
+	uint64_t declined;
 	int64_t due_ms;
 	int64_t fast_until_ms;
 	int64_t now_ms;
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -316,6 +316,11 @@
 	o->job_follower->read_gap_ms = IDLE_READ_GAP_MS;
 }
 
+bool owner_is_active(const struct owner *o)
+{
+	return o->phase == OWNER_ACTIVE && !o->handover_began_ms;
+}
+
 void owner_hand_over(struct owner *o, const char *reason)
 {
 	if (o->phase != OWNER_ACTIVE) {
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -107,6 +107,12 @@
 int64_t owner_tick(struct owner *o, const struct member *m, int64_t now_ms,
 		   int64_t wall_ms);
 
+/**
+ * owner_is_active() - whether this host schedules the cell and is not handing
+ * it over
+ */
+bool owner_is_active(const struct owner *o);
+
 /**
  * owner_hand_over() - stop starting tasks, but renew the leases of running ones
  * @reason: for the log
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -77,6 +77,7 @@
 			follower_start(&jobs, t);
 		started = true;
 		follower_tick(&jobs, t);
+		membership.retained = retains && owner_is_active(&owner);
 		member_tick(&membership, t);
 		owner_tick(&owner, &membership, t, t);
 	}
@@ -92,6 +93,7 @@
 	worker_ops wops = {};
 	int64_t now = 0;
 	bool started = false;
+	bool retains = false;
 	std::vector<std::pair<uint64_t, store_status>> peer_outcomes;
 
 	bool add_records(uint64_t seq, const char *key)
@@ -186,6 +188,23 @@
 	EXPECT_EQ(b.owner.phase, OWNER_ACTIVE);
 }
 
+/* The group may assign all cells anew without waiting for the owner: its next
+ * append fails, and it must not hold on to the cell then. */
+TEST_F(Owner, GivesUpARetainedCellWhenAnotherHostHasTakenItOver)
+{
+	Host a(&store, "a"), b(&store, "b");
+
+	a.retains = b.retains = true;
+	run({&a, &b}, 500);
+	ASSERT_EQ(a.owner.phase, OWNER_ACTIVE);
+	store.assignee = "b";
+	store.generation++;
+	run({&a, &b}, 4000);
+	EXPECT_EQ(a.owner.phase, OWNER_IDLE);
+	EXPECT_EQ(a.membership.assigned, 0u);
+	EXPECT_EQ(b.owner.phase, OWNER_ACTIVE);
+}
+
 TEST_F(Owner, AuthorityExpiresWithTheMembership)
 {
 	Host a(&store, "a");
