cell: a task under which workers crash is given up; its neighbours are not

Callers saw: one task crashed worker after worker (BUDGET), each away for seconds.

Cause: the end of a run whose worker has crashed counts as lost, and lost runs have no limit: the task started again at once. A crash appears as a refused connection from 10 ms after the start on, then as another worker at the same address (421) 3.0 to 3.5 s later; the registry drops the old id after about 3 s. The start is mostly answered, sometimes not.

Change: cell_crash charges the crash of a worker that was not draining to the runs that it had not reported alive 500 ms after their start. Evidence is a higher birth time, a 421 (also as the reply to a stop), or leases that end while connections are refused; a worker that is only unreachable charges nothing, so refused connections are told from other failures (loop, relay). The count is stored with the job's progress, which a start waits for. A task with crashes is on trial: no two of them share a worker until the run has settled, the worker takes no other task meanwhile (unless more than a quarter of the pool is on trial), and a run that settles clears its task. The job fails at the second crash if no other job's run was unsettled there, else at the third.

Test: charging disabled, 9 of the 13 tests of cell_crash_test fail (6 to 20 starts of one task where 5 are allowed; 51 of a gang of three where 15 are). Each of separation, settling, the refused connection, draining, the third crash and the 421 to a stop, taken out alone, turns a test red. A relayed poll reply keeps the new field (relay_test).

Not covered: a task that crashes its worker later than 500 ms after its start, and a crash that an owner had not noticed when it failed, which costs one more start.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -301,22 +301,25 @@
 	curl_multi_add_handle(l->multi, c->easy);
 }
 
-static void call_finish(struct loop *l, struct loop_call *c, bool is_complete)
+static void call_finish(struct loop *l, struct loop_call *c, CURLcode result)
 {
 	struct fetch_result f = {0};
 	enum activity before;
-	long sent = 0;
+	long sent = 0, error = 0;
 
 	call_unlink(l, c);
 	curl_multi_remove_handle(l->multi, c->easy);
 	f.sent_ms = c->sent_ms;
-	if (is_complete) {
+	if (result == CURLE_OK) {
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &f.status);
 		f.body.data = c->reply.data;
 		f.body.len = c->reply.len;
 	} else {
 		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 		f.not_sent = !sent;
+		curl_easy_getinfo(c->easy, CURLINFO_OS_ERRNO, &error);
+		f.refused = result == CURLE_COULDNT_CONNECT &&
+			    error == ECONNREFUSED;
 	}
 	before = activity_enter(&l->activity, c->activity);
 	c->done(c->ctx, &f);
@@ -339,7 +342,7 @@
 
 			curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE,
 					  (char **)&c);
-			call_finish(l, c, m->data.result == CURLE_OK);
+			call_finish(l, c, m->data.result);
 		}
 	}
 }
@@ -361,7 +364,7 @@
 
 		/* New calls are added in front, so @next stays valid. */
 		if (now_ms >= c->due_ms)
-			call_finish(l, c, false);
+			call_finish(l, c, CURLE_OPERATION_TIMEDOUT);
 		else if (c->due_ms < l->expiry_due_ms)
 			l->expiry_due_ms = c->due_ms;
 		c = next;
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -43,12 +43,14 @@
  * struct fetch_result - the outcome of a request
  * @status: HTTP status, or 0 without a complete reply
  * @not_sent: nothing was sent, as no connection was made
+ * @refused: the host refused the connection
  * @body: content of the reply; valid during the callback only
  * @sent_ms: boot time at which the request was started
  */
 struct fetch_result {
 	long status;
 	bool not_sent;
+	bool refused;
 	struct str body;
 	int64_t sent_ms;
 };
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -46,6 +46,9 @@
 /* Cost of the worker that the task failed on last, which makes it the last
  * choice. */
 #define AVOID_COST 10.0
+/* Cost of each unsettled run on a worker for a task with crashes: beside none,
+ * a further crash is conclusive. */
+#define UNSETTLED_COST 10.0
 
 const char *cell_worker_rack(const struct cell_worker *w)
 {
@@ -252,6 +255,8 @@
 		cost += FAR_DATA_COST;
 	if (t->avoid_worker == w->id)
 		cost += AVOID_COST;
+	if (t->crashes)
+		cost += cell_crash_unsettled(w) * UNSETTLED_COST;
 	*out = cost;
 	return 0;
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -14,6 +14,7 @@
 	       !w->entry.draining && w->clock_received_ms &&
 	       c->now_ms >= w->backoff_until_ms &&
 	       c->now_ms - w->answered_ms < WORKER_REACHABLE_MS &&
+	       !cell_crash_trial_blocks(c, w) &&
 	       c->ops->zone_open(c->ctx, w->entry.zone);
 }
 
@@ -91,6 +92,30 @@
 	}
 }
 
+/* Tasks with crashes choose their workers one by one: no two share a worker
+ * during their trials, so what keeps one from a worker says nothing of the
+ * other tasks of its step. */
+static void place_suspects(struct cell *c, struct cell_step *st,
+			   uint64_t service)
+{
+	struct cell_worker *w;
+	uint32_t i;
+
+	if (!st->suspects)
+		return;
+	for (i = 0; i < st->spec->count; i++) {
+		struct cell_task *t = &st->tasks[i];
+
+		if (!t->crashes || !is_placeable(c, t))
+			continue;
+		w = cell_choose_worker(c, t, service, NULL, false);
+		if (!w)
+			return;
+		cell_task_place(c, t, w);
+		w->accepts_tasks = !cell_crash_trial_blocks(c, w);
+	}
+}
+
 static void place_step(struct cell *c, struct cell_step *st, struct pass *p)
 {
 	uint64_t service = service_of(c, st);
@@ -105,6 +130,7 @@
 	}
 	if (is_starved(c, st, service, p))
 		place_starved(c, st, service);
+	place_suspects(c, st, service);
 	since_version = cell_step_no_fit_version(c, st, &demand);
 	if (since_version == c->version)
 		return;
@@ -112,7 +138,7 @@
 		struct cell_task *t = &st->tasks[i];
 		struct cell_worker *w;
 
-		if (!is_placeable(c, t))
+		if (t->crashes || !is_placeable(c, t))
 			continue;
 		if (!is_filled)
 			cell_candidates_fill(c, t, service, since_version);
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -98,6 +98,10 @@
 
 		failures.data += used;
 		failures.len -= used;
+		if (i < p->crashes.len) {
+			t->crashes = (uint8_t)p->crashes.data[i];
+			st->suspects += t->crashes != 0;
+		}
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
 			t->run = (uint32_t)(c->epoch % RUN_EPOCHS) *
@@ -141,7 +145,7 @@
 	uint32_t n = st->spec->count, i;
 	size_t bytes = (n + BITS - 1) / BITS;
 	size_t used = 0, named = 0;
-	char *done, *ordered, *failures, *workers;
+	char *done, *ordered, *failures, *workers, *crashes;
 	bool failed = false, any = false;
 
 	out->occurrence = st->occurrence;
@@ -152,6 +156,7 @@
 	done = arena_alloc(a, bytes);
 	ordered = arena_alloc(a, bytes);
 	workers = arena_alloc(a, (size_t)n * WORKER_REF_BYTES);
+	crashes = arena_alloc(a, n);
 	failures =
 		arena_alloc(a, (size_t)n * (1 + FAILURES_KEPT * RUN_LOW_BYTES));
 	for (i = 0; i < n; i++) {
@@ -163,6 +168,7 @@
 		if (st->tasks[i].ordered && st->tasks[i].state != TASK_DONE)
 			worker_ref_write(&st->tasks[i],
 					 workers + WORKER_REF_BYTES * named++);
+		crashes[i] = (char)st->tasks[i].crashes;
 		used += failures_write(&st->tasks[i], failures + used);
 		failed |= st->tasks[i].failures > 0;
 	}
@@ -174,6 +180,8 @@
 	out->workers.len = named * WORKER_REF_BYTES;
 	out->failures.data = failures;
 	out->failures.len = failed ? used : 0;
+	out->crashes.data = crashes;
+	out->crashes.len = st->suspects ? n : 0;
 }
 
 void cell_progress_write(const struct cell *c, const struct cell_job *j,
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -88,6 +88,7 @@
 
 		c->counts.examined++;
 		if (!may_take(c, w, t->step, service) ||
+		    !cell_crash_may_share(t, w) ||
 		    (rack && strcmp(rack, cell_worker_rack(w))))
 			continue;
 		if (cell_placement_cost(c, t, w, starved, &cost) ||
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -50,6 +50,7 @@
 	t->pace = PACE_FULL;
 	t->pace_sent = PACE_FULL;
 	task_add_usage(t, 1);
+	cell_crash_attach(c, t);
 	if (w->poll_due_ms > c->now_ms && w->last_end == w->acked_end)
 		w->poll_due_ms = c->now_ms;
 }
@@ -61,6 +62,7 @@
 	if (!job_state_is_terminal(t->step->job->state))
 		cell_job_mark_dirty(c, t->step->job);
 	task_add_usage(t, -1);
+	cell_crash_detach(c, t);
 	if (t->prev)
 		t->prev->next = t->next;
 	else
@@ -172,8 +174,10 @@
 
 	if (!t)
 		return;
-	if (r->status == ORDER_OK)
+	if (r->status == ORDER_OK) {
+		cell_crash_started(t, r->clock);
 		cell_task_confirm(c, t);
+	}
 	/* A poll may have reported the run before this reply arrived. */
 	if (r->status == ORDER_OK || t->state == TASK_RUNNING)
 		return;
@@ -273,7 +277,7 @@
 	if (r->status == ORDER_OK)
 		t->stop_confirmed_ms = c->now_ms;
 	else if (r->status == ORDER_RESTARTED)
-		cell_task_mark_lost(c, t);
+		cell_worker_crashed(c, t->worker);
 }
 
 static void send_stop(struct cell *c, struct cell_task *t)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -85,6 +85,11 @@
  * @pace: wanted pace, percent of full speed
  * @pace_sent: pace sent last, or PACE_UNKNOWN
  * @avoid_worker: id of the worker that a run failed on last; 0 for none
+ * @crashes: workers that crashed in a row soon after they started it
+ * @settled: the worker has reported the run long enough after its start
+ * @on_trial: counted in @trials of its worker
+ * @started_clock: worker's clock when it confirmed or first reported the run; 0
+ *	before
  */
 struct cell_task {
 	struct cell_step *step;
@@ -101,6 +106,9 @@
 	bool ordered;
 	bool in_intents;
 	bool storing_intent;
+	bool settled;
+	bool on_trial;
+	uint8_t crashes;
 	uint8_t pace;
 	uint8_t pace_sent;
 	uint16_t doubt_ref;
@@ -116,6 +124,7 @@
 	int64_t last_sample_ms;
 	int64_t throttled_since_ms;
 	uint64_t avoid_worker;
+	int64_t started_clock;
 	char checkpoint[CHECKPOINT_SIZE];
 };
 
@@ -151,6 +160,7 @@
  * @number: index of the step in the job
  * @waiting: tasks without a worker that are not done
  * @done: tasks that are done, of @spec->count
+ * @suspects: tasks with @crashes
  * @image: name_hash() of the image
  * @curve: load curve; NULL unless the step is latency-critical
  * @no_fit_version: no worker whose @version is not higher meets its demand, as
@@ -164,6 +174,7 @@
 	uint32_t occurrence;
 	uint32_t waiting;
 	uint32_t done;
+	uint32_t suspects;
 	uint64_t image;
 	struct load_curve *curve;
 	uint64_t no_fit_version;
@@ -266,6 +277,8 @@
  * @answered_ms: when it answered a poll last
  * @backoff_until_ms: gets no new tasks before this time
  * @missed_polls: unanswered polls in a row
+ * @refused: its host refused the connection for the last poll
+ * @trials: unsettled runs there of tasks with @crashes
  * @backoff_level: back-offs since a run there ended as done; each doubles the
  *	pause of the next
  * @failed_job: job whose run failed there last
@@ -325,6 +338,8 @@
 	int64_t poll_due_ms;
 	int64_t backoff_until_ms;
 	uint32_t missed_polls;
+	bool refused;
+	uint32_t trials;
 	uint32_t backoff_level;
 	uint64_t failed_job;
 	uint32_t fail_streak;
@@ -401,6 +416,7 @@
  * @batch_open: a batch has been taken and is not stored yet
  * @place_due: something changed that a placement pass may make use of
  * @calls: calls to workers in flight
+ * @trials: sum of @trials of all workers
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
@@ -427,6 +443,7 @@
 	bool batch_open;
 	bool place_due;
 	uint32_t calls;
+	uint32_t trials;
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
 	int64_t jobs_due_ms;
@@ -675,6 +692,12 @@
  */
 int64_t cell_worker_lease(struct cell *c, struct cell_worker *w);
 
+/**
+ * cell_worker_crashed() - end the runs of a worker whose process has been
+ * replaced
+ */
+void cell_worker_crashed(struct cell *c, struct cell_worker *w);
+
 /**
  * cell_worker_leases_expired() - whether all leases sent to a worker, also by
  * a former owner, have expired by the worker's own clock
@@ -827,6 +850,64 @@
  */
 void cell_place_gang(struct cell *c, struct cell_step *st, uint64_t service);
 
+/* cell_crash.c */
+
+/**
+ * cell_crash_charge() - count the crash of a worker against the tasks that it
+ * had just started
+ *
+ * A task without a settled run is given up, and its job fails, after repeated
+ * crashes: sooner if no other job can have caused the last one. A draining
+ * worker is expected to leave, which counts as no crash. The caller ends the
+ * runs afterwards.
+ */
+void cell_crash_charge(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_crash_attach() - note that a task has been assigned to a worker
+ *
+ * Until the run has settled, a task with crashes is on trial there.
+ */
+void cell_crash_attach(struct cell *c, struct cell_task *t);
+
+/**
+ * cell_crash_detach() - note that a task is about to leave its worker
+ */
+void cell_crash_detach(struct cell *c, struct cell_task *t);
+
+/**
+ * cell_crash_started() - note that the worker has confirmed the start of a run
+ * @clock: the worker's clock, milliseconds
+ */
+void cell_crash_started(struct cell_task *t, int64_t clock);
+
+/**
+ * cell_crash_reported() - note that the worker has listed a run as active
+ * @clock: the worker's clock, milliseconds
+ *
+ * A run that has settled clears its task of earlier crashes.
+ */
+void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock);
+
+/**
+ * cell_crash_unsettled() - count the runs on a worker that have not settled
+ */
+uint32_t cell_crash_unsettled(const struct cell_worker *w);
+
+/**
+ * cell_crash_may_share() - whether a task may run on a worker beside the tasks
+ * on trial there
+ */
+bool cell_crash_may_share(const struct cell_task *t,
+			  const struct cell_worker *w);
+
+/**
+ * cell_crash_trial_blocks() - whether a trial keeps a worker from taking tasks
+ *
+ * If the worker crashes during the trial, no other job can have caused it.
+ */
+bool cell_crash_trial_blocks(const struct cell *c, const struct cell_worker *w);
+
 /* cell_account.c */
 
 /* Buffer size for cell_account_write(). */
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -6,7 +6,8 @@
 #include "base/logger.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
- * tasks: the tail latency that it reports covers half a second. */
+ * tasks: the tail latency that it reports covers half a second. Also for a
+ * worker with a trial, which ends with a report of the run. */
 #define POLL_SAMPLE_MS 500
 /* Poll period of a worker that runs no task. */
 #define POLL_IDLE_MS 1500
@@ -80,6 +81,12 @@
 		cell_task_mark_lost(c, w->first_task);
 }
 
+void cell_worker_crashed(struct cell *c, struct cell_worker *w)
+{
+	cell_crash_charge(c, w);
+	mark_all_runs_lost(c, w);
+}
+
 /* The worker process has restarted: no run of the previous process is left, and
  * its clock, leases and numbering of ends are void. */
 static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born)
@@ -156,7 +163,7 @@
 		return;
 	old = *w;
 	if (e->born > w->entry.born) {
-		mark_all_runs_lost(c, w);
+		cell_worker_crashed(c, w);
 		worker_reset(c, w, e->born);
 		w->poll_due_ms = c->now_ms;
 	}
@@ -262,23 +269,26 @@
 }
 
 static void apply_running(struct cell *c, struct cell_worker *w,
-			  const struct run_row *r, int64_t sent_ms)
+			  const struct run_row *r,
+			  const struct poll_reply *reply)
 {
 	struct cell_task *t = cell_task_find(c, &r->ref);
 
 	if (t && t->worker == w && t->run == r->ref.run) {
-		t->reported_ms = sent_ms;
+		t->reported_ms = reply->sent_ms;
 		t->percent = (uint8_t)r->progress_percent;
 		t->measure = r->measure;
 		if (r->checkpoint[0])
 			name_set(t->checkpoint, r->checkpoint);
 		cell_task_confirm(c, t);
+		cell_crash_reported(c, t, reply->clock);
 		return;
 	}
 	if (t && t->state == TASK_WAITING && t->step->job->recovered &&
 	    !job_state_is_terminal(t->step->job->state)) {
 		cell_task_adopt(c, t, w, r->ref.run);
-		t->reported_ms = sent_ms;
+		cell_crash_started(t, reply->clock);
+		t->reported_ms = reply->sent_ms;
 		return;
 	}
 	cell_stop_orphan(c, w, &r->ref);
@@ -381,7 +391,7 @@
 		return;
 	if (r->born > w->entry.born) {
 		if (w->entry.born)
-			mark_all_runs_lost(c, w);
+			cell_worker_crashed(c, w);
 		worker_reset(c, w, r->born);
 	}
 	w->clock = r->clock;
@@ -389,11 +399,12 @@
 	w->answered_ms = c->now_ms;
 	w->missed_polls = 0;
 	thaw_lease(w);
+	w->refused = false;
 	/* The former owner may have renewed the lease up to now. */
 	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
 		w->lease_end_ms = r->clock + c->opt.lease_ms;
 	for (i = 0; i < r->running_count; i++)
-		apply_running(c, w, &r->running[i], r->sent_ms);
+		apply_running(c, w, &r->running[i], r);
 	for (i = 0; i < r->ended_count; i++)
 		apply_end(c, w, &r->ended[i]);
 	if (r->ended_count < ENDED_PAGE_MAX) {
@@ -435,9 +446,10 @@
 	}
 	w->poll_due_ms = c->now_ms + POLL_RETRY_MS;
 	w->missed_polls++;
+	w->refused = r->refused;
 	if (r->status == ORDER_RESTARTED) {
 		/* No worker with this id listens at the address any more. */
-		mark_all_runs_lost(c, w);
+		cell_worker_crashed(c, w);
 		w->confirmed = true;
 		w->clock_received_ms = c->now_ms;
 		w->lease_end_ms = w->clock;
@@ -460,8 +472,9 @@
 		h.lease_deadline_ms = cell_worker_lease(c, w);
 	h.ack = w->acked_end;
 	if (w->confirmed && w->task_count && w->last_end == w->acked_end)
-		h.wait_ms = has_mixed_load(w) ? POLL_SAMPLE_MS
-					      : c->opt.poll_wait_ms;
+		h.wait_ms = w->trials || has_mixed_load(w)
+				    ? POLL_SAMPLE_MS
+				    : c->opt.poll_wait_ms;
 	w->poll_in_flight = true;
 	cell_call_begin(c);
 	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, c);
@@ -556,6 +569,8 @@
 			 "worker=%s tasks=%u answered_ms_ago=%lld",
 			 w->entry.addr.id, w->task_count,
 			 (long long)(c->now_ms - w->answered_ms));
+		if (w->refused)
+			cell_crash_charge(c, w);
 		mark_all_runs_lost(c, w);
 	}
 	if (should_freeze_lease(c, w))
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -169,6 +169,8 @@
  * @workers: for each of them that is not done, in the order of the tasks, the
  *	reference of the worker that may run it, low byte first, 0 for none;
  *	empty in records of releases that did not write it
+ * @crashes: for each task one byte with the number of workers that crashed in a
+ *	row soon after they started it; empty when there is none
  */
 struct step_progress {
 	uint32_t occurrence;
@@ -178,6 +180,7 @@
 	struct str failures;
 	struct str ordered;
 	struct str workers;
+	struct str crashes;
 };
 
 /**
--- a/src/host/relay_wire.c
+++ b/src/host/relay_wire.c
@@ -30,6 +30,7 @@
 	FIELD_OF(U64, relay_answer, born),
 	FIELD_LIST_OF(relay_answer, running, &run_shape),
 	FIELD_LIST_OF(relay_answer, ended, &run_shape),
+	FIELD_OF(U32, relay_answer, refused),
 };
 
 static const struct shape answer_shape = SHAPE_OF(answer_rows, relay_answer);
@@ -70,6 +71,7 @@
 	out->status = r->status;
 	out->clock = r->clock;
 	out->born = r->born;
+	out->refused = r->refused;
 	rows = arena_alloc(a, r->running_count * sizeof(*rows));
 	for (i = 0; i < r->running_count; i++) {
 		const struct run_row *from = &r->running[i];
@@ -120,6 +122,7 @@
 	out->status = (enum order_status)w->status;
 	out->clock = w->clock;
 	out->born = w->born;
+	out->refused = w->refused;
 	running = arena_alloc(a, w->running.count * sizeof(*running));
 	for (i = 0; i < w->running.count; i++) {
 		run_decode(&from[i], &running[i].ref, running[i].checkpoint);
--- a/src/host/relay_wire.h
+++ b/src/host/relay_wire.h
@@ -69,6 +69,7 @@
  * @born: start of the worker process, ms since 1970; polls only
  * @running: runs on the worker; polls only
  * @ended: runs that have ended there; polls only
+ * @refused: see struct poll_reply; polls only
  */
 struct relay_answer {
 	uint64_t seq;
@@ -77,6 +78,7 @@
 	uint64_t born;
 	struct list running; /* struct relay_run */
 	struct list ended;   /* struct relay_run */
+	uint32_t refused;
 };
 
 /**
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -239,6 +239,8 @@
 
 /**
  * struct poll_reply - reply to a poll: the runs of a worker
+ * @refused: with ORDER_NOT_SENT: the worker's host refused the connection, so
+ *no process listens at the address
  * @born: start time of the worker process, ms since 1970
  * @clock: the worker's own clock, in milliseconds
  * @sent_ms: boot time at which the request was sent, in milliseconds
@@ -248,6 +250,7 @@
  */
 struct poll_reply {
 	enum order_status status;
+	bool refused;
 	uint64_t born;
 	int64_t clock;
 	int64_t sent_ms;
--- /dev/null
+++ b/tests/cell_crash_test.cc
@@ -0,0 +1,418 @@
+#include <functional>
+
+#include "tests/cell_world.h"
+
+/*
+ * Tasks of the jobs in @crashers end the worker's process CRASH_MS after their
+ * start; it is back after @absent_ms. All other runs end as done after their
+ * job's time in @lasts_ms.
+ */
+class CrashWorld : public CellWorld
+{
+      public:
+	static const int64_t CRASH_MS = 10;
+	static const int64_t RUN_MS = 1000;
+
+	struct Return {
+		int64_t at;
+		std::string id;
+	};
+
+	void on_start(const std::string &worker, const order &sent) override
+	{
+		uint64_t job = sent.ref.job;
+
+		started[{worker, task_key(sent.ref)}] = now;
+		starts_of[job]++;
+		if (!is_crasher(sent.ref))
+			return;
+		crashes_due.push_back({now + CRASH_MS, worker});
+		if (answers_crashing_starts)
+			return;
+		workers[worker].sends_replies = false;
+		workers[worker].reachable = false;
+	}
+
+	bool is_crasher(const task_ref &r)
+	{
+		auto i = crashers.find(r.job);
+
+		return i != crashers.end() &&
+		       (i->second < 0 || (uint32_t)i->second == r.index);
+	}
+
+	bool is_up(const std::string &id)
+	{
+		return !workers[id].refuses && !workers[id].replaced;
+	}
+
+	void crash(const std::string &id)
+	{
+		FakeWorker &w = workers[id];
+
+		for (auto &r : w.running)
+			crashes_of[r.ref.job]++;
+		while (!w.running.empty())
+			end_at(w, 0, RUN_EXPIRED);
+		w.ended.clear();
+		w.ends = 0;
+		w.fence = 0;
+		w.lease = 0;
+		w.refuses = true;
+		w.reachable = false;
+		returns.push_back({now + absent_ms, id});
+	}
+
+	void come_back(const std::string &id)
+	{
+		FakeWorker &w = workers[id];
+
+		if (!keeps_id) {
+			w.replaced = true;
+			cell_worker_gone(c, id.c_str());
+			entries.erase(id);
+			add_worker("n" + std::to_string(++added));
+			return;
+		}
+		w.reachable = true;
+		w.refuses = false;
+		w.sends_replies = true;
+		w.born++;
+		entries[id].born = w.born;
+		if (announces_return)
+			announce(id);
+	}
+
+	void end_due_runs()
+	{
+		for (auto &w : workers)
+			for (size_t i = w.second.running.size(); i-- > 0;) {
+				task_ref r = w.second.running[i].ref;
+				int64_t ms = lasts_ms.count(r.job)
+						     ? lasts_ms[r.job]
+						     : RUN_MS;
+				if (!is_crasher(r) &&
+				    now - started[{w.first, task_key(r)}] >= ms)
+					end_at(w.second, i, RUN_DONE);
+			}
+	}
+
+	void play(int64_t ms)
+	{
+		for (int64_t end = now + ms; now < end;) {
+			run(5);
+			auto due = crashes_due;
+			crashes_due.clear();
+			for (auto &d : due) {
+				if (now < d.at)
+					crashes_due.push_back(d);
+				else if (is_up(d.id))
+					crash(d.id);
+			}
+			auto back = returns;
+			returns.clear();
+			for (auto &r : back) {
+				if (now < r.at)
+					returns.push_back(r);
+				else
+					come_back(r.id);
+			}
+			end_due_runs();
+		}
+	}
+
+	std::string worker_of(uint64_t job)
+	{
+		for (auto &w : workers)
+			for (auto &r : w.second.running)
+				if (r.ref.job == job)
+					return w.first;
+		return "";
+	}
+
+	/* Until a worker has replied to the start of the job's only task. */
+	void play_until_running(uint64_t job)
+	{
+		for (int64_t end = now + 20000; !runs(job) && now < end;)
+			play(5);
+		ASSERT_EQ(runs(job), 1u);
+		play(10);
+	}
+
+	using CellWorld::expire_lease;
+
+	/* Task that crashes its workers, by job; -1 for all tasks. */
+	std::map<uint64_t, int> crashers;
+	std::map<uint64_t, int64_t> lasts_ms;
+	int64_t absent_ms = 3300;
+	bool keeps_id = false;
+	bool announces_return = true;
+	bool answers_crashing_starts = true;
+	std::map<uint64_t, int> starts_of;
+	std::map<uint64_t, int> crashes_of;
+	std::vector<Return> crashes_due;
+	std::vector<Return> returns;
+	std::map<std::pair<std::string, TaskKey>, int64_t> started;
+	int added = 0;
+};
+
+/* Greatest number of starts of a task that crashes its workers: fewer than
+ * three more after the third crash. */
+static const int STARTS_MAX = 5;
+
+static const std::vector<std::string> EIGHT = {"w1", "w2", "w3", "w4",
+					       "w5", "w6", "w7", "w8"};
+
+static void expect_given_up(CrashWorld &w, uint64_t job)
+{
+	EXPECT_EQ(w.state(job), (uint32_t)JOB_FAILED);
+	EXPECT_GE(w.crashes_of[job], 2);
+	EXPECT_LE(w.starts_of[job], STARTS_MAX);
+}
+
+/*
+ * A task that crashed its worker was started again and again: the end of its
+ * run counted as lost, and lost runs have no limit.
+ */
+TEST(CellCrash, GivesUpATaskThatCrashesItsWorkers)
+{
+	CrashWorld w;
+
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(1)});
+	w.play(40000);
+	expect_given_up(w, 7);
+}
+
+TEST(CellCrash, GivesUpATaskWhoseWorkersReturnUnderTheirId)
+{
+	for (bool announces : {true, false}) {
+		CrashWorld w;
+
+		w.keeps_id = true;
+		w.announces_return = announces;
+		w.begin(EIGHT);
+		w.crashers[7] = -1;
+		w.submit(7, {CellWorld::task_step(1)});
+		w.play(40000);
+		expect_given_up(w, 7);
+	}
+}
+
+/* The lease of a worker that stays away expires before another process listens
+ * at its address. */
+TEST(CellCrash, GivesUpATaskWhoseWorkersStayAwayLong)
+{
+	CrashWorld w;
+
+	w.absent_ms = 30000;
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(1)});
+	w.play(60000);
+	expect_given_up(w, 7);
+}
+
+/* The worker crashes before it replies to the start. */
+TEST(CellCrash, GivesUpATaskWhoseStartsAreNotAnswered)
+{
+	/* The reply to a stop or to a poll tells first that the worker has been
+	 * replaced. */
+	for (int64_t absent_ms = 3000; absent_ms < 3500; absent_ms += 50) {
+		CrashWorld w;
+
+		w.answers_crashing_starts = false;
+		w.absent_ms = absent_ms;
+		w.begin(EIGHT);
+		w.crashers[7] = -1;
+		w.submit(7, {CellWorld::task_step(1)});
+		w.play(60000);
+		expect_given_up(w, 7);
+		EXPECT_LE(w.crashes_of[7], 3);
+	}
+}
+
+TEST(CellCrash, GivesUpALongRunningTask)
+{
+	CrashWorld w;
+
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::serving_step(1, 2000)});
+	w.play(60000);
+	expect_given_up(w, 7);
+}
+
+TEST(CellCrash, GivesUpAGangWithATaskThatCrashesItsWorkers)
+{
+	CrashWorld w;
+	job_step gang = CellWorld::task_step(3);
+
+	gang.flags = STEP_GANG;
+	w.begin(EIGHT);
+	w.crashers[7] = 1;
+	w.submit(7, {gang});
+	w.submit(8, {gang});
+	w.play(60000);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_FAILED);
+	EXPECT_LE(w.starts_of[7], STARTS_MAX * 3);
+	EXPECT_EQ(w.state(8), (uint32_t)JOB_COMPLETED);
+}
+
+/* The owner is killed after each crash, once before and once after the crash
+ * has been noticed. */
+TEST(CellCrash, RemembersCrashesAcrossOwners)
+{
+	for (int64_t notice_ms : {200, 5500}) {
+		CrashWorld w;
+		uint64_t epoch = 2;
+		int crashes = 0;
+
+		w.begin(EIGHT);
+		w.crashers[7] = -1;
+		w.submit(7, {CellWorld::task_step(1)});
+		while (w.now < 160000 && w.starts_of[7] <= STARTS_MAX) {
+			w.play(5);
+			if (w.crashes_of[7] == crashes)
+				continue;
+			/* An owner that has not noticed the crash yet does not
+			 * know of it: only the first one is killed so early. */
+			if (crashes && notice_ms < w.absent_ms)
+				continue;
+			crashes = w.crashes_of[7];
+			w.play(notice_ms);
+			w.take_over(epoch++);
+		}
+		expect_given_up(w, 7);
+	}
+}
+
+TEST(CellCrash, StoresACrashBeforeTheTaskStartsAgain)
+{
+	CrashWorld w;
+
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(1)});
+	w.play(1000);
+	ASSERT_EQ(w.starts_of[7], 1);
+	w.storing = false;
+	w.play(10000);
+	EXPECT_EQ(w.starts_of[7], 1);
+	w.storing = true;
+	w.play(20000);
+	expect_given_up(w, 7);
+}
+
+/*
+ * All runs of a crashed worker are lost, and one of them has crashed it. The
+ * others must be neither given up nor delayed until they have run one by one.
+ */
+TEST(CellCrash, CompletesTheNeighboursOfTasksThatCrashWorkers)
+{
+	CrashWorld w;
+	uint64_t id = 100;
+
+	w.begin(EIGHT);
+	for (uint64_t job : {7, 8, 9}) {
+		w.crashers[job] = -1;
+		w.submit(job, {CellWorld::task_step(1)});
+		for (int i = 0; i < 60; i++) {
+			w.submit(id++, {CellWorld::task_step(2, 500)});
+			w.play(25);
+		}
+	}
+	w.play(30000);
+	for (uint64_t job : {7, 8, 9})
+		expect_given_up(w, job);
+	for (uint64_t job = 100; job < id; job++)
+		EXPECT_EQ(w.state(job), (uint32_t)JOB_COMPLETED) << job;
+}
+
+/* A crash long after the start of a run is not charged: else the next one, soon
+ * after the restart, would seem to be the second in a row. */
+TEST(CellCrash, ChargesNoRunThatHasLastedOnItsWorker)
+{
+	for (job_step step :
+	     {CellWorld::serving_step(1, 2000), CellWorld::task_step(1)}) {
+		CrashWorld w;
+
+		w.begin(EIGHT);
+		w.lasts_ms[7] = 1000000;
+		w.submit(7, {step});
+		for (int i = 0; i < 4; i++) {
+			w.play(6000);
+			ASSERT_EQ(w.runs(7), 1u);
+			w.crash(w.worker_of(7));
+			w.play_until_running(7);
+			w.crash(w.worker_of(7));
+		}
+		w.play(6000);
+		EXPECT_EQ(w.state(7), (uint32_t)JOB_RUNNING);
+	}
+}
+
+/* A task that two workers have crashed under may have had the same neighbour
+ * each time. */
+TEST(CellCrash, KeepsATaskThatSharedItsCrashes)
+{
+	CrashWorld w;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	for (uint64_t other : {8, 9}) {
+		w.play_until_running(7);
+		w.submit(other, {CellWorld::task_step(1)});
+		w.play_until_running(other);
+		ASSERT_EQ(w.runs(7), 1u);
+		w.crash(w.worker_of(7));
+		w.play(20);
+	}
+	w.play(20000);
+	for (uint64_t job : {7, 8, 9})
+		EXPECT_EQ(w.state(job), (uint32_t)JOB_COMPLETED);
+}
+
+/* Runs on a worker that cannot be reached end with its lease; its process may
+ * be well. */
+TEST(CellCrash, CountsNoWorkerThatIsCutOff)
+{
+	CrashWorld w;
+
+	w.begin(EIGHT);
+	w.lasts_ms[7] = 1000000;
+	w.submit(7, {CellWorld::task_step(1)});
+	for (int i = 0; i < 6; i++) {
+		w.play_until_running(7);
+		std::string id = w.worker_of(7);
+		w.workers[id].reachable = false;
+		w.run(3000);
+		ASSERT_EQ(w.starts_of[7], i + 1);
+		while (w.workers[id].running.size() && w.now < 200000) {
+			w.run(5);
+			w.expire_lease(w.workers[id]);
+		}
+	}
+	w.play(6000);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_RUNNING);
+}
+
+TEST(CellCrash, CountsNoWorkerThatLeavesAsAnnounced)
+{
+	CrashWorld w;
+
+	w.begin(EIGHT);
+	w.lasts_ms[7] = 1000000;
+	w.submit(7, {CellWorld::task_step(1)});
+	for (int i = 0; i < 6; i++) {
+		w.play_until_running(7);
+		std::string id = w.worker_of(7);
+		w.entries[id].draining = true;
+		w.announce(id);
+		w.crash(id);
+		w.play(20);
+	}
+	w.play(6000);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_RUNNING);
+}
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -44,6 +44,10 @@
 	bool reachable = true;
 	/* false: executes orders, but the replies are lost */
 	bool sends_replies = true;
+	/* its process has ended: connections are refused */
+	bool refuses = false;
+	/* another worker listens at its address */
+	bool replaced = false;
 	std::vector<Row> running;
 	std::vector<End> ended;
 	uint64_t ends = 0;
@@ -361,6 +365,14 @@
 	{
 		FakeWorker &w = workers[call.worker.id];
 
+		if (w.replaced) {
+			finish_call(call, ORDER_RESTARTED);
+			return;
+		}
+		if (w.refuses) {
+			finish_call(call, ORDER_NOT_SENT);
+			return;
+		}
 		if (!w.reachable) {
 			drop_call(call);
 			return;
@@ -416,10 +428,16 @@
 
 	void drop_call(Call &call)
 	{
-		order_reply r = {ORDER_UNKNOWN, 0};
+		finish_call(call, ORDER_UNKNOWN);
+	}
+
+	void finish_call(Call &call, order_status status)
+	{
+		order_reply r = {status, 0};
 		poll_reply h = {};
 
-		h.status = ORDER_UNKNOWN;
+		h.status = status;
+		h.refused = status == ORDER_NOT_SENT;
 		if (call.kind == Call::POLL)
 			call.on_poll_done(call.ctx, &call.worker, &h);
 		else
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -26,6 +26,7 @@
 	std::vector<long> statuses;
 	std::vector<bool> not_sent;
 	std::string body;
+	std::vector<bool> refused = {};
 };
 
 void on_result(void *ctx, const fetch_result *f)
@@ -34,6 +35,7 @@
 
 	a->statuses.push_back(f->status);
 	a->not_sent.push_back(f->not_sent);
+	a->refused.push_back(f->refused);
 	a->body.assign(f->body.data ? f->body.data : "", f->body.len);
 	if (!--a->left)
 		loop_stop(a->l);
@@ -128,6 +130,7 @@
 
 	EXPECT_EQ(a.statuses[0], 0);
 	EXPECT_TRUE(a.not_sent[0]);
+	EXPECT_TRUE(a.refused[0]);
 }
 
 /*
@@ -175,6 +178,7 @@
 	loop_run(&l);
 	EXPECT_EQ(a.statuses, std::vector<long>({0, 0}));
 	EXPECT_FALSE(a.not_sent[0]);
+	EXPECT_FALSE(a.refused[0]);
 	close(fd);
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -268,6 +268,7 @@
 	end.how = RUN_STOPPED;
 	name_set(end.checkpoint, "cp");
 	a.born = 99;
+	a.refused = true;
 	a.clock = 5000;
 	a.running = &row;
 	a.running_count = 1;
@@ -277,6 +278,7 @@
 	relayed.calls.clear();
 	run(50);
 	EXPECT_EQ(reply.born, 99u);
+	EXPECT_TRUE(reply.refused);
 	EXPECT_EQ(reply.clock, 5000);
 	EXPECT_LE(reply.sent_ms, now);
 	EXPECT_GT(reply.sent_ms, 0);
