cell: a worker that listed one page of its ends stays in doubt until the next

What operators would see: the owner's process ends (SIGSEGV) a second after a worker with 500 ends or more waiting has left between two pages; callers: tasks that are done run again when the store is away for 8.5 s in that state. Cause: the doubt about such a worker ended with the time for which a former owner could have extended its leases, although the worker answers; and a worker was removed by the end of its leases while it was still counted as unheard. Change: the doubt about a worker that has answered ends with its leases, which its answers extend; removing a worker resolves it. Result: ForgetsAWorkerThatLeavesAfterItsFirstPageOfEnds ended with signal 11 before, WaitsForAllPagesOfEndsThroughAnOutageOfTheStore had 700 starts instead of 600; both pass.

--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -35,7 +35,7 @@
 
 void cell_recovery_expire(struct cell *c, struct cell_worker *w)
 {
-	if (!w->unheard || c->now_ms < w->former_leases_end_ms)
+	if (!w->unheard || cell_worker_leases_left_ms(c, w) >= 0)
 		return;
 	log_line(LOG_WARN,
 		 "worker of the previous owner not reached; its leases have "
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -260,8 +260,10 @@
  * @registered: the platform's registry lists it
  * @confirmed: answered a poll under this epoch
  * @unheard: runs of a former owner may be active there, as it has not listed
- *	all its runs and ends to this owner; until @former_leases_end_ms, boot
- *	time, at the latest
+ *	all its runs and ends to this owner; until its leases have ended at the
+ *	latest
+ * @former_leases_end_ms: boot time at which leases of former owners have ended;
+ *	counts until it is @confirmed
  * @recorded: its record is stored or waits to be stored
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
@@ -698,6 +700,13 @@
  */
 void cell_worker_crashed(struct cell *c, struct cell_worker *w);
 
+/**
+ * cell_worker_leases_left_ms() - time until all leases on a worker have ended,
+ * also those of a former owner, on this host's clock
+ */
+int64_t cell_worker_leases_left_ms(const struct cell *c,
+				   const struct cell_worker *w);
+
 /**
  * cell_worker_leases_expired() - whether all leases sent to a worker, also by
  * a former owner, have expired by the worker's own clock
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -213,8 +213,8 @@
 	return w->lease_end_ms;
 }
 
-/* Time until all leases on a worker have ended, on the owner's clock. */
-static int64_t leases_left_ms(const struct cell *c, const struct cell_worker *w)
+int64_t cell_worker_leases_left_ms(const struct cell *c,
+				   const struct cell_worker *w)
 {
 	int64_t left;
 
@@ -235,7 +235,7 @@
 {
 	if (!w->confirmed)
 		return !w->unheard;
-	return leases_left_ms(c, w) < 0;
+	return cell_worker_leases_left_ms(c, w) < 0;
 }
 
 void cell_worker_back_off(struct cell *c, struct cell_worker *w)
@@ -489,8 +489,8 @@
 
 	name_set(k.address, w->entry.addr.address);
 	k.born = w->entry.born;
-	if (w->lease_frozen && leases_left_ms(c, w) > 0)
-		k.lease_left_ms = (uint64_t)leases_left_ms(c, w);
+	if (w->lease_frozen && cell_worker_leases_left_ms(c, w) > 0)
+		k.lease_left_ms = (uint64_t)cell_worker_leases_left_ms(c, w);
 	else if (w->lease_frozen)
 		k.lease_left_ms = 1;
 	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
@@ -524,7 +524,8 @@
 	if (!w->lease_frozen)
 		log_line(LOG_INFO, "worker silent: leases not extended",
 			 "worker=%s tasks=%u left_ms=%lld", w->entry.addr.id,
-			 w->task_count, (long long)leases_left_ms(c, w));
+			 w->task_count,
+			 (long long)cell_worker_leases_left_ms(c, w));
 	w->lease_frozen = true;
 	w->frozen_ms = c->now_ms;
 	record_worker(c, w);
@@ -540,6 +541,7 @@
 	if (w->recorded)
 		store_record_add(&c->pending_records, str_of(key), none);
 	*at = w->next;
+	cell_recovery_resolve(c, w);
 	changed_list_remove(c, w);
 	index_remove(&c->worker_ids, w->id);
 	free(w);
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -43,6 +43,24 @@
 		w.announce(id);
 	}
 
+	/* 600 tasks have ended on "w1"; the new owner hears of 500 of them and
+	 * can neither store nor acknowledge them. */
+	void hear_one_page_of_ends()
+	{
+		w.begin({"w1"});
+		w.entries["w1"].cpu = 1000000;
+		w.announce("w1");
+		w.submit(7, {CellWorld::task_step(600)});
+		w.run(400);
+		ASSERT_EQ(w.runs(7), 600u);
+		w.add_worker("w2", 1000000);
+		w.run(200);
+		w.storing = false;
+		w.end_all(7, RUN_DONE);
+		w.take_over(2);
+		w.run(50);
+	}
+
 	CellWorld w;
 };
 
@@ -199,18 +217,32 @@
  * known yet when the first page ended the doubt about it: it ran again. */
 TEST_F(CellRecovery, WaitsForAllPagesOfEnds)
 {
-	w.begin({"w1"});
-	w.entries["w1"].cpu = 1000000;
-	w.announce("w1");
-	w.submit(7, {CellWorld::task_step(600)});
+	hear_one_page_of_ends();
 	w.run(400);
-	ASSERT_EQ(w.runs(7), 600u);
-	w.add_worker("w2", 1000000);
-	w.run(200);
-	w.storing = false;
-	w.end_all(7, RUN_DONE);
-	w.take_over(2);
-	w.run(400); /* the first page is neither stored nor acknowledged */
+	w.storing = true;
+	w.run(1000);
+	EXPECT_EQ(w.starts.size(), 600u);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+}
+
+/* The worker that had listed a first page of ends was taken for one that had
+ * told all. When it then left, its record was freed while the cell still
+ * counted it, and the owner crashed. */
+TEST_F(CellRecovery, ForgetsAWorkerThatLeavesAfterItsFirstPageOfEnds)
+{
+	hear_one_page_of_ends();
+	leave("w1");
+	w.storing = true;
+	w.run(12000);
+	EXPECT_EQ(w.counts().unheard, 0u);
+}
+
+/* The wait for its other pages must not end by time: the worker answers, and
+ * its leases are extended. */
+TEST_F(CellRecovery, WaitsForAllPagesOfEndsThroughAnOutageOfTheStore)
+{
+	hear_one_page_of_ends();
+	w.run(w.opt.takeover_ms + 500);
 	w.storing = true;
 	w.run(1000);
 	EXPECT_EQ(w.starts.size(), 600u);
