cell: a freeze of leases that was never sent does not hold them back

What callers would see: tasks of a worker that was silent for 2.5 s end although it answers again, if the store fails in that moment. Cause: leases were extended only once the record that takes the freeze back was stored, also when the freeze itself had not been part of any batch. Change: the record that takes it back is written at once; if the freeze was not sent, both are part of one batch, and the leases are extended without waiting. Result: ExtendsALeaseAgainWhenItsFreezeWasNeverSent failed before (0 runs), passes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -155,6 +155,7 @@
 	for (w = c->workers; w; w = w->next) {
 		w->storing_end = w->last_end;
 		w->storing_record = w->recorded;
+		w->freeze_sent = w->lease_frozen;
 	}
 	c->batch_open = true;
 	if (out->len)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -268,7 +268,9 @@
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
  * @lease_frozen: its record, written at @frozen_ms, says that its leases are
- *	not extended; they are not until a record without this is stored
+ *	not extended
+ * @freeze_sent: that record has been part of a batch, so its leases are not
+ *	extended until a record that takes it back is stored
  * @poll_in_flight: a poll has not been answered yet
  * @accepts_tasks: takes new tasks, evaluated at the start of each placement
  *	pass
@@ -328,6 +330,7 @@
 	bool storing_record;
 	bool stored;
 	bool lease_frozen;
+	bool freeze_sent;
 	bool poll_in_flight;
 	bool accepts_tasks;
 	int64_t leaving_at_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -121,6 +121,7 @@
 	w->recorded = true;
 	w->stored = true;
 	w->lease_frozen = k->leases_end_ms != 0;
+	w->freeze_sent = w->lease_frozen;
 	cell_recovery_expect(c, w, k->leases_end_ms);
 	return w;
 }
@@ -371,13 +372,42 @@
 	}
 }
 
-/* The leases are extended again once a record that allows it is stored. */
-static void thaw_lease(struct cell_worker *w)
+static void record_worker(struct cell *c, struct cell_worker *w)
+{
+	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
+	struct known_worker k = {0};
+	struct str value;
+	struct buf b;
+
+	name_set(k.address, w->entry.addr.address);
+	k.born = w->entry.born;
+	if (w->lease_frozen && cell_worker_leases_left_ms(c, w) > 0)
+		k.lease_left_ms = (uint64_t)cell_worker_leases_left_ms(c, w);
+	else if (w->lease_frozen)
+		k.lease_left_ms = 1;
+	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
+	buf_init(&b);
+	known_worker_write(&k, &b);
+	value.data = b.data;
+	value.len = b.len;
+	store_record_add(&c->pending_records, str_of(key), value);
+	buf_finish(&b);
+	w->recorded = true;
+}
+
+/*
+ * Takes the freeze of a worker's leases back. Both records are part of the same
+ * batch if the first one has not been sent; else the next owner may have read
+ * it, and the leases are not extended before the second one is stored.
+ */
+static void thaw_lease(struct cell *c, struct cell_worker *w)
 {
 	if (!w->lease_frozen)
 		return;
 	w->lease_frozen = false;
-	w->recorded = false;
+	record_worker(c, w);
+	if (!w->freeze_sent)
+		return;
 	w->storing_record = false;
 	w->stored = false;
 }
@@ -398,7 +428,7 @@
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
 	w->missed_polls = 0;
-	thaw_lease(w);
+	thaw_lease(c, w);
 	w->refused = false;
 	/* The former owner may have renewed the lease up to now. */
 	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
@@ -480,29 +510,6 @@
 	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, c);
 }
 
-static void record_worker(struct cell *c, struct cell_worker *w)
-{
-	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
-	struct known_worker k = {0};
-	struct str value;
-	struct buf b;
-
-	name_set(k.address, w->entry.addr.address);
-	k.born = w->entry.born;
-	if (w->lease_frozen && cell_worker_leases_left_ms(c, w) > 0)
-		k.lease_left_ms = (uint64_t)cell_worker_leases_left_ms(c, w);
-	else if (w->lease_frozen)
-		k.lease_left_ms = 1;
-	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
-	buf_init(&b);
-	known_worker_write(&k, &b);
-	value.data = b.data;
-	value.len = b.len;
-	store_record_add(&c->pending_records, str_of(key), value);
-	buf_finish(&b);
-	w->recorded = true;
-}
-
 /*
  * Whether the next owner has to learn when the leases of a worker end. It
  * otherwise waits for as long as this owner could have extended them, from its
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -176,6 +176,27 @@
 	EXPECT_EQ(w.starts.size(), 1u);
 }
 
+/* The store fails just before the owner would store that a worker is silent.
+ * The record was never sent, but the worker, back again, got no longer lease.
+ */
+TEST_F(CellRecovery, ExtendsALeaseAgainWhenItsFreezeWasNeverSent)
+{
+	start_on_w1();
+	w.workers["w1"].reachable = false;
+	w.run(2200);
+	w.storing = false;
+	w.run(600);
+	w.workers["w1"].reachable = true;
+	w.run(3500);
+	EXPECT_EQ(w.runs(7), 1u);
+	w.storing = true;
+	w.run(200);
+	w.take_over_on_a_new_host(2);
+	w.run(3000);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 1u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
