cell: a worker that has missed a poll takes no task until it answers

What callers would see: the start of a task waits 2.2 s for a worker that does not answer, while another one is free. Cause: placement chose a worker by the time of its last answer only, and the start was held back once its intent was stored, for the poll that the worker had missed; the next pass chose the same worker. Change: placement leaves it out as well. Result: StartsElsewhereWhenTheBestWorkerHasMissedAPoll failed before (0 runs after 0.5 s), passes.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -11,7 +11,7 @@
 				 const struct cell_worker *w)
 {
 	return w->registered && w->confirmed && w->stored && !w->lease_frozen &&
-	       !w->entry.draining && w->clock_received_ms &&
+	       !w->entry.draining && w->clock_received_ms && !w->missed_polls &&
 	       c->now_ms >= w->backoff_until_ms &&
 	       c->now_ms - w->answered_ms < WORKER_REACHABLE_MS &&
 	       !cell_crash_trial_blocks(c, w) &&
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -197,6 +197,23 @@
 	EXPECT_EQ(w.starts.size(), 1u);
 }
 
+/* A worker that does not answer was chosen again and again: the start was held
+ * back for the missed poll, and the next pass chose the same worker. */
+TEST_F(CellRecovery, StartsElsewhereWhenTheBestWorkerHasMissedAPoll)
+{
+	job_step step = CellWorld::task_step(1);
+
+	start_on_w1();
+	name_set(w.entries["w2"].labels[1], "r2");
+	w.announce("w2");
+	name_set(step.data_rack, "r1");
+	w.workers["w1"].reachable = false;
+	w.run(300);
+	w.submit(8, {step});
+	w.run(500);
+	EXPECT_EQ(w.runs(8), 1u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
