cell: the end of a doubt is stored also while the task has no place

Cause: the doubt was cleared when a placement pass reached the task, which stops at the first task of a step without a place; the worker's ends were acknowledged meanwhile. If that worker left, the next owner waited for it again. Change: resolving a worker is followed, within 50 ms, by a pass over the tasks in doubt. Result: KnowsOfAnEndThoughTheTaskHadNoPlace failed before (1 of 3 tasks run), passes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -294,6 +294,7 @@
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
+	cell_recovery_tick(c);
 	jobs_tick(c);
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
 		c->place_due = true;
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -92,7 +92,7 @@
 		return;
 	for (i = 0; i < st->spec->count; i++)
 		if (c->now_ms < st->tasks[i].retry_at_ms ||
-		    cell_task_check_doubt(c, &st->tasks[i]))
+		    cell_task_is_in_doubt(c, &st->tasks[i]))
 			return;
 	chosen = xcalloc(st->spec->count, sizeof(struct cell_worker *));
 	if (step_has_flag(st, STEP_SAME_RACK))
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -62,10 +62,10 @@
 	return p->pool_underused;
 }
 
-static bool is_placeable(struct cell *c, struct cell_task *t)
+static bool is_placeable(const struct cell *c, const struct cell_task *t)
 {
 	return t->state == TASK_WAITING && c->now_ms >= t->retry_at_ms &&
-	       !cell_task_check_doubt(c, t);
+	       !cell_task_is_in_doubt(c, t);
 }
 
 static uint64_t service_of(const struct cell *c, const struct cell_step *st)
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -4,6 +4,9 @@
 
 #include "base/logger.h"
 
+/* Least time between two passes over the tasks in doubt. */
+#define DOUBTS_PERIOD_MS 50
+
 uint16_t cell_worker_ref(const struct cell_worker *w)
 {
 	return (uint16_t)(w->id % (WORKER_REF_UNKNOWN - 1) + 1);
@@ -27,6 +30,7 @@
 	w->unheard = false;
 	c->unheard_by_ref[cell_worker_ref(w)]--;
 	c->unheard--;
+	c->doubts_ended = true;
 	c->place_due = true;
 	if (!c->unheard)
 		log_line(LOG_INFO, "all workers of the previous owner resolved",
@@ -52,17 +56,6 @@
 	return t->doubt_ref && c->unheard_by_ref[t->doubt_ref];
 }
 
-bool cell_task_check_doubt(struct cell *c, struct cell_task *t)
-{
-	if (cell_task_is_in_doubt(c, t))
-		return true;
-	if (t->doubt_ref) {
-		t->doubt_ref = WORKER_REF_NONE;
-		cell_job_mark_dirty(c, t->step->job);
-	}
-	return false;
-}
-
 static uint32_t step_count_in_doubt(const struct cell *c,
 				    const struct cell_step *st)
 {
@@ -97,6 +90,38 @@
 	return n;
 }
 
+static void step_end_doubts(struct cell *c, struct cell_step *st)
+{
+	uint32_t i;
+
+	for (i = 0; st->waiting && i < st->spec->count; i++) {
+		struct cell_task *t = &st->tasks[i];
+
+		if (!t->doubt_ref || cell_task_is_in_doubt(c, t))
+			continue;
+		t->doubt_ref = WORKER_REF_NONE;
+		cell_job_mark_dirty(c, st->job);
+	}
+}
+
+void cell_recovery_tick(struct cell *c)
+{
+	struct cell_job *j;
+	uint32_t k;
+	size_t s;
+
+	if (!c->doubts_ended || c->now_ms < c->doubts_due_ms)
+		return;
+	c->doubts_ended = false;
+	c->doubts_due_ms = c->now_ms + DOUBTS_PERIOD_MS;
+	for (j = c->jobs; j; j = j->next)
+		for (k = 0; j->waiting && !job_state_is_terminal(j->state) &&
+			    k < j->count;
+		     k++)
+			for (s = 0; j->occurrences[k].open && s < j->steps; s++)
+				step_end_doubts(c, &j->occurrences[k].steps[s]);
+}
+
 void cell_recovery_log(const struct cell *c)
 {
 	const struct cell_worker *w = c->workers;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -417,6 +417,8 @@
  * @authority_until_ms: tasks may be started before this time
  * @unheard: workers with @unheard set; @unheard_by_ref counts them by
  *	reference
+ * @doubts_ended: such a worker has been resolved since the last pass over the
+ *	tasks in doubt
  * @stopped: cell_stop() was called; memory is freed after the last call
  * @batch_open: a batch has been taken and is not stored yet
  * @place_due: something changed that a placement pass may make use of
@@ -444,6 +446,7 @@
 	int64_t authority_until_ms;
 	uint32_t unheard;
 	uint16_t unheard_by_ref[WORKER_REF_COUNT];
+	bool doubts_ended;
 	bool stopped;
 	bool batch_open;
 	bool place_due;
@@ -456,6 +459,7 @@
 	int64_t sweep_due_ms;
 	int64_t load_due_ms;
 	int64_t effect_model_due_ms;
+	int64_t doubts_due_ms;
 	struct index worker_ids;
 	struct cell_worker *workers;
 	struct cell_job *dirty;      /* jobs with progress to store */
@@ -661,9 +665,9 @@
 bool cell_task_is_in_doubt(const struct cell *c, const struct cell_task *t);
 
 /**
- * cell_task_check_doubt() - the same, and have the end of the doubt stored
+ * cell_recovery_tick() - have the doubts that have ended stored
  */
-bool cell_task_check_doubt(struct cell *c, struct cell_task *t);
+void cell_recovery_tick(struct cell *c);
 
 /**
  * cell_recovery_count_tasks() - count the tasks that wait because of such a run
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -214,6 +214,28 @@
 	EXPECT_EQ(w.runs(8), 1u);
 }
 
+/* An end that was heard of a task that has no place yet was acknowledged and
+ * not stored: the next owner asked the worker again, which had left. */
+TEST_F(CellRecovery, KnowsOfAnEndThoughTheTaskHadNoPlace)
+{
+	start_on_w1(CellWorld::task_step(3));
+	w.entries["w2"].cpu = 500;
+	w.announce("w2");
+	w.run(100);
+	w.storing = false;
+	w.entries["w1"].draining = true;
+	w.announce("w1");
+	w.end_all(7, RUN_STOPPED);
+	w.take_over(2);
+	w.storing = true;
+	w.run(1000);
+	leave("w1");
+	w.add_worker("w4");
+	w.take_over(3);
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 3u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
