owner: leases are not extended for longer than the next owner counts on

What could happen: a task runs twice, on a worker that only the former owner reaches and on the one to which the next owner gives it after 8.5 s. Cause: the 4 s for which a former owner extends leases counted from the moment it heard that the cell is another's, also long after its membership had ended; and an owner that keeps its cell hears of another one from its appends only, so that refused appends beside answered joins let it extend leases without an end. Change: the 4 s count from the end of the certain membership; a membership that has ended adopts the new generation; a cell is kept for 3 s after the last append that the store took, and the 4 s then count from half a second after that append.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -290,7 +290,7 @@
 						 CANDIDACY_LOG_AGE_MS),
 			       h->now_ms);
 	h->member.retained = 0;
-	if (owner_is_active(&h->owner) && !h->candidacy.is_standby)
+	if (owner_may_retain(&h->owner) && !h->candidacy.is_standby)
 		h->member.retained = 1ULL << CELL_INDEX;
 	activity_enter(&h->loop.activity, ACTIVITY_SCHEDULE);
 	wait = owner_tick(&h->owner, &h->member, h->now_ms, clock_wall_ms());
--- a/src/host/member.c
+++ b/src/host/member.c
@@ -61,7 +61,8 @@
 		m->due_ms = m->now_ms + JOIN_RETRY_MS;
 		return;
 	}
-	if (m->retained & m->assigned & ~r->assigned)
+	if (m->now_ms < m->assigned_until_ms &&
+	    (m->retained & m->assigned & ~r->assigned))
 		decline_generation(m, r);
 	else
 		adopt_generation(m, r);
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -15,6 +15,11 @@
 /* A store that gives no answer for this long is dark: records that wait for the
  * next batch are refused, as they were never sent. */
 #define STORE_DARK_MS 2000
+/* A cell is retained for this long after the last append that the store took;
+ * an owner appends each two seconds at least. */
+#define RETAIN_WITHOUT_APPEND_MS 3000
+/* Part of options.takeover_ms beyond the extension and length of leases. */
+#define STORED_MARGIN_MS 500
 #define IDLE_TICK_MS 50
 /* Pauses between reads of the job log, by an owner and by any other host: an
  * owner reads new jobs as they arrive, other hosts may lag a little. */
@@ -239,6 +244,7 @@
 		return;
 	if (r->status == STORE_OK) {
 		o->fence_offset = r->end;
+		o->stored_ms = r->sent_ms;
 		o->phase = OWNER_CATCHING_UP;
 		o->seq = 1;
 		follower_read_now(o->job_follower);
@@ -264,6 +270,7 @@
 				 "seq=%" PRIu64 " attempts=%u", o->seq,
 				 o->attempt + 1);
 		o->attempt = 0;
+		o->stored_ms = r->sent_ms;
 		o->seq++;
 		apply_peer_records(o);
 		buf_clear(&o->batch);
@@ -316,9 +323,10 @@
 	o->job_follower->read_gap_ms = IDLE_READ_GAP_MS;
 }
 
-bool owner_is_active(const struct owner *o)
+bool owner_may_retain(const struct owner *o)
 {
-	return o->phase == OWNER_ACTIVE && !o->handover_began_ms;
+	return o->phase == OWNER_ACTIVE && !o->handover_began_ms &&
+	       o->now_ms - o->stored_ms < RETAIN_WITHOUT_APPEND_MS;
 }
 
 void owner_hand_over(struct owner *o, const char *reason)
@@ -342,6 +350,7 @@
 	o->takeover_began_ms = o->now_ms;
 	o->append_due_ms = o->now_ms;
 	o->seq = 0;
+	o->has_declined = false;
 	o->job_follower->read_gap_ms = OWNER_READ_GAP_MS;
 	buf_clear(&o->batch);
 	log_line(LOG_INFO, "cell assigned to this host",
@@ -393,14 +402,30 @@
 	owner_append(o, on_batch_append);
 }
 
-static int64_t owner_run(struct owner *o, const struct member *m,
-			 int64_t wall_ms)
+/*
+ * Until when tasks may be started; leases are extended for renew_after_ms more.
+ * The next owner counts on the end of that: from its takeover on, which came
+ * after the last append that this owner got through, unless the group waited
+ * for this owner to give the cell up.
+ */
+static int64_t authority_until_ms(const struct owner *o)
+{
+	int64_t until = o->member_until_ms;
+
+	if (!o->handover_began_ms)
+		return until;
+	if (o->handover_began_ms < until)
+		until = o->handover_began_ms;
+	if (o->has_declined && o->stored_ms + STORED_MARGIN_MS < until)
+		until = o->stored_ms + STORED_MARGIN_MS;
+	return until;
+}
+
+static int64_t owner_run(struct owner *o, int64_t wall_ms)
 {
 	int64_t wait;
 
-	cell_set_authority(o->cell, o->handover_began_ms
-					    ? o->handover_began_ms
-					    : m->assigned_until_ms);
+	cell_set_authority(o->cell, authority_until_ms(o));
 	wait = cell_tick(o->cell, o->now_ms, wall_ms);
 	owner_commit(o);
 	follower_tick(&o->worker_follower, o->now_ms);
@@ -413,6 +438,8 @@
 	bool is_assigned = m->assigned >> o->part & 1;
 
 	o->now_ms = now_ms;
+	if (is_assigned)
+		o->member_until_ms = m->assigned_until_ms;
 	if (o->fenced_by_worker)
 		owner_step_down(o, "fenced by a worker");
 	if (o->handover_began_ms &&
@@ -420,6 +447,8 @@
 	     now_ms - o->handover_began_ms > o->options.renew_after_ms))
 		owner_step_down(o, is_assigned ? "assigned to this host again"
 					       : "handed over");
+	if (!is_assigned && !o->handover_began_ms)
+		o->has_declined = m->declined > o->epoch;
 	if (!is_assigned)
 		owner_hand_over(o, "assigned to another host");
 	else if (o->phase == OWNER_IDLE && m->generation > o->ended_epoch &&
@@ -434,6 +463,5 @@
 		else
 			follower_read_now(o->job_follower);
 	}
-	return o->phase == OWNER_ACTIVE ? owner_run(o, m, wall_ms)
-					: IDLE_TICK_MS;
+	return o->phase == OWNER_ACTIVE ? owner_run(o, wall_ms) : IDLE_TICK_MS;
 }
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -36,6 +36,10 @@
  *	starts a takeover
  * @handover_began_ms: boot time at which the handover to another host began; 0
  *	without one
+ * @member_until_ms: boot time until which the membership was certain when the
+ *	cell was last assigned to this host
+ * @stored_ms: sending time of the last append that the store took
+ * @has_declined: this host has kept the cell from another one before
  * @fence_offset: end of the partition after the fencing append; the job log has
  *	to be read up to it
  * @seq: sequence number of the current batch; 0 for the fencing append
@@ -74,6 +78,9 @@
 	uint64_t epoch;
 	uint64_t ended_epoch;
 	int64_t handover_began_ms;
+	int64_t member_until_ms;
+	int64_t stored_ms;
+	bool has_declined;
 	uint64_t fence_offset;
 	uint64_t seq;
 	uint32_t attempt;
@@ -108,10 +115,13 @@
 		   int64_t wall_ms);
 
 /**
- * owner_is_active() - whether this host schedules the cell and is not handing
- * it over
+ * owner_may_retain() - whether this host serves its cell well enough to keep it
+ * when the group assigns it to another one
+ *
+ * The store has taken its appends until a short time ago, so that it would have
+ * heard of another owner.
  */
-bool owner_is_active(const struct owner *o);
+bool owner_may_retain(const struct owner *o);
 
 /**
  * owner_hand_over() - stop starting tasks, but renew the leases of running ones
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "host/owner.h"
 #include "tests/fake_store.h"
 
@@ -77,7 +79,7 @@
 			follower_start(&jobs, t);
 		started = true;
 		follower_tick(&jobs, t);
-		membership.retained = retains && owner_is_active(&owner);
+		membership.retained = retains && owner_may_retain(&owner);
 		member_tick(&membership, t);
 		owner_tick(&owner, &membership, t, t);
 	}
@@ -347,4 +349,140 @@
 	EXPECT_GT(b.owner.epoch, a.owner.ended_epoch);
 }
 
+/* Appends of the first host are refused. */
+bool appends_fail;
+
+/* Host a has a path to the worker "w1", host b has none, so b waits for the end
+ * of its leases. */
+class TwoOwners : public testing::Test
+{
+      protected:
+	TwoOwners() : a(&store, "a"), b(&store, "b")
+	{
+		a.retains = b.retains = true;
+		a.wops.poll = [](void *port, const worker_addr *w,
+				 const poll_request *q, poll_done d,
+				 void *ctx) {
+			TwoOwners *t = (TwoOwners *)port;
+			if (q->lease_deadline_ms > t->lease)
+				t->lease = q->lease_deadline_ms;
+			worker_addr addr = *w;
+			int64_t sent = t->now;
+			t->polls.push_back([=]() {
+				poll_reply r = {};
+				r.status = ORDER_OK;
+				r.born = 5;
+				r.clock = t->now;
+				r.sent_ms = sent;
+				d(ctx, &addr, &r);
+			});
+		};
+		a.owner.worker_port = this;
+		b.wops.poll = [](void *port, const worker_addr *w,
+				 const poll_request *, poll_done d, void *ctx) {
+			TwoOwners *t = (TwoOwners *)port;
+			worker_addr addr = *w;
+			t->polls.push_back([=]() {
+				poll_reply r = {};
+				r.status = ORDER_UNKNOWN;
+				d(ctx, &addr, &r);
+			});
+		};
+		b.owner.worker_port = this;
+		ops = store.ops;
+		ops.append = [](void *p, const store_append *x, store_done d,
+				void *ctx) {
+			FakeStore *s = (FakeStore *)p;
+			if (!appends_fail) {
+				s->ops.append(p, x, d, ctx);
+				return;
+			}
+			s->pending.push_back([=]() {
+				store_reply r = {};
+				r.status = STORE_REFUSED;
+				d(ctx, &r);
+			});
+		};
+		a.owner.store = &ops;
+		appends_fail = false;
+		known_worker k = {};
+		name_set(k.address, "w1:1");
+		k.born = 5;
+		buf x;
+		buf_init(&x);
+		known_worker_write(&k, &x);
+		store.put(TOPIC_JOBS, "w/w1", std::string(x.data, x.len));
+		buf_finish(&x);
+	}
+
+	void step(bool a_cut)
+	{
+		store.now = now;
+		store.mode = a_cut ? FakeStore::UNAVAILABLE : FakeStore::SERVE;
+		a.tick(now);
+		store.mode = FakeStore::SERVE;
+		if (b_up)
+			b.tick(now);
+		store.run();
+		auto out = polls;
+		polls.clear();
+		for (auto &f : out)
+			f();
+		if (b.owner.phase == OWNER_ACTIVE && !b_began) {
+			b_began = now;
+		}
+		now += 10;
+	}
+
+	FakeStore store;
+	store_ops ops;
+	Host a, b;
+	int64_t now = 0;
+	int64_t lease = 0;
+	int64_t b_began = 0;
+	bool b_up = false;
+	std::vector<std::function<void()>> polls;
+};
+
+/* A host that had been cut from the store for 8 s extended leases for 4 s more
+ * once its join was answered, while the next owner already counted on their
+ * end. */
+TEST_F(TwoOwners, ExtendsNoLeaseOnceItsMembershipHasLapsed)
+{
+	while (now < 3000)
+		step(false);
+	ASSERT_EQ(a.owner.phase, OWNER_ACTIVE);
+	while (now < 3000 + 2000)
+		step(true);
+	b_up = true; /* a's time to live has ended */
+	store.assignee = "b";
+	store.generation++;
+	while (now < 3000 + 8000)
+		step(true);
+	ASSERT_GT(b_began, 0);
+	appends_fail = true; /* for 60 ms, the pause before the next try */
+	while (now < 3000 + 8000 + 60)
+		step(false);
+	appends_fail = false;
+	while (now < 20000)
+		step(false);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
+/* An owner that retains its cell does not hear of another owner from the store
+ * while its appends are refused. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongWithoutAnAnsweredAppend)
+{
+	while (now < 3000)
+		step(false);
+	ASSERT_EQ(a.owner.phase, OWNER_ACTIVE);
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	appends_fail = true;
+	while (now < 3000 + 12000)
+		step(false);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
 } /* namespace */
