cell: an order under way to a worker that restarts is stopped before the task starts again

What could happen: a task runs twice. The owner ended all runs of a worker whose process was replaced and started the tasks elsewhere; a start that was still under way was then carried out by the new process, which has the same id and had seen neither the stop nor a fence. Change: a start that is neither confirmed nor reported is stopped at the new process, and the task starts again once that is confirmed. A worker of a former owner that restarts is resolved by its own answer and not by the registry. The workers of the tests refuse, as the real ones do, a run that is not higher than one that was stopped or ended there. Result: StopsAStartThatIsUnderWayToAWorkerThatRestarts failed before (2 runs, one of them beside the other), passes.

--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -15,10 +15,12 @@
 void cell_recovery_expect(struct cell *c, struct cell_worker *w,
 			  int64_t leases_end_ms)
 {
-	w->unheard = true;
 	w->former_leases_end_ms = c->now_ms + c->opt.takeover_ms;
 	if (leases_end_ms && leases_end_ms < w->former_leases_end_ms)
 		w->former_leases_end_ms = leases_end_ms;
+	if (w->unheard)
+		return;
+	w->unheard = true;
 	c->unheard_by_ref[cell_worker_ref(w)]++;
 	c->unheard++;
 }
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -87,11 +87,39 @@
 	mark_all_runs_lost(c, w);
 }
 
+/* An order that was sent to the previous process may yet reach the new one,
+ * which knows of no stop: the task is started elsewhere once a stop is
+ * confirmed. */
+static bool is_start_under_way(const struct cell_task *t)
+{
+	return t->state == TASK_STARTING ||
+	       (t->state == TASK_STOPPING && !t->confirmed_ms);
+}
+
+static void end_runs_of_previous_process(struct cell *c, struct cell_worker *w)
+{
+	struct cell_task *t, *next;
+
+	cell_crash_charge(c, w);
+	for (t = w->first_task; t; t = next) {
+		next = t->next;
+		if (!is_start_under_way(t)) {
+			cell_task_mark_lost(c, t);
+			continue;
+		}
+		t->stop_sent_ms = 0;
+		t->stop_confirmed_ms = 0;
+		cell_task_stop(c, t);
+	}
+}
+
 /* The worker process has restarted: no run of the previous process is left, and
  * its clock, leases and numbering of ends are void. */
 static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born)
 {
-	cell_recovery_resolve(c, w);
+	end_runs_of_previous_process(c, w);
+	if (w->first_task)
+		cell_recovery_expect(c, w, 0);
 	log_line(LOG_INFO, "worker restarted",
 		 "worker=%s born=%" PRIu64 " before=%" PRIu64 " tasks=%u",
 		 w->entry.addr.id, born, w->entry.born, w->task_count);
@@ -164,7 +192,6 @@
 		return;
 	old = *w;
 	if (e->born > w->entry.born) {
-		cell_worker_crashed(c, w);
 		worker_reset(c, w, e->born);
 		w->poll_due_ms = c->now_ms;
 	}
@@ -419,11 +446,8 @@
 
 	if (r->born && r->born < w->entry.born)
 		return;
-	if (r->born > w->entry.born) {
-		if (w->entry.born)
-			cell_worker_crashed(c, w);
+	if (r->born > w->entry.born)
 		worker_reset(c, w, r->born);
-	}
 	w->clock = r->clock;
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -309,6 +309,39 @@
 	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
 }
 
+/* A start was under way when its worker restarted under the same id. The owner
+ * started the task elsewhere, and the new process then carried the order out.
+ */
+TEST_F(CellRecovery, StopsAStartThatIsUnderWayToAWorkerThatRestarts)
+{
+	std::vector<Call> late;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	while (late.empty()) {
+		w.now += 5;
+		cell_set_authority(w.c, w.now + 1000);
+		cell_tick(w.c, w.now, w.now);
+		w.commit();
+		for (size_t i = 0; i < w.calls.size(); i++)
+			if (w.calls[i].kind == Call::START) {
+				late.push_back(w.calls[i]);
+				w.calls.erase(w.calls.begin() + (long)i);
+				break;
+			}
+		w.answer_all();
+	}
+	w.add_worker("w2");
+	w.workers["w1"] = FakeWorker();
+	w.workers["w1"].born = w.entries["w1"].born = 2000;
+	w.announce("w1");
+	w.run(20);
+	w.answer(late[0]);
+	w.run(1000);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_TRUE(w.duplicates.empty());
+}
+
 /* The registry entry that a new owner reads first is up to a heartbeat old. It
  * counted the time left from its own reading, so the stop came too late and the
  * run ended with the worker, unreported. */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -51,6 +51,10 @@
 	std::vector<Row> running;
 	std::vector<End> ended;
 	uint64_t ends = 0;
+	/* Highest run of each task that was stopped or ended here: no start of
+	 * it, or of an earlier one, is carried out. */
+	std::map<std::tuple<uint64_t, uint32_t, uint32_t, uint32_t>, uint32_t>
+		ended_runs;
 	uint64_t fence = 0;
 	int64_t lease = 0;
 };
@@ -460,6 +464,14 @@
 		       a.step == b.step && a.index == b.index;
 	}
 
+	void note_ended(FakeWorker &w, const task_ref &r)
+	{
+		uint32_t &run = w.ended_runs[task_key(r)];
+
+		if (r.run > run)
+			run = r.run;
+	}
+
 	void end_at(FakeWorker &w, size_t i, run_end how)
 	{
 		End e = {++w.ends, w.running[i].ref, how, ""};
@@ -471,6 +483,7 @@
 				break;
 			}
 
+		note_ended(w, e.ref);
 		if (how == RUN_STOPPED)
 			e.checkpoint = "saved";
 		w.ended.push_back(e);
@@ -505,9 +518,14 @@
 			w.fence = call.sent.fence;
 			if (call.sent.lease_deadline_ms > w.lease)
 				w.lease = call.sent.lease_deadline_ms;
-			start(w, call);
+			if (w.ended_runs[task_key(call.sent.ref)] >=
+			    call.sent.ref.run)
+				r.status = ORDER_STALE_RUN;
+			else
+				start(w, call);
 		} else if (call.kind == Call::STOP) {
 			w.fence = call.sent.fence;
+			note_ended(w, call.sent.ref);
 			for (size_t i = 0; i < w.running.size(); i++)
 				if (is_same_task(w.running[i].ref,
 						 call.sent.ref))
