cell: references of workers count only after an owner that stores them

What could happen during an upgrade: a task runs twice. An owner of an older release starts a task again without storing where, and extends leases that a record calls frozen; the next owner of this release trusted both records. Change: the owner's record tells the version of its records. After an owner without it, a task waits for all workers, and leases for the whole time. Result: TrustsNoReferenceAfterAnOwnerThatStoresNone failed before (2 starts), passes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -71,6 +71,8 @@
 	effect_model_init(&c->effect_model);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
+	c->former_named_workers = !view->owner.name[0] ||
+				  view->owner.record_version >= RECORD_VERSION;
 	for (k = view->known_workers; k; k = k->next)
 		cell_worker_recover(c, k);
 	for (e = view->jobs; e; e = e->next)
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -110,6 +110,8 @@
 		if (!p->all_done && !has_bit(p->done, i)) {
 			if (t->ordered)
 				t->doubt_ref = worker_ref_read(&workers);
+			if (t->ordered && !c->former_named_workers)
+				t->doubt_ref = WORKER_REF_UNKNOWN;
 			continue;
 		}
 		t->state = TASK_DONE;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -417,6 +417,8 @@
  * @authority_until_ms: tasks may be started before this time
  * @unheard: workers with @unheard set; @unheard_by_ref counts them by
  *	reference
+ * @former_named_workers: the owner before this one stored references of workers
+ *	and the ends of leases
  * @doubts_ended: such a worker has been resolved since the last pass over the
  *	tasks in doubt
  * @stopped: cell_stop() was called; memory is freed after the last call
@@ -446,6 +448,7 @@
 	int64_t authority_until_ms;
 	uint32_t unheard;
 	uint16_t unheard_by_ref[WORKER_REF_COUNT];
+	bool former_named_workers;
 	bool doubts_ended;
 	bool stopped;
 	bool batch_open;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -150,7 +150,8 @@
 	w->stored = true;
 	w->lease_frozen = k->leases_end_ms != 0;
 	w->freeze_sent = w->lease_frozen;
-	cell_recovery_expect(c, w, k->leases_end_ms);
+	cell_recovery_expect(c, w,
+			     c->former_named_workers ? k->leases_end_ms : 0);
 	return w;
 }
 
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -24,6 +24,7 @@
 static const struct field owner_rows[] = {
 	FIELD_OF(NAME, cell_owner, name),
 	FIELD_OF(NAME, cell_owner, address),
+	FIELD_OF(U32, cell_owner, record_version),
 };
 
 static const struct shape owner_shape = SHAPE_OF(owner_rows, cell_owner);
@@ -262,7 +263,7 @@
 
 static int apply_owner(struct job_view *v, struct str value)
 {
-	struct cell_owner owner = {"", ""};
+	struct cell_owner owner = {"", "", 0};
 	struct arena a;
 	int err;
 
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -16,6 +16,9 @@
 #define EFFECT_MODEL_KEY "learned"
 /* Key of the record that names the owner, which each owner writes first. */
 #define OWNER_KEY "owner"
+/* Owners of this version store on which worker each start may run, and whether
+ * a worker's leases are extended. */
+#define RECORD_VERSION 1
 
 /**
  * struct job_entry - one job as recorded in the store
@@ -68,10 +71,13 @@
  * struct cell_owner - the host that owns the partition's cell
  * @name: of the host
  * @address: on which it takes messages of other hosts
+ * @record_version: RECORD_VERSION of its release; 0 in the records of releases
+ *	without it
  */
 struct cell_owner {
 	char name[NAME_SIZE];
 	char address[NAME_SIZE];
+	uint32_t record_version;
 };
 
 /**
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -363,6 +363,7 @@
 	struct str value;
 	struct buf b;
 
+	o->self.record_version = RECORD_VERSION;
 	buf_init(&b);
 	cell_owner_write(&o->self, &b);
 	value.data = b.data;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -236,6 +236,30 @@
 	EXPECT_EQ(w.runs(7), 3u);
 }
 
+/* An owner of an older release starts a task again without storing where, so
+ * that the record still names the worker of a former run. */
+TEST_F(CellRecovery, TrustsNoReferenceAfterAnOwnerThatStoresNone)
+{
+	cell_owner old = {"a", "a:1"};
+	buf b;
+
+	start_on_w1();
+	w.workers["w2"].reachable = false;
+	buf_init(&b);
+	cell_owner_write(&old, &b);
+	job_view_apply(&w.view, str_of(OWNER_KEY), {b.data, b.len}, w.now);
+	buf_finish(&b);
+	w.workers["w1"].running.clear();
+	w.take_over(2);
+	w.run(1000);
+	EXPECT_EQ(w.starts.size(), 1u); /* "w2" may run it */
+	w.workers["w2"].reachable = true;
+	w.run(1000);
+	leave("w3");
+	w.run(w.opt.takeover_ms);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
