cell: store where a run of the former owner was found

Cause: a run that was found on another worker than the one in the record was adopted, and the record left as it was; the next owner asked the wrong worker and started the task again. Result: StoresWhereItFoundARun failed before (2 starts), passes.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -355,6 +355,8 @@
 void cell_task_adopt(struct cell *c, struct cell_task *t, struct cell_worker *w,
 		     uint32_t run)
 {
+	if (t->doubt_ref != cell_worker_ref(w))
+		cell_job_mark_dirty(c, t->step->job);
 	task_attach(c, t, w);
 	t->ordered = true;
 	t->run = run;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -260,6 +260,26 @@
 	EXPECT_EQ(w.starts.size(), 2u);
 }
 
+/* A run that is found on another worker than the stored one is stored. */
+TEST_F(CellRecovery, StoresWhereItFoundARun)
+{
+	task_ref ref;
+
+	start_on_w1();
+	ref = w.workers["w1"].running[0].ref;
+	w.workers["w2"].running = w.workers["w1"].running;
+	w.workers["w2"].lease = w.workers["w1"].lease;
+	w.workers["w1"].running.clear();
+	w.take_over(2);
+	w.run(300);
+	EXPECT_EQ(w.runs(7), 1u);
+	w.workers["w2"].reachable = false;
+	w.take_over(3);
+	w.run(1000);
+	EXPECT_EQ(w.starts.size(), 1u);
+	EXPECT_EQ(ref.job, 7u);
+}
+
 /* A task that was started again elsewhere is looked for where it runs now, and
  * not on the worker of its first run. */
 TEST_F(CellRecovery, WaitsForTheWorkerOfTheLatestRun)
