cell: a worker whose capacity shrinks below its load has no free processors

Cause: free processors were computed without a sign, so such a worker had 4 billion of them: it was taken for the emptiest one when a worker is reserved, and best-effort tasks piled up there. The check of a start's own demand was not affected. Change: the free processors of a worker are never below zero (cell_worker_cpu_free). Result: PlacesNothingOnWhatAWorkerHasLost failed before (6 best-effort tasks started beside 12,000 of 8,000 thousandths in use), passes.

--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -195,8 +195,8 @@
 static bool has_best_effort_capacity(const struct cell_step *st,
 				     const struct cell_worker *w)
 {
-	double left =
-		w->entry.cpu - w->cpu_used + (1 - SERVING_USE) * w->cpu_serving;
+	double left = (double)w->entry.cpu - w->cpu_used +
+		      (1 - SERVING_USE) * w->cpu_serving;
 
 	return !w->cpu_best_effort || w->cpu_best_effort + st->spec->cpu <=
 					      left * BEST_EFFORT_OVERCOMMIT;
@@ -205,7 +205,7 @@
 static double fragment_cost(const struct cell_step *st,
 			    const struct cell_worker *w)
 {
-	uint32_t rest = w->entry.cpu - w->cpu_used - st->spec->cpu;
+	double rest = (double)cell_worker_cpu_free(w) - st->spec->cpu;
 
 	return rest < FRAGMENT_SHARE * w->entry.cpu ? FRAGMENT_COST : 0;
 }
@@ -246,8 +246,7 @@
 		cost = cost * EFFECT_WEIGHT - left;
 	} else if (step_is_serving(st)) {
 		cost = serving_cost(c, st, w) +
-		       (double)(w->entry.cpu - w->cpu_used) /
-			       (w->entry.cpu + 1.0);
+		       cell_worker_cpu_free(w) / (w->entry.cpu + 1.0);
 	} else {
 		cost = left < 0 ? -left * 2 : left * 0.2;
 	}
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -56,8 +56,8 @@
 		    !has_label(w, st->spec->worker_label) ||
 		    !cell_may_add_task(st, w))
 			continue;
-		if (!best || w->entry.cpu - w->cpu_used >
-				     best->entry.cpu - best->cpu_used)
+		if (!best ||
+		    cell_worker_cpu_free(w) > cell_worker_cpu_free(best))
 			best = w;
 	}
 	if (!best || reserved > all / RESERVE_SHARE)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -951,6 +951,12 @@
  */
 void cell_pace_worker(struct cell *c, struct cell_worker *w);
 
+/* A worker's capacity may shrink below what its tasks declare. */
+static inline uint32_t cell_worker_cpu_free(const struct cell_worker *w)
+{
+	return w->cpu_used < w->entry.cpu ? w->entry.cpu - w->cpu_used : 0;
+}
+
 static inline bool step_has_flag(const struct cell_step *s, uint32_t flag)
 {
 	return s->spec->flags & flag;
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -218,3 +218,28 @@
 	}
 	EXPECT_GT(w.starts.size(), starts);
 }
+
+/* A worker's capacity may shrink below what runs there. The free processors
+ * were then taken for 4 billion, and best-effort tasks piled up. */
+TEST(CellPlace, PlacesNothingOnWhatAWorkerHasLost)
+{
+	CellWorld w;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(12)});
+	w.run(200);
+	ASSERT_EQ(w.runs(7), 12u);
+	w.entries["w1"].cpu = 8000;
+	w.announce("w1");
+	w.submit(8, {CellWorld::best_effort_step(1, 1000)});
+	w.run(200);
+	w.submit(9, {CellWorld::best_effort_step(6, 1000)});
+	w.submit(10, {CellWorld::task_step(1)});
+	w.run(500);
+	EXPECT_EQ(w.runs(9), 0u);
+	EXPECT_EQ(w.runs(10), 0u);
+	w.entries["w1"].cpu = 16000;
+	w.announce("w1");
+	w.run(500);
+	EXPECT_EQ(w.runs(10), 1u);
+}
