host, owner: what the owner has not appended is withdrawn and refused

What callers see: 504, it may run, for a job whose record was still waiting in the owner's buffer when the caller's time ended, although nothing had been sent to the store. Cause: a host that had handed a record to the owner could not take it back. Change: a host asks for it 150 ms before it has to answer, or at half of a time shorter than 300 ms: one message a tick and owner, with the numbers of the batches. The owner drops those that are in no batch of its own and says "refused" for them; of others it says nothing, and their outcome follows. Only that answer gives 503; a question or an answer that is lost, another owner, and a build that does not know the message leave 504 or the true outcome. The other callers of a dropped batch are queued again. A withdrawal counts neither as a failure of the store nor against the way through the owner. Numbers of batches begin at the start time of the process, so that an answer meant for the process before a restart is not taken for one to a batch of this one. RefusesNothingThatIsStored plays 100 seeds of late, lost and reordered messages; an owner that also drops what is in its batch fails it.

--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -18,6 +18,8 @@
  * @calls: linked by @append_next
  * @oldest_call_ms: boot time at which the oldest call arrived
  * @via_owner: the records were passed to the owner of the cell
+ * @relay_seq: number of the batch at the record relay
+ * @is_withdrawal_asked: the owner was asked to drop the records
  */
 struct call_batch {
 	struct host *host;
@@ -25,6 +27,8 @@
 	struct host_call *calls;
 	int64_t oldest_call_ms;
 	bool via_owner;
+	uint64_t relay_seq;
+	bool is_withdrawal_asked;
 };
 
 void call_queue_append(struct host *h, struct host_call *c)
@@ -51,6 +55,16 @@
 	return !c->append_pending && !c->may_be_stored;
 }
 
+void call_ask_withdrawal(struct host *h, struct host_call *c)
+{
+	struct call_batch *b = c->batch;
+
+	if (!b || !b->via_owner || b->is_withdrawal_asked || c->may_be_stored)
+		return;
+	b->is_withdrawal_asked = true;
+	record_relay_withdraw(&h->record_relay, b->relay_seq);
+}
+
 static void batch_free(struct call_batch *b)
 {
 	b->host->batches_in_flight--;
@@ -58,6 +72,22 @@
 	free(b);
 }
 
+static bool is_withdrawn(const struct call_batch *b, enum store_status status)
+{
+	return b->is_withdrawal_asked && status == STORE_REFUSED;
+}
+
+static bool can_append_again(const struct call_batch *b,
+			     const struct host_call *c,
+			     enum store_status status)
+{
+	if (c->may_be_stored)
+		return true;
+	if (is_withdrawn(b, status))
+		return !call_is_expiring(b->host, c);
+	return b->host->now_ms - b->oldest_call_ms < APPEND_RETRY_MAX_MS;
+}
+
 /*
  * A record is appended again as long as its caller waits: after a refusal,
  * since nothing was stored, and after an append without an answer, since of
@@ -79,8 +109,7 @@
 		c->may_be_stored = true;
 	if (!c->request)
 		return;
-	if (c->may_be_stored ||
-	    h->now_ms - b->oldest_call_ms < APPEND_RETRY_MAX_MS)
+	if (can_append_again(b, c, status))
 		call_queue_append(h, c);
 	else
 		call_refuse(h, c);
@@ -107,15 +136,24 @@
 	struct host *h = b->host;
 
 	h->now_ms = clock_boot_ms();
-	append_route_note(&h->append_route, b->via_owner, status, h->now_ms);
-	if (status == STORE_OK)
-		h->store_failures = 0;
-	else
-		note_failure(b, status);
+	if (is_withdrawn(b, status)) {
+		log_line(LOG_INFO, "calls' records withdrawn",
+			 "age_ms=%lld bytes=%zu",
+			 (long long)(h->now_ms - b->oldest_call_ms),
+			 b->frames.len);
+	} else {
+		append_route_note(&h->append_route, b->via_owner, status,
+				  h->now_ms);
+		if (status == STORE_OK)
+			h->store_failures = 0;
+		else
+			note_failure(b, status);
+	}
 	for (c = b->calls; c; c = next) {
 		next = c->append_next;
 		c->append_next = NULL;
 		c->append_pending = false;
+		c->batch = NULL;
 		settle_call(b, c, status);
 	}
 	batch_free(b);
@@ -137,8 +175,9 @@
 	b->via_owner = owner[0] && h->peers &&
 		       append_route_use_owner(&h->append_route, h->now_ms);
 	if (b->via_owner) {
-		record_relay_send(&h->record_relay, name_hash(owner), records,
-				  on_outcome, b);
+		b->relay_seq =
+			record_relay_send(&h->record_relay, name_hash(owner),
+					  records, on_outcome, b);
 		return;
 	}
 	a.topic = TOPIC_JOBS;
@@ -165,6 +204,7 @@
 	for (c = b->calls; c; c = c->append_next) {
 		struct str value = {c->record.data, c->record.len};
 
+		c->batch = b;
 		store_record_add(&b->frames,
 				 job_key(c->id,
 					 c->kind == CALL_CANCEL ? 'c' : 0, key),
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -13,6 +13,12 @@
 #define DEADLINE_DEFAULT_MS 2500
 /* Part of a caller's deadline that is reserved for sending the reply. */
 #define DEADLINE_MARGIN_MS 150
+/* How long before that a record is withdrawn from the owner: a tick of either
+ * host, and the way there and back. */
+#define WITHDRAW_AHEAD_MS 150
+/* At most this part of a caller's time, so that short deadlines leave the owner
+ * time to append. */
+#define WITHDRAW_AHEAD_DIVISOR 2
 /* How long a call on an unknown job waits for a log read newer than it. */
 #define LOG_READ_WAIT_MS 1200
 /* The store counts as down if appends have failed for this long and the log has
@@ -88,6 +94,16 @@
 	call_answer(h, c, 503, retry_after_ms(outage_ms(h), c->id), "{}");
 }
 
+bool call_is_expiring(const struct host *h, const struct host_call *c)
+{
+	int64_t ahead =
+		(c->deadline_ms - c->arrived_ms) / WITHDRAW_AHEAD_DIVISOR;
+
+	if (ahead > WITHDRAW_AHEAD_MS)
+		ahead = WITHDRAW_AHEAD_MS;
+	return h->now_ms >= c->deadline_ms - ahead;
+}
+
 static void call_answer_state(struct host *h, struct host_call *c,
 			      const struct job_entry *e)
 {
@@ -303,6 +319,8 @@
 		next = c->next;
 		if (c->request)
 			call_resolve(h, c);
+		if (c->request && call_is_expiring(h, c))
+			call_ask_withdrawal(h, c);
 		if (c->request && h->now_ms >= c->deadline_ms)
 			call_expire(h, c);
 		if (!c->request && !c->append_pending)
--- a/src/host/host_call.h
+++ b/src/host/host_call.h
@@ -15,6 +15,7 @@
  * @id: id of the job that the call is about
  * @record: record to be appended to the log; empty for a query
  * @append_pending: the record is queued, or its append is in flight
+ * @batch: append in flight that holds the record, or NULL
  * @may_be_stored: an append of it got no answer, so that it may be stored
  * @arrived_ms: boot time
  * @deadline_ms: boot time by which the call has to be answered
@@ -26,6 +27,7 @@
 	uint64_t id;
 	struct buf record;
 	bool append_pending;
+	struct call_batch *batch;
 	bool may_be_stored;
 	int64_t arrived_ms;
 	int64_t deadline_ms;
@@ -48,6 +50,12 @@
  */
 void call_apply_record(struct host *h, struct host_call *c);
 
+/**
+ * call_is_expiring() - whether a record that the owner has not appended is to
+ * be withdrawn, so that its caller is answered in time
+ */
+bool call_is_expiring(const struct host *h, const struct host_call *c);
+
 /**
  * call_refuse() - answer that a job has not been accepted, and when to come
  * back
@@ -68,6 +76,14 @@
  */
 bool call_withdraw(struct host *h, struct host_call *c);
 
+/**
+ * call_ask_withdrawal() - ask the owner of the cell to drop the record of a
+ * call if it has not appended it
+ *
+ * The other calls of the same batch are queued again if it is dropped.
+ */
+void call_ask_withdrawal(struct host *h, struct host_call *c);
+
 /**
  * host_append_queue_send() - append the queued records
  */
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -2,11 +2,15 @@
 
 #include <inttypes.h>
 
+#include "adapters/clock.h"
 #include "base/logger.h"
 
 /* Period of updates of the relay's worker count, which decides whether calls
  * are relayed. */
 #define WORKER_COUNT_PERIOD_MS 1000
+/* Numbers of record batches begin at the start time of the process, in ms,
+ * times 2 to this power. */
+#define SEQ_TIME_SHIFT 20
 
 static void receive_records(struct host *h, uint64_t from, struct str text)
 {
@@ -105,7 +109,13 @@
 				 records);
 }
 
-static const struct record_relay_ops record_ops = {accept_records};
+static bool withdraw_records(void *ctx, uint64_t from, uint64_t seq)
+{
+	return owner_withdraw_records(&((struct host *)ctx)->owner, from, seq);
+}
+
+static const struct record_relay_ops record_ops = {accept_records,
+						   withdraw_records};
 
 static void disconnect_peer(void *ctx, uint64_t to)
 {
@@ -139,6 +149,7 @@
 			  &answers);
 	record_relay_init(&h->record_relay, &records, &record_ops, h,
 			  name_hash(h->settings.name));
+	h->record_relay.seq = (uint64_t)clock_wall_ms() << SEQ_TIME_SHIFT;
 	fleet_init(&h->fleet, &platform_store_ops, &h->platform, &fleet_ops, h);
 	name_set(h->fleet.name, h->settings.name);
 	h->fleet.cpu_milli = h->settings.cpu_milli;
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -29,12 +29,14 @@
  * once a second, and a drain must take effect within two seconds. */
 #define WORKERS_READ_GAP_MS 400
 
-/* Records of another host; in the current batch if @in_batch is set, else in
- * peer_record_buf. */
+/* Records of another host; in the current batch if @in_batch is set, else @len
+ * bytes of peer_record_buf from @offset on. */
 struct peer_records {
 	uint64_t from;
 	uint64_t seq;
 	bool in_batch;
+	size_t offset;
+	size_t len;
 	struct peer_records *next;
 };
 
@@ -113,12 +115,43 @@
 	p = xcalloc(1, sizeof(*p));
 	p->from = from;
 	p->seq = seq;
+	p->offset = o->peer_record_buf.len;
+	p->len = records.len;
 	p->next = o->peers;
 	o->peers = p;
 	buf_add(&o->peer_record_buf, records.data, records.len);
 	return true;
 }
 
+/* Cuts records out of peer_record_buf. */
+static void cut_waiting_records(struct owner *o, const struct peer_records *cut)
+{
+	struct buf *b = &o->peer_record_buf;
+	size_t end = cut->offset + cut->len;
+	struct peer_records *p;
+
+	memmove(b->data + cut->offset, b->data + end, b->len - end);
+	b->len -= cut->len;
+	for (p = o->peers; p; p = p->next)
+		if (!p->in_batch && p->offset > cut->offset)
+			p->offset -= cut->len;
+}
+
+bool owner_withdraw_records(struct owner *o, uint64_t from, uint64_t seq)
+{
+	struct peer_records **at = &o->peers, *p;
+
+	while (*at && ((*at)->from != from || (*at)->seq != seq))
+		at = &(*at)->next;
+	p = *at;
+	if (!p || p->in_batch)
+		return false;
+	*at = p->next;
+	cut_waiting_records(o, p);
+	free(p);
+	return true;
+}
+
 static void take_peer_records(struct owner *o)
 {
 	struct peer_records *p;
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -149,6 +149,15 @@
 bool owner_add_records(struct owner *o, uint64_t from, uint64_t seq,
 		       struct str records);
 
+/**
+ * owner_withdraw_records() - drop records of another host that are in no batch
+ *
+ * Return: true if they are dropped: they are never stored, and
+ * peer_records_done() is not called. False if they are in a batch, so that they
+ * may be stored, or are not known; nothing is done then.
+ */
+bool owner_withdraw_records(struct owner *o, uint64_t from, uint64_t seq);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/host/record_relay.c
+++ b/src/host/record_relay.c
@@ -13,19 +13,36 @@
  * time meanwhile would only lengthen the queue at the partition. */
 #define OUTCOME_TIMEOUT_MS 2700
 
-enum record_message_kind { RECORDS, RECORDS_TAKEN, RECORDS_OUTCOME };
+enum record_message_kind {
+	RECORDS,
+	RECORDS_TAKEN,
+	RECORDS_OUTCOME,
+	RECORDS_WITHDRAW,
+};
+
+struct batch_number {
+	uint64_t seq;
+};
+
+static const struct field number_rows[] = {
+	FIELD_OF(U64, batch_number, seq),
+};
+
+static const struct shape number_shape = SHAPE_OF(number_rows, batch_number);
 
 /**
  * struct record_message - a message between a host and the owner
  * @kind: enum record_message_kind
  * @status: enum store_status of an outcome
  * @records: framed records
+ * @withdrawn: struct batch_number of each batch to be withdrawn
  */
 struct record_message {
 	uint64_t seq;
 	uint32_t kind;
 	uint32_t status;
 	struct str records;
+	struct list withdrawn;
 };
 
 static const struct field message_rows[] = {
@@ -33,6 +50,7 @@
 	FIELD_OF(U32, record_message, kind),
 	FIELD_OF(U32, record_message, status),
 	FIELD_OF(STR, record_message, records),
+	FIELD_LIST_OF(record_message, withdrawn, &number_shape),
 };
 
 static const struct shape message_shape =
@@ -40,13 +58,17 @@
 
 /**
  * struct forwarded_batch - records without an outcome
+ * @owner: host that they were passed to
+ * @is_withdrawal_due: the next tick asks the owner to drop them
  * @is_answered: @status is the outcome; the next tick reports it
  * @due_ms: boot time by which the owner has to send its next message
  */
 struct forwarded_batch {
 	uint64_t seq;
+	uint64_t owner;
 	records_done done;
 	void *ctx;
+	bool is_withdrawal_due;
 	bool is_answered;
 	enum store_status status;
 	int64_t due_ms;
@@ -132,7 +154,8 @@
 static void take_records(struct record_relay *r, uint64_t from,
 			 const struct record_message *m)
 {
-	struct record_message taken = {m->seq, RECORDS_TAKEN, 0, {NULL, 0}};
+	struct record_message taken = {
+		m->seq, RECORDS_TAKEN, 0, {NULL, 0}, {NULL, 0}};
 
 	if (r->ops->accept(r->ctx, from, m->seq, m->records))
 		send_message(r, from, &taken);
@@ -140,13 +163,32 @@
 		record_relay_answer(r, from, m->seq, STORE_REFUSED);
 }
 
-void record_relay_send(struct record_relay *r, uint64_t owner,
-		       struct str records, records_done done, void *ctx)
+/* No answer when nothing is dropped: the outcome of the append follows. */
+static void withdraw_batch(struct record_relay *r, uint64_t from, uint64_t seq)
+{
+	if (r->ops->withdraw(r->ctx, from, seq))
+		record_relay_answer(r, from, seq, STORE_REFUSED);
+}
+
+static void withdraw_batches(struct record_relay *r, uint64_t from,
+			     const struct list *withdrawn)
+{
+	const struct batch_number *rows = withdrawn->items;
+	size_t i;
+
+	for (i = 0; i < withdrawn->count; i++)
+		withdraw_batch(r, from, rows[i].seq);
+}
+
+uint64_t record_relay_send(struct record_relay *r, uint64_t owner,
+			   struct str records, records_done done, void *ctx)
 {
-	struct record_message m = {++r->seq, RECORDS, STORE_OK, records};
+	struct record_message m = {
+		++r->seq, RECORDS, STORE_OK, records, {NULL, 0}};
 	struct forwarded_batch *b = xcalloc(1, sizeof(*b));
 
 	b->seq = r->seq;
+	b->owner = owner;
 	b->done = done;
 	b->ctx = ctx;
 	b->due_ms = r->now_ms +
@@ -158,12 +200,48 @@
 		send_message(r, owner, &m);
 	else if (!r->ops->accept(r->ctx, owner, r->seq, records))
 		note_outcome(r, r->seq, STORE_REFUSED);
+	return b->seq;
+}
+
+void record_relay_withdraw(struct record_relay *r, uint64_t seq)
+{
+	struct forwarded_batch *b = find_batch(r, seq);
+
+	if (b && !b->is_answered)
+		b->is_withdrawal_due = true;
+}
+
+/* Sends all withdrawals that are due at the owner of batch @first. */
+static void send_withdrawals(struct record_relay *r,
+			     struct forwarded_batch *first)
+{
+	struct record_message m = {
+		0, RECORDS_WITHDRAW, 0, {NULL, 0}, {NULL, 0}};
+	struct batch_number *rows = NULL;
+	struct forwarded_batch *b;
+	size_t n = 0;
+
+	for (b = first; b; b = b->next) {
+		if (!b->is_withdrawal_due || b->owner != first->owner)
+			continue;
+		b->is_withdrawal_due = false;
+		rows = xrealloc(rows, (n + 1) * sizeof(*rows));
+		rows[n++].seq = b->seq;
+	}
+	m.withdrawn.items = rows;
+	m.withdrawn.count = n;
+	if (first->owner == r->self)
+		withdraw_batches(r, r->self, &m.withdrawn);
+	else
+		send_message(r, first->owner, &m);
+	free(rows);
 }
 
 void record_relay_answer(struct record_relay *r, uint64_t from, uint64_t seq,
 			 enum store_status status)
 {
-	struct record_message m = {seq, RECORDS_OUTCOME, status, {NULL, 0}};
+	struct record_message m = {
+		seq, RECORDS_OUTCOME, status, {NULL, 0}, {NULL, 0}};
 
 	if (from == r->self)
 		note_outcome(r, seq, status);
@@ -180,13 +258,15 @@
 
 	arena_init(&a);
 	err = shape_read(&message_shape, message, &m, &a);
-	if (err || m.status > STORE_TRIMMED || m.kind > RECORDS_OUTCOME ||
+	if (err || m.status > STORE_TRIMMED || m.kind > RECORDS_WITHDRAW ||
 	    (m.kind == RECORDS && !store_records_valid(m.records)))
 		err = -EBADMSG;
 	else if (m.kind == RECORDS)
 		take_records(r, from, &m);
 	else if (m.kind == RECORDS_TAKEN)
 		note_taken(r, m.seq);
+	else if (m.kind == RECORDS_WITHDRAW)
+		withdraw_batches(r, from, &m.withdrawn);
 	else
 		note_outcome(r, m.seq, (enum store_status)m.status);
 	arena_finish(&a);
@@ -198,6 +278,9 @@
 	struct forwarded_batch **at = &r->first_pending, *b;
 
 	r->now_ms = now_ms;
+	for (b = r->first_pending; b; b = b->next)
+		if (b->is_withdrawal_due)
+			send_withdrawals(r, b);
 	while (*at) {
 		b = *at;
 		if (!b->is_answered && now_ms < b->due_ms) {
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <memory>
+#include <random>
 
 #include "host/owner.h"
+#include "host/record_relay.h"
 #include "tests/fake_store.h"
 
 namespace
@@ -53,9 +56,14 @@
 			return -1;
 		};
 		owner.ctx = this;
-		owner.peer_records_done = [](void *ctx, uint64_t, uint64_t seq,
+		owner.peer_records_done = [](void *ctx, uint64_t from,
+					     uint64_t seq,
 					     store_status outcome) {
-			((Host *)ctx)->peer_outcomes.push_back({seq, outcome});
+			Host *h = (Host *)ctx;
+			h->peer_outcomes.push_back({seq, outcome});
+			if (h->relay)
+				record_relay_answer(h->relay, from, seq,
+						    outcome);
 		};
 		name_set(owner.self.name, name);
 		name_set(owner.self.address, "10.0.0.1:7720");
@@ -97,6 +105,7 @@
 	bool started = false;
 	bool retains = false;
 	std::vector<std::pair<uint64_t, store_status>> peer_outcomes;
+	record_relay *relay = nullptr;
 
 	bool add_records(uint64_t seq, const char *key)
 	{
@@ -335,6 +344,185 @@
 	EXPECT_EQ(a.peer_outcomes[0].second, STORE_REFUSED);
 }
 
+/* The caller of a record that waited for the next batch when its time ended was
+ * told that the job may run. Withdrawn, the record must not be stored, and
+ * those around it must be. */
+TEST_F(Owner, DropsWithdrawnRecordsThatAreInNoBatch)
+{
+	Host a(&store, "a");
+	std::string keys;
+
+	run({&a}, 500);
+	a.add_records(1, "sent");
+	a.tick(now);
+	for (uint64_t seq = 2; seq <= 6; seq++)
+		a.add_records(seq, std::to_string(seq).c_str());
+	EXPECT_FALSE(owner_withdraw_records(&a.owner, 9, 1)); /* in flight */
+	EXPECT_FALSE(owner_withdraw_records(&a.owner, 8, 3)); /* another host */
+	EXPECT_TRUE(owner_withdraw_records(&a.owner, 9, 3));
+	EXPECT_FALSE(owner_withdraw_records(&a.owner, 9, 3));
+	EXPECT_TRUE(owner_withdraw_records(&a.owner, 9, 2));
+	EXPECT_TRUE(owner_withdraw_records(&a.owner, 9, 6));
+	EXPECT_TRUE(a.peer_outcomes.empty());
+	run({&a}, 300);
+	for (auto &r : store.topics[TOPIC_JOBS])
+		if (r.value == "v")
+			keys += r.key + " ";
+	EXPECT_EQ(keys, "sent 4 5 ");
+	EXPECT_EQ(a.peer_outcomes.size(), 3u);
+	EXPECT_FALSE(owner_withdraw_records(&a.owner, 9, 4)); /* stored */
+}
+
+/* Two hosts whose messages are late, lost and out of order. */
+class Wire
+{
+      public:
+	Wire(Host *h, std::mt19937 *random) : owner(h), rng(random)
+	{
+		ops.accept = [](void *ctx, uint64_t from, uint64_t seq, str r) {
+			return owner_add_records(&((Wire *)ctx)->owner->owner,
+						 from, seq, r);
+		};
+		ops.withdraw = [](void *ctx, uint64_t from, uint64_t seq) {
+			Wire *w = (Wire *)ctx;
+			bool found = owner_withdraw_records(&w->owner->owner,
+							    from, seq);
+			w->dropped += found;
+			return found;
+		};
+		for (int i = 0; i < 2; i++) {
+			nets[i].send = [](void *ctx, uint64_t to, str text) {
+				((Wire *)ctx)->send(to, text);
+			};
+			nets[i].ctx = this;
+			record_relay_init(&relays[i], &nets[i], &ops, this,
+					  (uint64_t)i);
+		}
+		owner->relay = &relays[1];
+	}
+
+	~Wire()
+	{
+		owner->relay = nullptr;
+		record_relay_finish(&relays[0]);
+		record_relay_finish(&relays[1]);
+	}
+
+	bool chance(unsigned percent)
+	{
+		return (*rng)() % 100 < percent;
+	}
+
+	void send(uint64_t to, str text)
+	{
+		if (chance(10))
+			return;
+		messages.push_back({to, std::string(text.data, text.len)});
+	}
+
+	void tick(int64_t now)
+	{
+		for (size_t i = 0; i < messages.size();) {
+			if (chance(50)) {
+				i++;
+				continue;
+			}
+			auto m = messages[i];
+			messages.erase(messages.begin() + (long)i);
+			EXPECT_EQ(record_relay_receive(&relays[m.first],
+						       1 - m.first,
+						       {m.second.data(),
+							m.second.size()}),
+				  0);
+		}
+		record_relay_tick(&relays[0], now);
+		record_relay_tick(&relays[1], now);
+	}
+
+	Host *owner;
+	std::mt19937 *rng;
+	record_relay relays[2]; /* of the host, and of the owner */
+	relay_net nets[2] = {};
+	record_relay_ops ops;
+	std::vector<std::pair<uint64_t, std::string>> messages;
+	size_t dropped = 0;
+};
+
+struct Passed {
+	std::string key;
+	uint64_t seq;
+	bool done;
+	store_status status;
+};
+
+/* "Has not run" must be true whatever the withdrawal crosses: the append, its
+ * answer, lost messages, an owner that steps down. */
+TEST_F(Owner, RefusesNothingThatIsStored)
+{
+	size_t dropped = 0, refused = 0, stored = 0;
+
+	for (unsigned seed = 1; seed <= 100; seed++) {
+		FakeStore s;
+		Host a(&s, "a");
+		std::mt19937 rng(seed);
+		std::vector<std::unique_ptr<Passed>> all;
+		Wire wire(&a, &rng);
+
+		for (int64_t t = 1000; t < 8000; t += 10) {
+			s.now = t;
+			a.tick(t);
+			if (wire.chance(2))
+				s.mode = (FakeStore::Mode)(rng() % 4);
+			if (t > 1500 && t < 4000 && wire.chance(20)) {
+				all.emplace_back(new Passed());
+				Passed *p = all.back().get();
+				p->key = "k" + std::to_string(all.size());
+				buf b;
+				buf_init(&b);
+				store_record_add(&b, str_of(p->key.c_str()),
+						 str_of("v"));
+				p->seq = record_relay_send(
+					&wire.relays[0], 1, {b.data, b.len},
+					[](void *ctx, store_status status) {
+						((Passed *)ctx)->done = true;
+						((Passed *)ctx)->status =
+							status;
+					},
+					p);
+				buf_finish(&b);
+			}
+			for (auto &p : all)
+				if (!p->done && wire.chance(5))
+					record_relay_withdraw(&wire.relays[0],
+							      p->seq);
+			if (t == 3500 && seed % 4 == 0)
+				owner_step_down(&a.owner, "test");
+			if (wire.chance(20))
+				s.run();
+			wire.tick(t);
+		}
+		s.run();
+		for (auto &p : all) {
+			size_t copies = 0;
+			for (auto &r : s.topics[TOPIC_JOBS])
+				copies += r.key == p->key;
+			ASSERT_TRUE(p->done);
+			if (p->status == STORE_REFUSED)
+				refused++;
+			else if (p->status == STORE_OK)
+				stored++;
+			else
+				continue;
+			EXPECT_EQ(copies, p->status == STORE_OK ? 1u : 0u)
+				<< "seed " << seed << " key " << p->key;
+		}
+		dropped += wire.dropped;
+	}
+	EXPECT_GT(dropped, 100u);
+	EXPECT_GT(refused, 100u);
+	EXPECT_GT(stored, 100u);
+}
+
 TEST_F(Owner, AnotherHostTakesOverAfterAStop)
 {
 	Host a(&store, "a"), b(&store, "b");
--- a/tests/record_relay_test.cc
+++ b/tests/record_relay_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,8 +16,10 @@
 	record_relay_ops ops;
 	std::vector<std::pair<uint64_t, std::string>> outbox;
 	std::vector<std::pair<uint64_t, uint64_t>> accepted;
+	std::vector<std::pair<uint64_t, uint64_t>> withdrawn;
 	std::vector<store_status> outcomes;
 	bool owns = true;
+	bool appends = false; /* what is accepted is in an append at once */
 
 	explicit Node(uint64_t id)
 	{
@@ -33,6 +36,9 @@
 				n->accepted.push_back({from, seq});
 			return n->owns;
 		};
+		ops.withdraw = [](void *ctx, uint64_t from, uint64_t seq) {
+			return ((Node *)ctx)->drop(from, seq);
+		};
 		record_relay_init(&relay, &net, &ops, this, id);
 		record_relay_tick(&relay, 1000);
 	}
@@ -42,9 +48,20 @@
 		record_relay_finish(&relay);
 	}
 
-	void send(uint64_t owner, const std::string &records)
+	bool drop(uint64_t from, uint64_t seq)
 	{
-		record_relay_send(
+		std::pair<uint64_t, uint64_t> key(from, seq);
+
+		if (appends || std::find(accepted.begin(), accepted.end(),
+					 key) == accepted.end())
+			return false;
+		withdrawn.push_back(key);
+		return true;
+	}
+
+	uint64_t send(uint64_t owner, const std::string &records)
+	{
+		return record_relay_send(
 			&relay, owner, {records.data(), records.size()},
 			[](void *ctx, store_status s) {
 				((Node *)ctx)->outcomes.push_back(s);
@@ -169,6 +186,109 @@
 	EXPECT_EQ(owner.outcomes[0], STORE_OK);
 }
 
+/*
+ * A caller whose time ended while its record waited for the owner's next batch
+ * was told that the job may run, although nothing had been sent to the store.
+ */
+TEST(RecordRelay, WithdrawsWhatTheOwnerHasNotAppended)
+{
+	Node host(1), owner(2);
+	uint64_t a, b;
+
+	a = host.send(2, record("a"));
+	b = host.send(2, record("b"));
+	host.send(2, record("c"));
+	host.deliver_to(owner, 1);
+	owner.deliver_to(host, 2);
+	record_relay_withdraw(&host.relay, a);
+	record_relay_withdraw(&host.relay, b);
+	EXPECT_TRUE(host.outbox.empty());
+	record_relay_tick(&host.relay, 1200);
+	EXPECT_EQ(host.outbox.size(), 1u); /* both in one message */
+	EXPECT_TRUE(host.outcomes.empty());
+	host.deliver_to(owner, 1);
+	EXPECT_EQ(owner.withdrawn.size(), 2u);
+	owner.deliver_to(host, 2);
+	record_relay_tick(&host.relay, 1210);
+	EXPECT_EQ(host.outcomes,
+		  std::vector<store_status>({STORE_REFUSED, STORE_REFUSED}));
+	record_relay_tick(&host.relay, 1220);
+	EXPECT_TRUE(host.outbox.empty());
+}
+
+/* A record that is in an append when the withdrawal arrives may be stored. */
+TEST(RecordRelay, WithdrawalThatCrossesTheAppendLeavesItsOutcome)
+{
+	Node host(1), owner(2);
+	uint64_t seq = host.send(2, record("a"));
+
+	host.deliver_to(owner, 1);
+	owner.deliver_to(host, 2);
+	record_relay_withdraw(&host.relay, seq);
+	record_relay_tick(&host.relay, 1200);
+	owner.appends = true;
+	host.deliver_to(owner, 1);
+	EXPECT_TRUE(owner.outbox.empty());
+	record_relay_tick(&host.relay, 1300);
+	EXPECT_TRUE(host.outcomes.empty());
+	record_relay_answer(&owner.relay, 1, seq, STORE_OK);
+	owner.deliver_to(host, 2);
+	record_relay_tick(&host.relay, 1310);
+	EXPECT_EQ(host.outcomes, std::vector<store_status>({STORE_OK}));
+}
+
+/* Without an answer the record may be stored: an owner of an older build does
+ * not know the message, one that was replaced may have appended before. */
+TEST(RecordRelay, UnansweredWithdrawalLeavesTheOutcomeUnknown)
+{
+	Node host(1), owner(2), next(3);
+	uint64_t seq;
+
+	seq = host.send(2, record("a"));
+	host.deliver_to(owner, 1);
+	owner.deliver_to(host, 2);
+	record_relay_withdraw(&host.relay, seq);
+	record_relay_tick(&host.relay, 1200);
+	host.outbox.clear(); /* the question is lost */
+	record_relay_withdraw(&host.relay, seq);
+	record_relay_tick(&host.relay, 1210);
+	host.deliver_to(next, 1);
+	EXPECT_TRUE(next.outbox.empty()); /* does not know the batch */
+	record_relay_withdraw(&host.relay, seq);
+	record_relay_tick(&host.relay, 1220);
+	host.deliver_to(owner, 1);
+	owner.outbox.clear(); /* the answer is lost */
+	record_relay_abandon(&host.relay);
+	record_relay_tick(&host.relay, 1230);
+	EXPECT_EQ(host.outcomes, std::vector<store_status>({STORE_UNKNOWN}));
+}
+
+TEST(RecordRelay, AsksEachOwnerForItsOwnBatches)
+{
+	Node host(1), two(2), three(3);
+	std::vector<uint64_t> to;
+
+	record_relay_withdraw(&host.relay, host.send(2, record("a")));
+	record_relay_withdraw(&host.relay, host.send(3, record("b")));
+	record_relay_withdraw(&host.relay, host.send(2, record("c")));
+	host.outbox.clear();
+	record_relay_tick(&host.relay, 1010);
+	for (auto &m : host.outbox)
+		to.push_back(m.first);
+	std::sort(to.begin(), to.end());
+	EXPECT_EQ(to, std::vector<uint64_t>({2, 3}));
+}
+
+TEST(RecordRelay, OwnerWithdrawsItsOwnRecordsWithoutAMessage)
+{
+	Node owner(2);
+
+	record_relay_withdraw(&owner.relay, owner.send(2, record("a")));
+	record_relay_tick(&owner.relay, 1010);
+	EXPECT_TRUE(owner.outbox.empty());
+	EXPECT_EQ(owner.outcomes, std::vector<store_status>({STORE_REFUSED}));
+}
+
 /* One malformed frame in the owner's batch would make the store refuse all of
  * it, for ever. */
 TEST(RecordRelay, DropsRecordsThatAreNotFramed)
