retry_after: callers refused at once are spread over whole seconds

What callers see: of 1,000 that are refused in one moment, 501 come back in the one second and 499 in the next. Cause: the times were spread over 1,000 ms, but the header holds whole seconds, rounded up; so it also said 5 s where 4 was the bound. Change: evenly 1 or 2 s; from an outage of 1 s on 1 to 3 s, from 2 s on 2 to 4 s. The mean in the header is as before (1.5, 2, 3) up to 3 s of outage; after that it is 3 and not 3.5 to 4.5, since 4 s is the bound. The seconds of the outage turn the shares round, so that who was told little at one try is told more at the next: five tries outlast 8 s for every ID. A record that has waited for the owner or the store counts like an outage of that length. Result: SpreadsCallersOverWholeSeconds fails before (2 seconds, expected 3; 5, expected at most 4; 499 off an even share) and passes. The other new tests pass before and after.

--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -91,7 +91,12 @@
 
 void call_refuse(struct host *h, struct host_call *c)
 {
-	call_answer(h, c, 503, retry_after_ms(outage_ms(h), c->id), "{}");
+	int64_t waited = h->now_ms - c->arrived_ms;
+	int64_t outage = outage_ms(h);
+
+	if (outage < waited)
+		outage = waited;
+	call_answer(h, c, 503, retry_after_ms(outage, c->id), "{}");
 }
 
 bool call_is_expiring(const struct host *h, const struct host_call *c)
--- a/src/host/retry_after.c
+++ b/src/host/retry_after.c
@@ -1,19 +1,30 @@
 #include "host/retry_after.h"
 
-#define WAIT_MIN_MS 1000
-/* A caller with five tries outlasts an outage of twice this. */
-#define WAIT_MAX_MS 4000
-/* Waits of callers that are refused at once differ by up to this. */
-#define SPREAD_MS 1000
+#include <stddef.h>
+
+#define SECOND_MS 1000
+
+/* Callers that are refused at once are told @count different seconds, from
+ * @first_s on. */
+struct retry_band {
+	uint32_t first_s;
+	uint32_t count;
+};
+
+/* By the whole seconds of the outage; the last row also holds for longer
+ * ones. */
+static const struct retry_band bands[] = {{1, 2}, {1, 3}, {2, 3}};
+
+#define LAST_BAND (sizeof(bands) / sizeof(bands[0]) - 1)
 
 uint32_t retry_after_ms(int64_t outage_ms, uint64_t id)
 {
-	int64_t wait = outage_ms;
+	uint64_t outage_s = outage_ms > 0 ? (uint64_t)outage_ms / SECOND_MS : 0;
+	const struct retry_band *b =
+		&bands[outage_s < LAST_BAND ? outage_s : LAST_BAND];
 
-	if (wait < WAIT_MIN_MS)
-		wait = WAIT_MIN_MS;
-	if (wait > WAIT_MAX_MS)
-		wait = WAIT_MAX_MS;
-	/* Callers choose IDs at random. */
-	return (uint32_t)(wait - SPREAD_MS / 2 + (int64_t)(id % SPREAD_MS));
+	/* Callers choose IDs at random. The outage is added so that a caller
+	 * that was told few seconds is told more at its next try. */
+	return (b->first_s + (uint32_t)((id + outage_s) % b->count)) *
+	       SECOND_MS;
 }
--- a/tests/retry_after_test.cc
+++ b/tests/retry_after_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -33,6 +34,24 @@
 	return served;
 }
 
+/* What the header says: it holds whole seconds. */
+uint32_t header_s(uint32_t ms)
+{
+	return (ms + 999) / 1000;
+}
+
+/* How many of 1000 callers that are refused in one moment are told each number
+ * of seconds. */
+std::map<uint32_t, size_t> told_seconds(int64_t outage_ms)
+{
+	std::map<uint32_t, size_t> told;
+	std::mt19937_64 rng(1);
+
+	for (int i = 0; i < 1000; i++)
+		told[header_s(retry_after_ms(outage_ms, rng()))]++;
+	return told;
+}
+
 } /* namespace */
 
 /*
@@ -62,6 +81,60 @@
 	EXPECT_LT(most, 500u);
 }
 
+/*
+ * The times were spread in milliseconds and rounded up to seconds: of 1000
+ * callers refused in one moment, 501 came back in the one second and 499 in the
+ * next, and some were told 5 s.
+ */
+TEST(RetryAfter, SpreadsCallersOverWholeSeconds)
+{
+	for (int64_t outage = 0; outage <= 10000; outage += 250) {
+		auto told = told_seconds(outage);
+		size_t seconds = told.size();
+
+		EXPECT_GE(seconds, outage < 1000 ? 2u : 3u) << outage;
+		EXPECT_GE(told.begin()->first, 1u) << outage;
+		EXPECT_LE(told.rbegin()->first, 4u) << outage;
+		EXPECT_EQ(told.rbegin()->first - told.begin()->first + 1,
+			  seconds)
+			<< outage;
+		for (auto &t : told)
+			EXPECT_NEAR((double)t.second, 1000. / (double)seconds,
+				    60.)
+				<< outage << " " << t.first;
+	}
+}
+
+TEST(RetryAfter, GrowsWithTheOutage)
+{
+	double before = 0;
+
+	for (int64_t outage = 0; outage <= 6000; outage += 1000) {
+		double sum = 0;
+
+		for (auto &t : told_seconds(outage))
+			sum += (double)t.first * (double)t.second;
+		EXPECT_GE(sum / 1000., before - 0.1) << outage;
+		before = sum / 1000.;
+	}
+	EXPECT_GT(before, 2.8);
+}
+
+/* A caller that is told the least second each time uses up its tries before the
+ * store is back, whatever its ID is. */
+TEST(RetryAfter, LetsCallersOutlastAnOutageAlsoWhenTheyAreLate)
+{
+	for (uint64_t id = 0; id < 60; id++)
+		for (int64_t late = 0; late < 300; late += 20) {
+			int64_t at = 0;
+
+			for (int tries = 1; tries < 5; tries++)
+				at += header_s(retry_after_ms(at, id)) * 1000 +
+				      late;
+			EXPECT_GE(at, 8000) << id << " " << late;
+		}
+}
+
 /* A short disturbance must not keep callers away for long. */
 TEST(RetryAfter, IsShortAtFirst)
 {
