field: refuse lists with a count of four bytes in records and messages as well

Cause: msgpack-c allocates by the count that a list states, before it has read an element. The check against that stood in the decoder of peer frames only; store records (jobs, progress, workers, owner, effect model) and messages between hosts went past it. Five bytes made the decoder ask for 64 to 200 GB. Trailing bytes were accepted too. Found by: mutations of tests/decoder_test.cc in the address build, which ended in "allocator is out of memory trying to allocate 0x1000000008 bytes" in eight of its tests. Change: the check moves into shape_read(), which also refuses trailing bytes. Result: Shape.RejectsListsWithACountOfFourBytes failed before, passes.

--- a/src/base/field.c
+++ b/src/base/field.c
@@ -293,16 +293,70 @@
 	msgpack_sbuffer_destroy(&sb);
 }
 
+/* Size of a msgpack item after its type byte, in bytes; elements not counted.
+ */
+static size_t item_bytes(unsigned char type, const char *p, size_t left)
+{
+	static const uint8_t fixed[] = {
+		[0xca - 0xc0] = 4, [0xcb - 0xc0] = 8, [0xcc - 0xc0] = 1,
+		[0xcd - 0xc0] = 2, [0xce - 0xc0] = 4, [0xcf - 0xc0] = 8,
+		[0xd0 - 0xc0] = 1, [0xd1 - 0xc0] = 2, [0xd2 - 0xc0] = 4,
+		[0xd3 - 0xc0] = 8, [0xd4 - 0xc0] = 2, [0xd5 - 0xc0] = 3,
+		[0xd6 - 0xc0] = 5, [0xd7 - 0xc0] = 9, [0xd8 - 0xc0] = 17,
+		[0xdc - 0xc0] = 2, [0xdd - 0xc0] = 4, [0xde - 0xc0] = 2,
+		[0xdf - 0xc0] = 4,
+	};
+	size_t size, i, n = 0;
+
+	if (type >= 0xa0 && type <= 0xbf)
+		return type & 0x1f;
+	if (type < 0xc0 || type >= 0xe0)
+		return 0;
+	if (fixed[type - 0xc0])
+		return fixed[type - 0xc0];
+	if (type >= 0xd9 && type <= 0xdb)
+		size = (size_t)1 << (type - 0xd9);
+	else if (type >= 0xc4 && type <= 0xc6)
+		size = (size_t)1 << (type - 0xc4);
+	else
+		return 0;
+	for (i = 0; i < size && i < left; i++)
+		n = n << 8 | (unsigned char)p[i];
+	return size + n;
+}
+
+/*
+ * msgpack-c allocates by the count that a list states before it has read an
+ * element, so that a short message could make it allocate far too much. No list
+ * in a valid message has a count of four bytes.
+ */
+static bool has_valid_counts(const char *data, size_t len)
+{
+	size_t i = 0;
+
+	while (i < len) {
+		unsigned char type = (unsigned char)data[i++];
+
+		if (type == 0xdd || type == 0xdf)
+			return false;
+		i += item_bytes(type, data + i, len - i);
+	}
+	return i == len;
+}
+
 int shape_read(const struct shape *s, struct str encoded, void *obj,
 	       struct arena *a)
 {
 	msgpack_unpacked u;
 	int err = -EBADMSG;
+	size_t off = 0;
 
+	if (!has_valid_counts(encoded.data, encoded.len))
+		return -EBADMSG;
 	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, encoded.data, encoded.len, NULL) ==
+	if (msgpack_unpack_next(&u, encoded.data, encoded.len, &off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
-	    !shape_unpack(s, &u.data, obj, a))
+	    off == encoded.len && !shape_unpack(s, &u.data, obj, a))
 		err = 0;
 	msgpack_unpacked_destroy(&u);
 	return err;
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -137,74 +137,14 @@
 	msgpack_sbuffer_destroy(&sb);
 }
 
-/* Size of a msgpack item after its type byte, in bytes; elements not counted.
- */
-static size_t item_bytes(unsigned char type, const char *p, size_t left)
-{
-	static const uint8_t fixed[] = {
-		[0xca - 0xc0] = 4, [0xcb - 0xc0] = 8, [0xcc - 0xc0] = 1,
-		[0xcd - 0xc0] = 2, [0xce - 0xc0] = 4, [0xcf - 0xc0] = 8,
-		[0xd0 - 0xc0] = 1, [0xd1 - 0xc0] = 2, [0xd2 - 0xc0] = 4,
-		[0xd3 - 0xc0] = 8, [0xd4 - 0xc0] = 2, [0xd5 - 0xc0] = 3,
-		[0xd6 - 0xc0] = 5, [0xd7 - 0xc0] = 9, [0xd8 - 0xc0] = 17,
-		[0xdc - 0xc0] = 2, [0xdd - 0xc0] = 4, [0xde - 0xc0] = 2,
-		[0xdf - 0xc0] = 4,
-	};
-	size_t size, i, n = 0;
-
-	if (type >= 0xa0 && type <= 0xbf)
-		return type & 0x1f;
-	if (type < 0xc0 || type >= 0xe0)
-		return 0;
-	if (fixed[type - 0xc0])
-		return fixed[type - 0xc0];
-	if (type >= 0xd9 && type <= 0xdb)
-		size = (size_t)1 << (type - 0xd9);
-	else if (type >= 0xc4 && type <= 0xc6)
-		size = (size_t)1 << (type - 0xc4);
-	else
-		return 0;
-	for (i = 0; i < size && i < left; i++)
-		n = n << 8 | (unsigned char)p[i];
-	return size + n;
-}
-
-/*
- * msgpack-c allocates by the count that a list states before it has read an
- * element, so that a short message could make it allocate far too much. No list
- * in a valid message has a count of four bytes.
- */
-static bool has_valid_counts(const char *data, size_t len)
-{
-	size_t i = 0;
-
-	while (i < len) {
-		unsigned char type = (unsigned char)data[i++];
-
-		if (type == 0xdd || type == 0xdf)
-			return false;
-		i += item_bytes(type, data + i, len - i);
-	}
-	return i == len;
-}
-
 int msg_unpack(const char *data, size_t len, struct msg *m, struct arena *a)
 {
-	msgpack_unpacked up;
-	size_t off = 0;
-	int err = -EBADMSG;
+	struct str text = {data, len};
 
 	memset(m, 0, sizeof(*m));
-	if (!has_valid_counts(data, len))
+	if (shape_read(&msg_shape, text, m, a) || m->kind >= MSG_KIND_MAX)
 		return -EBADMSG;
-	msgpack_unpacked_init(&up);
-	if (msgpack_unpack_next(&up, data, len, &off) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    off == len && !shape_unpack(&msg_shape, &up.data, m, a) &&
-	    m->kind < MSG_KIND_MAX)
-		err = 0;
-	msgpack_unpacked_destroy(&up);
-	return err;
+	return 0;
 }
 
 uint64_t attempt_id(uint64_t job, uint32_t attempt)
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <cerrno>
+
 #include "base/rng.h"
 #include "core/msg.h"
 #include "core/record.h"
+#include "host/relay_wire.h"
 
 static struct msg make_sample(struct task_status *tasks,
 			      struct owned_shard *owned)
@@ -130,3 +133,24 @@
 	buf_finish(&text);
 	arena_finish(&a);
 }
+
+/*
+ * msgpack-c allocates by the count that a list states. A record or a message of
+ * another host with a count of four bytes made it ask for up to 200 GB.
+ */
+TEST(Shape, RejectsListsWithACountOfFourBytes)
+{
+	const char two_bytes[] = {'\x81', 0, '\xdc', 0, 0};
+	const char four_bytes[] = {'\x81', 0, '\xdd', 0, 0, 0, 0};
+	struct relay_batch b = {};
+	struct arena a;
+
+	arena_init(&a);
+	EXPECT_EQ(shape_read(&relay_batch_shape, {two_bytes, sizeof(two_bytes)},
+			     &b, &a),
+		  0);
+	EXPECT_EQ(shape_read(&relay_batch_shape,
+			     {four_bytes, sizeof(four_bytes)}, &b, &a),
+		  -EBADMSG);
+	arena_finish(&a);
+}
