relay: drop an answer with an unknown status or end of a run

Cause: the owner cast both numbers of a relayed answer to their enums unchecked, and read the name of the end from a table of six: an end of 6 or more reads behind the table, in a log line, and can end the owner. Change: relay_answer_check(); an answer that it refuses gives a log line, and the call times out as after a lost answer. Result: Relay.DropsAnAnswerWithAnUnknownEnd failed before, passes.

--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -473,6 +473,12 @@
 
 	if (!p) /* the call has timed out */
 		return;
+	if (relay_answer_check(a)) {
+		log_line(LOG_ERROR, "unknown value in a relayed answer",
+			 "worker=%s status=%u ended=%zu", p->worker.id,
+			 a->status, a->ended.count);
+		return; /* the call times out, as after a lost answer */
+	}
 	if (o.status == ORDER_UNKNOWN || o.status == ORDER_NOT_SENT)
 		suspect_worker(r, p);
 	pending_remove(r, p);
--- a/src/host/relay_wire.c
+++ b/src/host/relay_wire.c
@@ -1,5 +1,7 @@
 #include "host/relay_wire.h"
 
+#include <errno.h>
+
 #define CALL(member, kind) FIELD_OF(kind, relay_call, member)
 #define RUN(member, kind) FIELD_OF(kind, relay_run, member)
 
@@ -94,6 +96,19 @@
 	out->ended.count = r->ended_count;
 }
 
+int relay_answer_check(const struct relay_answer *a)
+{
+	const struct relay_run *ended = a->ended.items;
+	size_t i;
+
+	if (a->status > ORDER_INVALID)
+		return -EBADMSG;
+	for (i = 0; i < a->ended.count; i++)
+		if (ended[i].how > RUN_GANG_INCOMPLETE)
+			return -EBADMSG;
+	return 0;
+}
+
 static void run_decode(const struct relay_run *w, struct task_ref *ref,
 		       char checkpoint[CHECKPOINT_SIZE])
 {
--- a/src/host/relay_wire.h
+++ b/src/host/relay_wire.h
@@ -105,8 +105,16 @@
 void relay_answer_encode(struct relay_answer *out, const struct poll_reply *r,
 			 struct arena *a);
 
+/**
+ * relay_answer_check() - check the status and the ends of runs of an answer
+ *
+ * Return: 0, or -EBADMSG for a value that the enum does not have.
+ */
+int relay_answer_check(const struct relay_answer *a);
+
 /**
  * relay_answer_decode() - copy the reply to a poll from its wire form
+ * @w: relay_answer_check() has accepted it
  *
  * Checkpoints of CHECKPOINT_SIZE bytes and more are truncated. Does not set
  * poll_reply.sent_ms.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -342,4 +342,34 @@
 	EXPECT_STREQ(r.active[1]->name, "strong");
 }
 
+/*
+ * The owner took the end of a run from another host as it came, and read the
+ * name of the end behind a table of six.
+ */
+TEST_F(Relay, DropsAnAnswerWithAnUnknownEnd)
+{
+	relay_run ended = {};
+	relay_answer a = {};
+	relay_batch b = {};
+
+	add_host("h1", 4000);
+	activate_peers();
+	start("i-1");
+	run(20);
+	ASSERT_EQ(relayed.calls.size(), 1u);
+	a.seq = r.seq;
+	a.ended = {&ended, 1};
+	b.answers = {&a, 1};
+	ended.how = RUN_GANG_INCOMPLETE + 1;
+	relay_receive(&r, sender, &b);
+	EXPECT_TRUE(statuses.empty());
+	ended.how = RUN_GANG_INCOMPLETE;
+	a.status = ORDER_INVALID + 1;
+	relay_receive(&r, sender, &b);
+	EXPECT_TRUE(statuses.empty());
+	a.status = ORDER_OK;
+	relay_receive(&r, sender, &b);
+	EXPECT_EQ(statuses.size(), 1u);
+}
+
 } /* namespace */
