job: count the tasks of a job without overflow

Cause: tasks times occurrences was taken modulo 2^64. A caller's job of 2^36 tasks, due 2^28 times, counted as none and was accepted; the owner, and each owner after it, would have allocated them all. Found by: reading the check beside the mutation test. Change: the tasks are compared with JOB_TASKS_MAX divided by the occurrences. Result: JobSpec.RejectsACountOfTasksThatOverflows failed before, passes.

--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -85,7 +85,8 @@
 			return -EINVAL;
 		tasks += st->count;
 	}
-	return tasks * job_spec_occurrence_count(s) <= JOB_TASKS_MAX ? 0
+	/* A product of the two may exceed 64 bits. */
+	return tasks <= JOB_TASKS_MAX / job_spec_occurrence_count(s) ? 0
 								     : -EINVAL;
 }
 
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -209,4 +209,23 @@
 	EXPECT_EQ(job_spec_check(&j), -EINVAL);
 }
 
+/*
+ * The product of tasks and occurrences was taken modulo 2^64. A caller's job of
+ * 2^36 tasks and 2^28 occurrences passed as one without tasks, and the owner
+ * died when it allocated them.
+ */
+TEST(JobSpec, RejectsACountOfTasksThatOverflows)
+{
+	constexpr size_t STEPS = 32;
+	job_step s[STEPS] = {};
+	job_spec j = {};
+
+	for (auto &x : s)
+		x.count = 1u << 31;
+	j.id = 1;
+	j.steps = {s, STEPS};
+	j.repeat = 1u << 28;
+	EXPECT_EQ(job_spec_check(&j), -EINVAL);
+}
+
 } /* namespace */
