field: refuse extensions of variable size, and copy no empty name from NULL

Cause: the check of counts did not know msgpack's extensions of 8, 16 and 32 bits, lost its place behind one and could miss a count of four bytes. A name of length 0 at the end of a message was copied from a null pointer. Result: Shape.RejectsListsWithACountOfFourBytes failed with its new case, passes; the null pointer shows in the address build only.

--- a/src/base/field.c
+++ b/src/base/field.c
@@ -242,7 +242,8 @@
 		if (o->type != MSGPACK_OBJECT_STR ||
 		    o->via.str.size >= NAME_SIZE)
 			return -EINVAL;
-		memcpy(p, o->via.str.ptr, o->via.str.size);
+		if (o->via.str.size)
+			memcpy(p, o->via.str.ptr, o->via.str.size);
 		((char *)p)[o->via.str.size] = '\0';
 		return 0;
 	case FIELD_STR:
@@ -328,7 +329,8 @@
 /*
  * msgpack-c allocates by the count that a list states before it has read an
  * element, so that a short message could make it allocate far too much. No list
- * in a valid message has a count of four bytes.
+ * in a valid message has a count of four bytes. Nor has one an extension of
+ * variable size (0xc7 to 0xc9), whose size item_bytes() does not read.
  */
 static bool has_valid_counts(const char *data, size_t len)
 {
@@ -337,7 +339,8 @@
 	while (i < len) {
 		unsigned char type = (unsigned char)data[i++];
 
-		if (type == 0xdd || type == 0xdf)
+		if (type == 0xdd || type == 0xdf ||
+		    (type >= 0xc7 && type <= 0xc9))
 			return false;
 		i += item_bytes(type, data + i, len - i);
 	}
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -142,6 +142,8 @@
 {
 	const char two_bytes[] = {'\x81', 0, '\xdc', 0, 0};
 	const char four_bytes[] = {'\x81', 0, '\xdd', 0, 0, 0, 0};
+	const char behind_extension[] = {'\x82', 0, '\xdc', 0, 0, 9,
+					 '\xc7', 2, 0,      1, 1};
 	struct relay_batch b = {};
 	struct arena a;
 
@@ -152,5 +154,9 @@
 	EXPECT_EQ(shape_read(&relay_batch_shape,
 			     {four_bytes, sizeof(four_bytes)}, &b, &a),
 		  -EBADMSG);
+	EXPECT_EQ(shape_read(&relay_batch_shape,
+			     {behind_extension, sizeof(behind_extension)}, &b,
+			     &a),
+		  -EBADMSG);
 	arena_finish(&a);
 }
