--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -301,4 +301,18 @@
 	buf_finish(&error);
 }
 
+/* The first port was cut to 32 bits, so that 4294975016 meant port 7720. */
+TEST(Settings, RejectsAPortThatDoesNotFit)
+{
+	std::string text = SETTINGS;
+	host_settings s;
+	buf error;
+
+	buf_init(&error);
+	text.replace(text.find("7720"), 4, "4294975016");
+	EXPECT_EQ(host_settings_parse(str_of(text.c_str()), &s, &error),
+		  -EINVAL);
+	buf_finish(&error);
+}
+
 } /* namespace */
