--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -301,6 +301,29 @@
 	buf_finish(&error);
 }
 
+/*
+ * A time left near the limits of 64 bits made the time at which the worker
+ * leaves overflow.
+ */
+TEST(WorkerEntry, RejectsATimeLeftThatOverflows)
+{
+	worker_entry e;
+
+	for (const char *left :
+	     {"9223372036854775807", "-9223372036854775808", "1e300"}) {
+		std::string text =
+			"{\"service\":\"p\",\"address\":\"a:1\",\"state\":"
+			"\"draining\",\"capacity\":{\"cpu\":1},"
+			"\"remainingMs\":" +
+			std::string(left) + "}";
+
+		EXPECT_EQ(worker_entry_parse(str_of("i-1"),
+					     str_of(text.c_str()), &e),
+			  -EINVAL)
+			<< left;
+	}
+}
+
 /* The first port was cut to 32 bits, so that 4294975016 meant port 7720. */
 TEST(Settings, RejectsAPortThatDoesNotFit)
 {
