workers: refuse a clock or a run number that does not fit

Cause: the number of a run was cut to 32 bits, so that the end of run ended run 2; a clock near the limits of 64 bits made the end of the leases overflow. Result: Hold.RejectsARunNumberThatDoesNotFit and Hold.RejectsAClockThatOverflows failed before, pass.

--- a/src/host/relay_wire.c
+++ b/src/host/relay_wire.c
@@ -101,7 +101,8 @@
 	const struct relay_run *ended = a->ended.items;
 	size_t i;
 
-	if (a->status > ORDER_INVALID)
+	if (a->status > ORDER_INVALID || a->clock < 0 ||
+	    a->clock > WORKER_CLOCK_MAX_MS)
 		return -EBADMSG;
 	for (i = 0; i < a->ended.count; i++)
 		if (ended[i].how > RUN_GANG_INCOMPLETE)
--- a/src/host/relay_wire.h
+++ b/src/host/relay_wire.h
@@ -106,9 +106,10 @@
 			 struct arena *a);
 
 /**
- * relay_answer_check() - check the status and the ends of runs of an answer
+ * relay_answer_check() - check the status, the clock and the ends of runs of an
+ * answer
  *
- * Return: 0, or -EBADMSG for a value that the enum does not have.
+ * Return: 0, or -EBADMSG for a value that is out of range.
  */
 int relay_answer_check(const struct relay_answer *a);
 
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -139,6 +139,9 @@
 	ORDER_INVALID,       /* the worker could not decode the order */
 };
 
+/* Greatest clock of a worker, ms: adding times to it does not overflow. */
+#define WORKER_CLOCK_MAX_MS (INT64_MAX / 4)
+
 /* Size of the name of a checkpoint, in bytes, with the NUL byte. */
 #define CHECKPOINT_SIZE 40
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -324,6 +324,40 @@
 	}
 }
 
+/* A clock near the limits of 64 bits made the end of the leases overflow. */
+TEST(Hold, RejectsAClockThatOverflows)
+{
+	poll_reply r = {};
+	arena a;
+
+	arena_init(&a);
+	EXPECT_EQ(poll_reply_parse(
+			  str_of("{\"clockMs\":9223372036854775807,\"born\":1,"
+				 "\"running\":[],\"ended\":[]}"),
+			  &r, &a),
+		  -EBADMSG);
+	arena_finish(&a);
+}
+
+/* Run 4294967298 was taken for run 2, so that its end ended run 2. */
+TEST(Hold, RejectsARunNumberThatDoesNotFit)
+{
+	poll_reply r = {};
+	arena a;
+
+	arena_init(&a);
+	for (const char *run : {"4294967298", "-1"}) {
+		std::string text =
+			"{\"running\":[[\"5c0e7a21d94b36f8.0.1.17\"," +
+			std::string(run) + ",\"\",1,1]],\"ended\":[]}";
+
+		EXPECT_EQ(poll_reply_parse(str_of(text.c_str()), &r, &a),
+			  -EBADMSG)
+			<< run;
+	}
+	arena_finish(&a);
+}
+
 /* The first port was cut to 32 bits, so that 4294975016 meant port 7720. */
 TEST(Settings, RejectsAPortThatDoesNotFit)
 {
