job: refuse due times that overflow

Cause: start and interval of a caller's job were not bounded, and their sum overflowed. Result: JobSpec.RejectsDueTimesThatOverflow failed before, passes.

--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -53,6 +53,10 @@
 static const struct shape progress_shape =
 	SHAPE_OF(progress_rows, job_progress);
 
+/* Greatest start time, as a distance from 1970, and greatest distance of the
+ * last due time from it: their sum stays far from the limits of 64 bits. */
+#define JOB_TIME_MAX_MS (INT64_MAX / 4)
+
 uint32_t job_spec_critical_path_ms(const struct job_spec *s)
 {
 	uint32_t end[JOB_STEPS_MAX] = {0}, longest = 0;
@@ -71,12 +75,23 @@
 	return longest;
 }
 
+static bool has_valid_due_times(const struct job_spec *s)
+{
+	int64_t interval_max_ms = JOB_TIME_MAX_MS / JOB_TASKS_MAX;
+
+	return s->first_ms <= JOB_TIME_MAX_MS &&
+	       s->first_ms >= -JOB_TIME_MAX_MS &&
+	       s->interval_ms <= interval_max_ms &&
+	       s->interval_ms >= -interval_max_ms;
+}
+
 int job_spec_check(const struct job_spec *s)
 {
 	uint64_t tasks = 0;
 	size_t i;
 
-	if (!s->id || !s->steps.count || s->steps.count > JOB_STEPS_MAX)
+	if (!s->id || !s->steps.count || s->steps.count > JOB_STEPS_MAX ||
+	    !has_valid_due_times(s))
 		return -EINVAL;
 	for (i = 0; i < s->steps.count; i++) {
 		const struct job_step *st = job_spec_step(s, i);
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -126,7 +126,7 @@
  *
  * Return: 0, or -EINVAL when the id is 0, there are no steps or more than
  * JOB_STEPS_MAX, a step has no tasks, a step depends on itself or on a later
- * one, or there are more than JOB_TASKS_MAX tasks.
+ * one, there are more than JOB_TASKS_MAX tasks, or a due time may overflow.
  */
 int job_spec_check(const struct job_spec *s);
 
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -228,4 +228,27 @@
 	EXPECT_EQ(job_spec_check(&j), -EINVAL);
 }
 
+/*
+ * A caller's start time or interval near the limits of 64 bits made the due
+ * times of a job overflow, which the sanitizer builds end with an error.
+ */
+TEST(JobSpec, RejectsDueTimesThatOverflow)
+{
+	job_step s = {};
+	job_spec j = {};
+
+	s.count = 1;
+	j.id = 1;
+	j.steps = {&s, 1};
+	j.repeat = 3;
+	j.first_ms = 1796400000000;
+	j.interval_ms = 1000;
+	EXPECT_EQ(job_spec_check(&j), 0);
+	j.interval_ms = INT64_MIN;
+	EXPECT_EQ(job_spec_check(&j), -EINVAL);
+	j.interval_ms = 1000;
+	j.first_ms = INT64_MAX;
+	EXPECT_EQ(job_spec_check(&j), -EINVAL);
+}
+
 } /* namespace */
