--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -8,6 +8,8 @@
 #define JOB_ID_DIGITS 16
 #define KIND_CANCEL 'c'
 #define KIND_PROGRESS 'p'
+/* Longest stored lease: one day, far above the bound of the settings. */
+#define LEASE_LEFT_MAX_MS 86400000
 
 struct queue_count {
 	uint32_t pending;
@@ -243,8 +245,8 @@
 	arena_init(&a);
 	err = shape_read(&known_shape, value, &stored, &a);
 	arena_finish(&a);
-	if (err)
-		return err;
+	if (err || stored.lease_left_ms > LEASE_LEFT_MAX_MS)
+		return -EBADMSG;
 	if (!w) {
 		w = xcalloc(1, sizeof(*w));
 		name_set(w->id, name);
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -251,4 +251,23 @@
 	EXPECT_EQ(job_spec_check(&j), -EINVAL);
 }
 
+/*
+ * A worker's record with a lease of 2^64 ms made the end of its leases
+ * overflow.
+ */
+TEST_F(JobView, RejectsALeaseThatIsTooLong)
+{
+	known_worker w = {};
+	buf b;
+
+	name_set(w.address, "10.0.0.1:80");
+	w.lease_left_ms = UINT64_MAX / 2;
+	buf_init(&b);
+	known_worker_write(&w, &b);
+	EXPECT_EQ(job_view_apply(&v, str_of("w/i-1"), {b.data, b.len}, 1),
+		  -EBADMSG);
+	buf_finish(&b);
+	EXPECT_FALSE(v.known_workers);
+}
+
 } /* namespace */
