cell: apply the stored progress of a step once

Cause: a progress record that names a step twice counted its done tasks twice, and the count of waiting tasks fell below zero. A record that could not be decoded was applied as far as it was. Change: a second entry of a step gives a log line and is skipped. Result: CellRecovery.AppliesTheProgressOfAStepOnce failed before, passes.

--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -91,6 +91,13 @@
 	if (!o->open)
 		cell_occurrence_open(c, j, p->occurrence);
 	st = &o->steps[p->step];
+	if (st->is_recovered) {
+		log_line(LOG_ERROR, "progress record names a step twice",
+			 "job=%016" PRIx64 " occurrence=%u step=%u",
+			 j->entry->id, p->occurrence, p->step);
+		return;
+	}
+	st->is_recovered = true;
 	for (i = 0; i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
 
@@ -133,9 +140,11 @@
 	if (!text.len)
 		return;
 	arena_init(&a);
-	if (job_progress_read(text, &p, &a))
+	if (job_progress_read(text, &p, &a)) {
 		log_line(LOG_ERROR, "progress record cannot be decoded",
 			 "job=%016" PRIx64, j->entry->id);
+		p.steps.count = 0;
+	}
 	for (i = 0; i < p.steps.count; i++)
 		progress_apply(c, j, (struct step_progress *)p.steps.items + i);
 	arena_finish(&a);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -166,6 +166,7 @@
  * @no_fit_version: no worker whose @version is not higher meets its demand, as
  *of
  *	@no_fit_at_ms; 0 if that is not known
+ * @is_recovered: the stored progress of a former owner has been applied
  */
 struct cell_step {
 	struct cell_job *job;
@@ -179,6 +180,7 @@
 	struct load_curve *curve;
 	uint64_t no_fit_version;
 	int64_t no_fit_at_ms;
+	bool is_recovered;
 	struct cell_task *tasks;
 };
 
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -417,4 +417,27 @@
 	EXPECT_TRUE(w.workers["w1"].running.empty());
 }
 
+/*
+ * A progress record that names a step twice counted its tasks twice: the count
+ * of waiting tasks fell below zero.
+ */
+TEST_F(CellRecovery, AppliesTheProgressOfAStepOnce)
+{
+	step_progress rows[2] = {};
+	job_progress p = {1, JOB_RUNNING, {rows, 2}};
+	char key[JOB_KEY_SIZE];
+	buf b;
+
+	rows[0].done = rows[1].done = {"\x01", 1};
+	rows[0].ordered = rows[1].ordered = {"\x01", 1};
+	buf_init(&b);
+	job_progress_write(&p, &b);
+	w.submit(7, {CellWorld::task_step(2)});
+	job_view_apply(&w.view, job_key(7, 'p', key), {b.data, b.len}, w.now);
+	buf_finish(&b);
+	w.take_over(2);
+	EXPECT_EQ(w.counts().waiting, 1u);
+	EXPECT_NE(w.state(7), (uint32_t)JOB_COMPLETED);
+}
+
 } /* namespace */
