--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_recovery.h"
 
 /* The host calls cell_tick() after each round of events. Loops over all workers
  * and jobs run at most once in TICK_MIN_MS; the next call is asked for within
--- a/src/cell/cell_account.c
+++ b/src/cell/cell_account.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 
+#include "cell/cell_recovery.h"
+
 /* Least time between two updates of the time sums of all jobs. */
 #define ACCOUNT_PERIOD_MS 50
 
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 
+#include "cell/cell_crash.h"
+
 /* Share of their declared processors that is kept free of best-effort tasks for
  * latency-critical tasks: their use varies with their load, and tail latency
  * grows before the processors are exhausted. */
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "cell/cell_recovery.h"
+
 static bool is_gang_unplaced(const struct cell_step *st)
 {
 	uint32_t i;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -1,5 +1,8 @@
 #include "cell/cell_types.h"
 
+#include "cell/cell_crash.h"
+#include "cell/cell_recovery.h"
+
 /* A job without a placed task for this long is starved if less than this share
  * of its pool is in use. The platform counts such a job as lost after 3 s with
  * less than half of the pool in use. */
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_recovery.h"
 
 /* Each epoch numbers the runs of a task from its own base. An epoch has
  * RUNS_PER_EPOCH numbers; the bases repeat after RUN_EPOCHS epochs. */
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -1,5 +1,7 @@
 #include "cell/cell_types.h"
 
+#include "cell/cell_crash.h"
+
 /* A reservation expires after this time; another worker may be chosen then. */
 #define RESERVE_MS 1500
 /* No further worker is reserved while more than one in this many is. */
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_crash.h"
+#include "cell/cell_recovery.h"
 
 /* Back-off from a worker that did not reply to a start. */
 #define UNANSWERED_BACKOFF_MS 2000
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -635,55 +635,6 @@
  */
 void cell_task_set_pace(struct cell *c, struct cell_task *t, uint8_t percent);
 
-/* cell_recovery.c */
-
-/**
- * cell_worker_ref() - reference of a worker in progress records
- */
-uint16_t cell_worker_ref(const struct cell_worker *w);
-
-/**
- * cell_recovery_expect() - note that runs of a former owner may be active on
- * a worker
- * @leases_end_ms: boot time at which its leases have ended; 0 if not known
- */
-void cell_recovery_expect(struct cell *c, struct cell_worker *w,
-			  int64_t leases_end_ms);
-
-/**
- * cell_recovery_resolve() - note that all runs on a worker are known
- *
- * The worker has seen the fencing token of this owner, so that it takes no late
- * order of a former one; or its process or all its leases have ended.
- */
-void cell_recovery_resolve(struct cell *c, struct cell_worker *w);
-
-/**
- * cell_recovery_expire() - resolve a worker whose leases have all expired
- */
-void cell_recovery_expire(struct cell *c, struct cell_worker *w);
-
-/**
- * cell_task_is_in_doubt() - whether a run that a former owner started may be
- * active on a worker that is not resolved
- */
-bool cell_task_is_in_doubt(const struct cell *c, const struct cell_task *t);
-
-/**
- * cell_recovery_tick() - have the doubts that have ended stored
- */
-void cell_recovery_tick(struct cell *c);
-
-/**
- * cell_recovery_count_tasks() - count the tasks that wait because of such a run
- */
-uint32_t cell_recovery_count_tasks(const struct cell *c);
-
-/**
- * cell_recovery_log() - log what the cell still waits for; nothing after that
- */
-void cell_recovery_log(const struct cell *c);
-
 /* cell_worker.c */
 
 /**
@@ -871,64 +822,6 @@
  */
 void cell_place_gang(struct cell *c, struct cell_step *st, uint64_t service);
 
-/* cell_crash.c */
-
-/**
- * cell_crash_charge() - count the crash of a worker against the tasks that it
- * had just started
- *
- * A task without a settled run is given up, and its job fails, after repeated
- * crashes: sooner if no other job can have caused the last one. A draining
- * worker is expected to leave, which counts as no crash. The caller ends the
- * runs afterwards.
- */
-void cell_crash_charge(struct cell *c, struct cell_worker *w);
-
-/**
- * cell_crash_attach() - note that a task has been assigned to a worker
- *
- * Until the run has settled, a task with crashes is on trial there.
- */
-void cell_crash_attach(struct cell *c, struct cell_task *t);
-
-/**
- * cell_crash_detach() - note that a task is about to leave its worker
- */
-void cell_crash_detach(struct cell *c, struct cell_task *t);
-
-/**
- * cell_crash_started() - note that the worker has confirmed the start of a run
- * @clock: the worker's clock, milliseconds
- */
-void cell_crash_started(struct cell_task *t, int64_t clock);
-
-/**
- * cell_crash_reported() - note that the worker has listed a run as active
- * @clock: the worker's clock, milliseconds
- *
- * A run that has settled clears its task of earlier crashes.
- */
-void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock);
-
-/**
- * cell_crash_unsettled() - count the runs on a worker that have not settled
- */
-uint32_t cell_crash_unsettled(const struct cell_worker *w);
-
-/**
- * cell_crash_may_share() - whether a task may run on a worker beside the tasks
- * on trial there
- */
-bool cell_crash_may_share(const struct cell_task *t,
-			  const struct cell_worker *w);
-
-/**
- * cell_crash_trial_blocks() - whether a trial keeps a worker from taking tasks
- *
- * If the worker crashes during the trial, no other job can have caused it.
- */
-bool cell_crash_trial_blocks(const struct cell *c, const struct cell_worker *w);
-
 /* cell_account.c */
 
 /* Buffer size for cell_account_write(). */
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_crash.h"
+#include "cell/cell_recovery.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
  * tasks: the tail latency that it reports covers half a second. Also for a
