--- /dev/null
+++ b/src/cell/cell_lease.c
@@ -0,0 +1,119 @@
+#include "cell/cell_lease.h"
+
+#include <inttypes.h>
+
+#include "base/logger.h"
+
+/* Period at which the record of a silent worker is written again: a host that
+ * starts counts the time left in it from its own reading. */
+#define FROZEN_RECORD_MS 1000
+
+int64_t cell_lease_extend(struct cell *c, struct cell_worker *w)
+{
+	int64_t until;
+
+	if (!w->clock_received_ms)
+		return 0;
+	until = w->clock + (c->now_ms - w->clock_received_ms) + c->opt.lease_ms;
+	if (until > w->lease_end_ms)
+		w->lease_end_ms = until;
+	return w->lease_end_ms;
+}
+
+int64_t cell_lease_left_ms(const struct cell *c, const struct cell_worker *w)
+{
+	int64_t left;
+
+	if (!w->confirmed)
+		return w->unheard ? w->former_leases_end_ms - c->now_ms : 0;
+	left = w->lease_end_ms - w->clock;
+	if (left < 0)
+		left = 0;
+	left += left * WORKER_CLOCK_SLOW_PERMILLE / 1000 + LEASE_MARGIN_MS;
+	return left - (c->now_ms - w->clock_received_ms);
+}
+
+/* Once the last lease sent has expired on the worker's clock, which may run
+ * slow, no run is left there. A worker that has not answered under this epoch
+ * may hold a lease of a former owner, see cell_recovery_expire(). */
+bool cell_lease_is_expired(const struct cell *c, const struct cell_worker *w)
+{
+	if (!w->confirmed)
+		return !w->unheard;
+	return cell_lease_left_ms(c, w) < 0;
+}
+
+static void record_worker(struct cell *c, struct cell_worker *w)
+{
+	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
+	struct known_worker k = {0};
+	struct str value;
+	struct buf b;
+
+	name_set(k.address, w->entry.addr.address);
+	k.born = w->entry.born;
+	if (w->lease_frozen && cell_lease_left_ms(c, w) > 0)
+		k.lease_left_ms = (uint64_t)cell_lease_left_ms(c, w);
+	else if (w->lease_frozen)
+		k.lease_left_ms = 1;
+	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
+	buf_init(&b);
+	known_worker_write(&k, &b);
+	value.data = b.data;
+	value.len = b.len;
+	store_record_add(&c->pending_records, str_of(key), value);
+	buf_finish(&b);
+	w->recorded = true;
+}
+
+/*
+ * Takes the freeze of a worker's leases back. Both records are part of the same
+ * batch if the first one has not been sent; else the next owner may have read
+ * it, and the leases are not extended before the second one is stored.
+ */
+void cell_lease_thaw(struct cell *c, struct cell_worker *w)
+{
+	if (!w->lease_frozen)
+		return;
+	w->lease_frozen = false;
+	record_worker(c, w);
+	if (!w->freeze_sent)
+		return;
+	w->storing_record = false;
+	w->stored = false;
+}
+
+/*
+ * Whether the next owner has to learn when the leases of a worker end. It
+ * otherwise waits for as long as this owner could have extended them, from its
+ * own takeover on.
+ */
+static bool should_freeze_lease(const struct cell *c,
+				const struct cell_worker *w)
+{
+	if (!w->recorded || !w->missed_polls ||
+	    !(w->unheard || w->first_task) ||
+	    c->now_ms >= c->authority_until_ms ||
+	    c->now_ms - w->answered_ms < WORKER_REACHABLE_MS)
+		return false;
+	return !w->lease_frozen || c->now_ms - w->frozen_ms >= FROZEN_RECORD_MS;
+}
+
+static void freeze_lease(struct cell *c, struct cell_worker *w)
+{
+	if (!w->lease_frozen)
+		log_line(LOG_INFO, "worker silent: leases not extended",
+			 "worker=%s tasks=%u left_ms=%lld", w->entry.addr.id,
+			 w->task_count, (long long)cell_lease_left_ms(c, w));
+	w->lease_frozen = true;
+	w->frozen_ms = c->now_ms;
+	record_worker(c, w);
+}
+
+void cell_lease_tick(struct cell *c, struct cell_worker *w)
+{
+	if (should_freeze_lease(c, w))
+		freeze_lease(c, w);
+	if (!w->recorded && (w->registered || w->first_task))
+		record_worker(c, w);
+}
--- /dev/null
+++ b/src/cell/cell_lease.h
@@ -0,0 +1,42 @@
+#ifndef CELL_CELL_LEASE_H
+#define CELL_CELL_LEASE_H
+
+#include "cell/cell_types.h"
+
+/*
+ * Leases of workers, and the records that tell the next owner which workers it
+ * has to ask and how long their leases may last.
+ */
+
+/**
+ * cell_lease_extend() - extend a worker's lease
+ *
+ * Return: end of the lease on the worker's clock, to be sent with an order; 0
+ * while the worker's clock is not known.
+ */
+int64_t cell_lease_extend(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_lease_left_ms() - time until all leases on a worker have ended,
+ * also those of a former owner, on this host's clock
+ */
+int64_t cell_lease_left_ms(const struct cell *c, const struct cell_worker *w);
+
+/**
+ * cell_lease_is_expired() - whether all leases sent to a worker, also by
+ * a former owner, have expired by the worker's own clock
+ */
+bool cell_lease_is_expired(const struct cell *c, const struct cell_worker *w);
+
+/**
+ * cell_lease_thaw() - extend a worker's leases again, as it has answered
+ */
+void cell_lease_thaw(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_lease_tick() - record a worker before it gets orders, and that its
+ * leases are not extended while it is silent
+ */
+void cell_lease_tick(struct cell *c, struct cell_worker *w);
+
+#endif
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_lease.h"
 
 /* Least time between two passes over the tasks in doubt. */
 #define DOUBTS_PERIOD_MS 50
@@ -41,7 +42,7 @@
 
 void cell_recovery_expire(struct cell *c, struct cell_worker *w)
 {
-	if (!w->unheard || cell_worker_leases_left_ms(c, w) >= 0)
+	if (!w->unheard || cell_lease_left_ms(c, w) >= 0)
 		return;
 	log_line(LOG_WARN,
 		 "worker of the previous owner not reached; its leases have "
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -4,6 +4,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_lease.h"
 #include "cell/cell_recovery.h"
 
 /* Back-off from a worker that did not reply to a start. */
@@ -204,7 +205,7 @@
 	t->run++;
 	t->confirmed_ms = 0;
 	order_init(c, t, &o);
-	o.lease_deadline_ms = cell_worker_lease(c, w);
+	o.lease_deadline_ms = cell_lease_extend(c, w);
 	o.spec = t->step->job->spec->payload;
 	o.checkpoint = t->checkpoint[0] ? t->checkpoint : NULL;
 	c->counts.starts++;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -649,34 +649,12 @@
  */
 void cell_workers_tick(struct cell *c);
 
-/**
- * cell_worker_lease() - extend a worker's lease
- *
- * Return: end of the lease on the worker's clock, to be sent with an order; 0
- * while the worker's clock is not known.
- */
-int64_t cell_worker_lease(struct cell *c, struct cell_worker *w);
-
 /**
  * cell_worker_crashed() - end the runs of a worker whose process has been
  * replaced
  */
 void cell_worker_crashed(struct cell *c, struct cell_worker *w);
 
-/**
- * cell_worker_leases_left_ms() - time until all leases on a worker have ended,
- * also those of a former owner, on this host's clock
- */
-int64_t cell_worker_leases_left_ms(const struct cell *c,
-				   const struct cell_worker *w);
-
-/**
- * cell_worker_leases_expired() - whether all leases sent to a worker, also by
- * a former owner, have expired by the worker's own clock
- */
-bool cell_worker_leases_expired(const struct cell *c,
-				const struct cell_worker *w);
-
 /**
  * cell_worker_back_off() - give a worker no new tasks for a pause that doubles
  * with each call
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -5,6 +5,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_lease.h"
 #include "cell/cell_recovery.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
@@ -26,9 +27,6 @@
 #define ENDED_PAGE_MAX 500
 /* Period of the pass that sends stops and repeats unconfirmed ones. */
 #define STOPS_PERIOD_MS 50
-/* Period at which the record of a silent worker is written again: a host that
- * starts counts the time left in it from its own reading. */
-#define FROZEN_RECORD_MS 1000
 /* Time before a draining worker leaves at which its long-running and
  * checkpointing tasks are stopped. */
 #define DRAIN_MARGIN_MS 1500
@@ -232,43 +230,6 @@
 			cell_worker_gone(c, w->entry.addr.id);
 }
 
-int64_t cell_worker_lease(struct cell *c, struct cell_worker *w)
-{
-	int64_t until;
-
-	if (!w->clock_received_ms)
-		return 0;
-	until = w->clock + (c->now_ms - w->clock_received_ms) + c->opt.lease_ms;
-	if (until > w->lease_end_ms)
-		w->lease_end_ms = until;
-	return w->lease_end_ms;
-}
-
-int64_t cell_worker_leases_left_ms(const struct cell *c,
-				   const struct cell_worker *w)
-{
-	int64_t left;
-
-	if (!w->confirmed)
-		return w->unheard ? w->former_leases_end_ms - c->now_ms : 0;
-	left = w->lease_end_ms - w->clock;
-	if (left < 0)
-		left = 0;
-	left += left * WORKER_CLOCK_SLOW_PERMILLE / 1000 + LEASE_MARGIN_MS;
-	return left - (c->now_ms - w->clock_received_ms);
-}
-
-/* Once the last lease sent has expired on the worker's clock, which may run
- * slow, no run is left there. A worker that has not answered under this epoch
- * may hold a lease of a former owner, see cell_recovery_expire(). */
-bool cell_worker_leases_expired(const struct cell *c,
-				const struct cell_worker *w)
-{
-	if (!w->confirmed)
-		return !w->unheard;
-	return cell_worker_leases_left_ms(c, w) < 0;
-}
-
 void cell_worker_back_off(struct cell *c, struct cell_worker *w)
 {
 	int64_t pause = BACKOFF_FIRST_MS;
@@ -402,46 +363,6 @@
 	}
 }
 
-static void record_worker(struct cell *c, struct cell_worker *w)
-{
-	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
-	struct known_worker k = {0};
-	struct str value;
-	struct buf b;
-
-	name_set(k.address, w->entry.addr.address);
-	k.born = w->entry.born;
-	if (w->lease_frozen && cell_worker_leases_left_ms(c, w) > 0)
-		k.lease_left_ms = (uint64_t)cell_worker_leases_left_ms(c, w);
-	else if (w->lease_frozen)
-		k.lease_left_ms = 1;
-	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
-	buf_init(&b);
-	known_worker_write(&k, &b);
-	value.data = b.data;
-	value.len = b.len;
-	store_record_add(&c->pending_records, str_of(key), value);
-	buf_finish(&b);
-	w->recorded = true;
-}
-
-/*
- * Takes the freeze of a worker's leases back. Both records are part of the same
- * batch if the first one has not been sent; else the next owner may have read
- * it, and the leases are not extended before the second one is stored.
- */
-static void thaw_lease(struct cell *c, struct cell_worker *w)
-{
-	if (!w->lease_frozen)
-		return;
-	w->lease_frozen = false;
-	record_worker(c, w);
-	if (!w->freeze_sent)
-		return;
-	w->storing_record = false;
-	w->stored = false;
-}
-
 static void apply_poll_reply(struct cell *c, struct cell_worker *w,
 			     const struct poll_reply *r)
 {
@@ -455,7 +376,7 @@
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
 	w->missed_polls = 0;
-	thaw_lease(c, w);
+	cell_lease_thaw(c, w);
 	w->refused = false;
 	/* The former owner may have renewed the lease up to now. */
 	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
@@ -526,7 +447,7 @@
 	 * worker that does not answer gets no further renewals, so that its
 	 * lease runs out and its runs end within a known time. */
 	if (!w->missed_polls && w->stored && !w->lease_frozen)
-		h.lease_deadline_ms = cell_worker_lease(c, w);
+		h.lease_deadline_ms = cell_lease_extend(c, w);
 	h.ack = w->acked_end;
 	if (w->confirmed && w->task_count && w->last_end == w->acked_end)
 		h.wait_ms = w->trials || has_mixed_load(w)
@@ -537,34 +458,6 @@
 	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, c);
 }
 
-/*
- * Whether the next owner has to learn when the leases of a worker end. It
- * otherwise waits for as long as this owner could have extended them, from its
- * own takeover on.
- */
-static bool should_freeze_lease(const struct cell *c,
-				const struct cell_worker *w)
-{
-	if (!w->recorded || !w->missed_polls ||
-	    !(w->unheard || w->first_task) ||
-	    c->now_ms >= c->authority_until_ms ||
-	    c->now_ms - w->answered_ms < WORKER_REACHABLE_MS)
-		return false;
-	return !w->lease_frozen || c->now_ms - w->frozen_ms >= FROZEN_RECORD_MS;
-}
-
-static void freeze_lease(struct cell *c, struct cell_worker *w)
-{
-	if (!w->lease_frozen)
-		log_line(LOG_INFO, "worker silent: leases not extended",
-			 "worker=%s tasks=%u left_ms=%lld", w->entry.addr.id,
-			 w->task_count,
-			 (long long)cell_worker_leases_left_ms(c, w));
-	w->lease_frozen = true;
-	w->frozen_ms = c->now_ms;
-	record_worker(c, w);
-}
-
 static void worker_remove(struct cell *c, struct cell_worker **at)
 {
 	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
@@ -600,7 +493,7 @@
 static void worker_tick(struct cell *c, struct cell_worker *w, bool stops_due)
 {
 	cell_recovery_expire(c, w);
-	if (w->first_task && cell_worker_leases_expired(c, w)) {
+	if (w->first_task && cell_lease_is_expired(c, w)) {
 		log_line(LOG_WARN, "lease expired, runs marked lost",
 			 "worker=%s tasks=%u answered_ms_ago=%lld",
 			 w->entry.addr.id, w->task_count,
@@ -609,10 +502,7 @@
 			cell_crash_charge(c, w);
 		mark_all_runs_lost(c, w);
 	}
-	if (should_freeze_lease(c, w))
-		freeze_lease(c, w);
-	if (!w->recorded && (w->registered || w->first_task))
-		record_worker(c, w);
+	cell_lease_tick(c, w);
 	if (stops_due)
 		stop_due_tasks(c, w);
 	if (!w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
@@ -632,7 +522,7 @@
 
 		worker_tick(c, w, stops_due);
 		if (!w->registered && !w->first_task && !w->poll_in_flight &&
-		    w->missed_polls && cell_worker_leases_expired(c, w))
+		    w->missed_polls && cell_lease_is_expired(c, w))
 			worker_remove(c, at);
 		else
 			at = &w->next;
