job: accept no job whose progress does not fit in a record

What callers would see: nothing starts any more, on the whole cell. Cause: a job of up to 50,000 tasks was accepted, and its progress is one record, which the store takes up to 256 KB; refused, it takes each batch of the owner with it. Class of fault: a limit that belongs to the platform was known (recordBytes in the settings) and not kept. Change: a job has 5,000 tasks at most, all occurrences together, else 400. Stored jobs are read up to the former limit.

--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -77,7 +77,7 @@
 
 static bool has_valid_due_times(const struct job_spec *s)
 {
-	int64_t interval_max_ms = JOB_TIME_MAX_MS / JOB_TASKS_MAX;
+	int64_t interval_max_ms = JOB_TIME_MAX_MS / JOB_TASKS_STORED_MAX;
 
 	return s->first_ms <= JOB_TIME_MAX_MS &&
 	       s->first_ms >= -JOB_TIME_MAX_MS &&
@@ -85,7 +85,7 @@
 	       s->interval_ms >= -interval_max_ms;
 }
 
-int job_spec_check(const struct job_spec *s)
+static int check_with_limit(const struct job_spec *s, uint32_t tasks_max)
 {
 	uint64_t tasks = 0;
 	size_t i;
@@ -101,8 +101,12 @@
 		tasks += st->count;
 	}
 	/* A product of the two may exceed 64 bits. */
-	return tasks <= JOB_TASKS_MAX / job_spec_occurrence_count(s) ? 0
-								     : -EINVAL;
+	return tasks <= tasks_max / job_spec_occurrence_count(s) ? 0 : -EINVAL;
+}
+
+int job_spec_check(const struct job_spec *s)
+{
+	return check_with_limit(s, JOB_TASKS_MAX);
 }
 
 void job_spec_write(const struct job_spec *s, struct buf *out)
@@ -114,7 +118,7 @@
 {
 	int err = shape_read(&spec_shape, text, s, a);
 
-	if (!err && job_spec_check(s))
+	if (!err && check_with_limit(s, JOB_TASKS_STORED_MAX))
 		err = -EBADMSG;
 	return err;
 }
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -10,9 +10,11 @@
 #endif
 
 #define JOB_STEPS_MAX 64
-/* Tasks of one job, all occurrences together. The owner keeps about 300 bytes
- * for each, and a host has 160 MB. */
-#define JOB_TASKS_MAX 50000
+/* Tasks of one job, all occurrences together. Their progress has to fit in one
+ * record of the store, 256 KB, with up to 50 bytes for each. */
+#define JOB_TASKS_MAX 5000
+/* The same of a job that is stored: an earlier release accepted more. */
+#define JOB_TASKS_STORED_MAX 50000
 
 /**
  * enum step_flag - how the tasks of a step run
@@ -134,6 +136,8 @@
 
 /**
  * job_spec_read() - decode and check a job written by job_spec_write()
+ *
+ * Accepts up to JOB_TASKS_STORED_MAX tasks.
  * @a: arena that owns the strings and steps of @s
  *
  * Return: 0, or -EBADMSG.
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -468,7 +468,7 @@
 	{
 		cell_counts n = w.counts();
 
-		EXPECT_LE(n.waiting + n.placed, (uint32_t)JOB_TASKS_MAX);
+		EXPECT_LE(n.waiting + n.placed, (uint32_t)JOB_TASKS_STORED_MAX);
 	}
 };
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -155,6 +155,65 @@
 	arena_finish(&a);
 }
 
+/*
+ * A job's progress is one record. A job of 50,000 tasks was accepted; once
+ * enough of its runs had failed, the store refused the record and with it each
+ * batch of the owner, so that nothing started any more.
+ */
+TEST(Job, KeepsTheProgressOfTheLargestJobInOneRecord)
+{
+	const size_t record_bytes = 262144; /* of the platform */
+	/* failures of eight runs, one crash, one worker, for each task */
+	const std::string failures(17 * JOB_TASKS_MAX, '\x08');
+	const std::string crashes(JOB_TASKS_MAX, '\1');
+	const std::string workers(2 * JOB_TASKS_MAX, '\xff');
+	const std::string bits(JOB_TASKS_MAX / 8 + 1, '\x55');
+
+	for (size_t rows : {(size_t)1, (size_t)JOB_TASKS_MAX}) {
+		size_t n = JOB_TASKS_MAX / rows;
+		std::vector<step_progress> parts(rows);
+		job_progress p = {};
+		buf b;
+
+		for (size_t i = 0; i < rows; i++) {
+			step_progress &s = parts[i];
+			s.occurrence = (uint32_t)i;
+			s.step = JOB_STEPS_MAX;
+			s.failures = {failures.data(), 17 * n};
+			s.crashes = {crashes.data(), n};
+			s.workers = {workers.data(), 2 * n};
+			s.ordered = s.done = {bits.data(), n / 8 + 1};
+		}
+		p.epoch = UINT32_MAX;
+		p.state = JOB_RUNNING;
+		p.steps = {parts.data(), rows};
+		buf_init(&b);
+		job_progress_write(&p, &b);
+		EXPECT_LT(b.len, record_bytes) << rows;
+		buf_finish(&b);
+	}
+}
+
+/* A job that an earlier release accepted is not lost by the smaller limit. */
+TEST(Job, ReadsAStoredJobOfMoreTasksThanAreAccepted)
+{
+	job_step step = {};
+	job_spec s = {}, r = {};
+	arena a;
+	buf b;
+
+	step.count = JOB_TASKS_STORED_MAX;
+	s.id = 7;
+	s.steps = {&step, 1};
+	EXPECT_EQ(job_spec_check(&s), -EINVAL);
+	buf_init(&b);
+	arena_init(&a);
+	job_spec_write(&s, &b);
+	EXPECT_EQ(job_spec_read({b.data, b.len}, &r, &a), 0);
+	arena_finish(&a);
+	buf_finish(&b);
+}
+
 /* One record that cannot be read must not stop the reader of the log. */
 TEST(StoreRead, SkipsARecordWhoseKeyDoesNotFit)
 {
