owner, recovery: the margin of a handover from the options, the time left of a worker that answered

The margin stood in two places; the log line of tasks in doubt counted from the former owner's bound also for a worker that had answered one page of its ends.

--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -138,5 +138,5 @@
 		 "registered=%d left_ms=%lld",
 		 c->epoch, cell_recovery_count_tasks(c), c->unheard,
 		 w->entry.addr.id, w->registered,
-		 (long long)(w->former_leases_end_ms - c->now_ms));
+		 (long long)cell_lease_left_ms(c, w));
 }
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -18,8 +18,6 @@
 /* A cell is retained for this long after the last append that the store took;
  * an owner appends each two seconds at least. */
 #define RETAIN_WITHOUT_APPEND_MS 3000
-/* Part of options.takeover_ms beyond the extension and length of leases. */
-#define STORED_MARGIN_MS 500
 #define IDLE_TICK_MS 50
 /* Pauses between reads of the job log, by an owner and by any other host: an
  * owner reads new jobs as they arrive, other hosts may lag a little. */
@@ -438,20 +436,21 @@
 
 /*
  * Until when tasks may be started; leases are extended for renew_after_ms more.
- * The next owner counts on the end of that: from its takeover on, which came
- * after the last append that this owner got through, unless the group waited
- * for this owner to give the cell up.
+ * The next owner counts on takeover_ms from its takeover on. If this owner kept
+ * the cell before, that takeover may have followed its last append at once.
  */
 static int64_t authority_until_ms(const struct owner *o)
 {
+	const struct cell_options *opt = &o->options;
+	int64_t margin = opt->takeover_ms - opt->renew_after_ms - opt->lease_ms;
 	int64_t until = o->member_until_ms;
 
 	if (!o->handover_began_ms)
 		return until;
 	if (o->handover_began_ms < until)
 		until = o->handover_began_ms;
-	if (o->has_declined && o->stored_ms + STORED_MARGIN_MS < until)
-		until = o->stored_ms + STORED_MARGIN_MS;
+	if (o->has_declined && o->stored_ms + margin < until)
+		until = o->stored_ms + margin;
 	return until;
 }
 
