tests: the restart after a pause within a pass is stored before it is judged

Cause: since each start waits for its stored intent, the test of a restart after a pause within a placement pass stored nothing after the pause, so that no start could follow and the test could not fail any more. Change: the batch is stored after the pause; the check is the same.

--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -141,8 +141,8 @@
 	EXPECT_EQ(w.starts.size(), 0u);
 }
 
-/* The same within a placement pass, for a task whose intent is stored already.
- */
+/* The same for a pause within a placement pass, whose intents are stored after
+ * it, and for a task that has run before. */
 TEST(Cell, RestartsNothingAfterAPauseWithinAPass)
 {
 	CellWorld w;
@@ -163,6 +163,7 @@
 		if (w.pause_in_pass_ms)
 			w.answer_all();
 	}
+	w.commit();
 	w.answer_all();
 	EXPECT_EQ(w.starts.size(), 1u);
 }
