config: decode client accounts, their keys and limits

Cause: the configuration's accounts, and whether a queue is public, were not decoded, and a stored job did not name its account. Change: account_table holds the accounts of one version with their keys; a queue says whether it is public; a job's record has a field for the account, which older builds skip. Nothing uses them yet: the host's check of keys and the cell's limits follow.

--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -32,6 +32,7 @@
 	SPEC(I64, interval_ms),
 	SPEC(STR, payload),
 	FIELD_LIST_OF(job_spec, steps, &step_shape),
+	SPEC(NAME, account),
 };
 
 static const struct shape spec_shape = SHAPE_OF(spec_rows, job_spec);
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -87,6 +87,7 @@
  * @interval_ms: time between the due times of two occurrences
  * @payload: text passed to every task
  * @steps: array of struct job_step
+ * @account: name of the client account that submitted it; empty for none
  */
 struct job_spec {
 	uint64_t id;
@@ -102,6 +103,7 @@
 	int64_t interval_ms;
 	struct str payload;
 	struct list steps;
+	char account[NAME_SIZE];
 };
 
 static inline const struct job_step *job_spec_step(const struct job_spec *s,
--- a/src/cell/queue_table.c
+++ b/src/cell/queue_table.c
@@ -6,11 +6,13 @@
 void queue_table_init(struct queue_table *t)
 {
 	memset(t, 0, sizeof(*t));
+	account_table_init(&t->accounts, 0);
 }
 
 void queue_table_finish(struct queue_table *t)
 {
 	free(t->queues);
+	account_table_finish(&t->accounts);
 	queue_table_init(t);
 }
 
--- a/src/cell/queue_table.h
+++ b/src/cell/queue_table.h
@@ -2,6 +2,7 @@
 #define CELL_QUEUE_TABLE_H
 
 #include "base/buf.h"
+#include "cell/account_table.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -21,6 +22,7 @@
  * @stretch_milli: part of the latency objective that grows with the critical
  *	path, in thousandths of its length
  * @advice: the queue's configuration contains "advice"
+ * @is_public: requests need no key of a client account
  */
 struct queue {
 	char name[NAME_SIZE];
@@ -33,11 +35,15 @@
 	uint32_t attempts_max;
 	uint32_t stretch_milli;
 	bool advice;
+	bool is_public;
 };
 
 /**
- * struct queue_table - the queues of one version of the configuration
+ * struct queue_table - queues and client accounts of one version of the
+ *	configuration
  * @version: version of the configuration
+ * @has_accounts: the configuration lists client accounts: requests need a key,
+ *	except for public queues
  * @body_max: greatest size of a request body, in bytes
  * @idle_ms: idle time-out of a caller's connection, in milliseconds
  */
@@ -45,6 +51,8 @@
 	uint64_t version;
 	struct queue *queues;
 	size_t count;
+	struct account_table accounts;
+	bool has_accounts;
 	uint32_t body_max;
 	uint32_t idle_ms;
 };
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -694,7 +694,8 @@
 	"\"pathPrefix\":\"/x/\",\"timeoutMs\":3000,\"targetLatencyMs\":250,"
 	"\"priority\":2,\"service\":\"pool\",\"maxAttempts\":4,\"stretch\":1.5}"
 	",{\"name\":\"r-2\",\"pathPrefix\":\"/x/y/\",\"service\":\"other\"}],"
-	"\"limits\":{\"maxBodyBytes\":1000}}";
+	"\"limits\":{\"maxBodyBytes\":1000},\"tenants\":[{\"name\":\"t\","
+	"\"apiKeys\":[\"k1\",\"k2\"],\"weight\":3,\"maxCount\":{\"cpu\":9}}]}";
 
 TEST_F(DecoderTest, Configurations)
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -37,6 +37,60 @@
 	EXPECT_EQ(config_parse(str_of("junk"), &t), -EINVAL);
 }
 
+TEST(Config, DecodesClientAccounts)
+{
+	queue_table t;
+	std::string text =
+		"{\"version\":8,\"routes\":[{\"name\":\"r\",\"pathPrefix\":"
+		"\"/x/\"},{\"name\":\"p\",\"pathPrefix\":\"/p/\",\"public\":"
+		"true}],\"tenants\":[{\"name\":\"till\",\"apiKeys\":[\"k1\","
+		"\"k2\"],\"weight\":16,\"maxCount\":{\"cpu\":2040699,"
+		"\"memMb\":3663463,\"gpu\":0}},{\"name\":\"payout\"}]}";
+
+	ASSERT_EQ(config_parse(str_of(text.c_str()), &t), 0);
+	EXPECT_TRUE(t.has_accounts);
+	EXPECT_FALSE(queue_table_find(&t, "r")->is_public);
+	EXPECT_TRUE(queue_table_find(&t, "p")->is_public);
+	const account *a = account_table_find_key(&t.accounts, str_of("k2"));
+	ASSERT_TRUE(a);
+	EXPECT_STREQ(a->name, "till");
+	EXPECT_EQ(a->weight, 16u);
+	EXPECT_EQ(a->cpu_max, 2040699u);
+	EXPECT_EQ(a->memory_max_mb, 3663463u);
+	EXPECT_EQ(a->accelerators_max, 0u);
+	EXPECT_TRUE(account_table_find(&t.accounts, "payout"));
+	queue_table_finish(&t);
+	ASSERT_EQ(config_parse(str_of(CONFIG), &t), 0);
+	EXPECT_FALSE(t.has_accounts);
+	queue_table_finish(&t);
+}
+
+/* One key for two accounts, or an account without a name, leaves open for whom
+ * a request runs. */
+TEST(Config, RejectsAmbiguousClientAccounts)
+{
+	const char *bad[] = {
+		"{}",
+		"[1]",
+		"[{\"name\":\"\"}]",
+		"[{\"name\":\"a\"},{\"name\":\"a\"}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+		"{\"name\":\"b\",\"apiKeys\":[\"k\"]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"\"]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[7]}]",
+		"[{\"name\":\"a\",\"maxCount\":{\"cpu\":-1}}]",
+	};
+	queue_table t;
+
+	for (const char *tenants : bad) {
+		std::string text = "{\"version\":8,\"routes\":[],\"tenants\":" +
+				   std::string(tenants) + "}";
+
+		EXPECT_EQ(config_parse(str_of(text.c_str()), &t), -EINVAL)
+			<< tenants;
+	}
+}
+
 TEST(WorkerEntry, DecodesARegistration)
 {
 	worker_entry e;
