pace: pause best-effort tasks beside one that no measurement shows under target

Fault: a latency-critical task could stay over its target for as long as its load lasted while best-effort tasks beside it worked on. The time over the target began anew with each measurement that was under it by as little as a millisecond, and the paces are planned to leave a headroom of exactly 1, so that measurements around the target are what the plan aims at.

Change: a span that ends only when a measurement is under the target by more than its error, or when no best-effort task has worked during a measurement. After 1.6 s of it all best-effort tasks of the worker are paused. The pause is logged.

--- a/src/cell/cell_pace.c
+++ b/src/cell/cell_pace.c
@@ -27,6 +27,13 @@
  * its target for this long. The platform's limit on such an excess is several
  * times as long. */
 #define OVER_PAUSE_MS 1200
+/* Error of a reported tail latency, as a share of it: a measurement that is
+ * under the target by less does not show that the task is. */
+#define SAMPLE_ERROR 0.05
+/* All best-effort tasks are also paused when no measurement has shown a
+ * latency-critical task under its target for this long: the task may have been
+ * over it all the while. */
+#define UNPROVEN_PAUSE_MS 1600
 /* A pace is raised only this long after the last change: a sample covers half a
  * second, and a new pace takes a tenth of a second to take effect. */
 #define PACE_SETTLE_MS 600
@@ -71,6 +78,8 @@
 /**
  * struct worker_load - tasks and measurements in a worker's poll reply
  * @over_since_ms: earliest @over_since_ms of its latency-critical tasks, or 0
+ * @unproven_since_ms: earliest @unproven_since_ms of them, or 0
+ * @is_idle: no best-effort task has worked during the last measurement
  */
 struct worker_load {
 	struct image_group groups[EFFECT_NEIGHBOURS_MAX];
@@ -78,6 +87,8 @@
 	struct serving_load serving_loads[SERVING_STEPS_MAX];
 	size_t serving_count;
 	int64_t over_since_ms;
+	int64_t unproven_since_ms;
+	bool is_idle;
 };
 
 static bool is_running_best_effort(const struct cell_task *t)
@@ -124,11 +135,14 @@
 {
 	const struct cell_task *t;
 
+	v->is_idle = true;
 	for (t = w->first_task; t; t = t->next) {
 		struct image_group *g;
 
 		if (!is_running_best_effort(t))
 			continue;
+		if (t->pace || t->measure)
+			v->is_idle = false;
 		g = group_get_or_add(v, t->step->image);
 		if (!g)
 			continue;
@@ -192,6 +206,19 @@
 		s->headroom += MEASURED_WEIGHT * (measured - s->headroom);
 }
 
+/* Starts or ends a span of time, see the fields of struct cell_task; @earliest
+ * is the earliest start of such spans on the worker, or 0. */
+static void update_span(const struct cell *c, bool continues, int64_t *since_ms,
+			int64_t *earliest)
+{
+	if (!continues)
+		*since_ms = 0;
+	else if (!*since_ms)
+		*since_ms = c->now_ms;
+	if (*since_ms && (!*earliest || *since_ms < *earliest))
+		*earliest = *since_ms;
+}
+
 static void learn_samples(struct cell *c, struct cell_worker *w,
 			  struct worker_load *v)
 {
@@ -208,6 +235,7 @@
 
 		if (!is_ready_serving(t)) {
 			t->over_since_ms = 0;
+			t->unproven_since_ms = 0;
 			continue;
 		}
 		headroom = (double)t->step->spec->target_ms / t->measure;
@@ -217,13 +245,10 @@
 					   (double)(c->now_ms - SAMPLE_AGE_MS) /
 						   MS_PER_S,
 					   headroom, n, v->count);
-		if (headroom >= 1)
-			t->over_since_ms = 0;
-		else if (!t->over_since_ms)
-			t->over_since_ms = c->now_ms;
-		if (t->over_since_ms &&
-		    (!v->over_since_ms || t->over_since_ms < v->over_since_ms))
-			v->over_since_ms = t->over_since_ms;
+		update_span(c, headroom < 1, &t->over_since_ms,
+			    &v->over_since_ms);
+		update_span(c, !v->is_idle && headroom < 1 + SAMPLE_ERROR,
+			    &t->unproven_since_ms, &v->unproven_since_ms);
 		if (v->count)
 			update_serving_load(c, v, t->step, headroom);
 	}
@@ -242,6 +267,33 @@
 	w->paced_ms = c->now_ms;
 }
 
+static bool has_lasted(const struct cell *c, int64_t since_ms, int64_t ms)
+{
+	return since_ms && c->now_ms - since_ms >= ms;
+}
+
+static bool must_pause_all(const struct cell *c, const struct worker_load *v)
+{
+	return has_lasted(c, v->over_since_ms, OVER_PAUSE_MS) ||
+	       has_lasted(c, v->unproven_since_ms, UNPROVEN_PAUSE_MS);
+}
+
+static void pause_all(struct cell *c, struct cell_worker *w,
+		      const struct worker_load *v)
+{
+	if (!v->is_idle)
+		log_line(LOG_INFO, "best-effort tasks paused",
+			 "worker=%s over_ms=%lld unproven_ms=%lld",
+			 w->entry.addr.id,
+			 (long long)(v->over_since_ms
+					     ? c->now_ms - v->over_since_ms
+					     : 0),
+			 (long long)(v->unproven_since_ms
+					     ? c->now_ms - v->unproven_since_ms
+					     : 0));
+	pace_group(c, w, 0, 0);
+}
+
 /* Headroom that a group takes from a step at full speed. */
 static double headroom_taken_by(const struct cell *c,
 				const struct serving_load *s,
@@ -385,8 +437,8 @@
 	learn_samples(c, w, &v);
 	if (!v.count)
 		return;
-	if (v.over_since_ms && c->now_ms - v.over_since_ms >= OVER_PAUSE_MS) {
-		pace_group(c, w, 0, 0);
+	if (must_pause_all(c, &v)) {
+		pause_all(c, w, &v);
 	} else {
 		plan_paces(c, &v);
 		order_paces(c, w, &v);
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -47,6 +47,7 @@
 	t->stop_sent_ms = 0;
 	t->reported_ms = 0;
 	t->over_since_ms = 0;
+	t->unproven_since_ms = 0;
 	t->percent = 0;
 	t->measure = 0;
 	t->throttled_since_ms = 0;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -77,6 +77,8 @@
  * @retry_at_ms: the task is not placed before this time
  * @over_since_ms: since when its tail latency exceeds the target; 0 if it does
  *	not
+ * @unproven_since_ms: since when best-effort tasks beside it work and no
+ *	measurement has shown its tail latency to be under the target; or 0
  * @measure: last measurement that the worker reported, see struct run_row; 0
  *	before the first
  * @last_sample: last measurement that updated the effect model, at
@@ -119,6 +121,7 @@
 	int64_t stop_confirmed_ms;
 	int64_t retry_at_ms;
 	int64_t over_since_ms;
+	int64_t unproven_since_ms;
 	uint32_t measure;
 	uint32_t last_sample;
 	int64_t last_sample_ms;
