placement: a reserved worker is not kept from another long-unplaced task

Cause: when a ninth of the workers is lost, the long-running tasks fill the rest to 98 percent and some stay unplaced. A worker is reserved for the first of them that does not fit; what becomes free there is kept from all other steps, also from smaller tasks that have been unplaced for as long and need less than half of it.

Change: a reservation holds against work that can wait, not against a step that has been unplaced for too long itself. The larger one gets its worker reserved anew.

Test: CellPlace.KeepsNoReservedWorkerFromAnotherLongUnplacedTask; fails without the change: 0 runs of the small task after 3 s beside twice its room.

--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -24,13 +24,16 @@
 	return false;
 }
 
+/* A reservation keeps out what can wait: not best-effort tasks, which take no
+ * capacity, and not a task that has been unplaced for too long itself. */
 static bool is_reserved_for_other(const struct cell *c,
 				  const struct cell_worker *w,
 				  const struct cell_step *st)
 {
 	return w->reserved_for && w->reserved_for != st &&
 	       c->now_ms < w->reserved_until_ms &&
-	       !step_has_flag(st, STEP_BEST_EFFORT);
+	       !step_has_flag(st, STEP_BEST_EFFORT) &&
+	       !cell_is_long_unplaced(c, st);
 }
 
 /*
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -173,6 +173,37 @@
 	EXPECT_EQ(w.runs(1000), 2u);
 }
 
+/*
+ * A worker that was reserved for a large long-running task was kept from a
+ * small one that had been unplaced for too long as well: the small one waited
+ * beside twice the capacity that it needs for as long as short work on that
+ * worker kept the large one from fitting.
+ */
+TEST(CellPlace, KeepsNoReservedWorkerFromAnotherLongUnplacedTask)
+{
+	CellWorld w;
+	job_step large = CellWorld::task_step(1, 12000);
+	job_step small = CellWorld::task_step(1, 4000);
+
+	large.flags = STEP_LONG_RUNNING;
+	small.flags = STEP_LONG_RUNNING;
+	w.take_over(1);
+	w.add_worker("w1", 16000);
+	w.run(100);
+	w.submit(1, {short_step()});
+	w.submit(2, {short_step()});
+	w.run(100);
+	w.submit(1000, {large});
+	w.submit(1001, {small});
+	w.run(5000);
+	w.end_all(1, RUN_DONE);
+	w.run(3000);
+	EXPECT_EQ(w.runs(1001), 1u);
+	w.end_all(2, RUN_DONE);
+	w.run(1000);
+	EXPECT_EQ(w.runs(1000), 1u);
+}
+
 TEST(CellPlace, PlacesLateWorkAfterWorkThatCanEndInTime)
 {
 	CellWorld w;
