pace: one throttle order of a task at a time; a paused task that works is paused again

Fault: an owner that had paused a task could count on it while the task worked on, for as long as its run lasted. A pace order without a reply may be carried out seconds later, after newer ones, and answered orders on different connections may overtake each other. The worker then keeps the older pace. The pause had been acknowledged, so it was not sent again, and all later passes found the wanted pace already sent.

Change: an order is sent once the one before it has its reply. A task whose report still shows processor use 1.2 s after its pause was acknowledged is paused again, with a log line.

Tests: CellPace.SendsOneThrottleOrderOfATaskAtATime (before: 2 orders in flight), CellPace.PausesAgainATaskThatWorksThoughItIsPaused (before: over its target for 19,680 ms on end beside the paused task, bound 4,000 ms).

--- a/src/cell/cell_pace.c
+++ b/src/cell/cell_pace.c
@@ -37,6 +37,10 @@
 /* A pace is raised only this long after the last change: a sample covers half a
  * second, and a new pace takes a tenth of a second to take effect. */
 #define PACE_SETTLE_MS 600
+/* A task is paused again if it still works this long after its pause was
+ * acknowledged: a measurement covers half a second, and the reply that brings
+ * it may have waited for as long. */
+#define PAUSE_CHECK_MS 1200
 /* A task with checkpoints that has been below this pace for this long is moved
  * to another worker. */
 #define MOVE_PACE 30
@@ -414,6 +418,26 @@
 	}
 }
 
+/* An order without a reply may be carried out late, after newer ones: a task
+ * that works after its pause was acknowledged is paused again. */
+static void check_paused(struct cell *c, struct cell_worker *w)
+{
+	struct cell_task *t;
+
+	for (t = w->first_task; t; t = t->next) {
+		if (!is_running_best_effort(t) || t->pace || !t->measure ||
+		    t->pace_sent == PACE_UNKNOWN || t->pace_in_flight ||
+		    c->now_ms - t->paced_ms < PAUSE_CHECK_MS)
+			continue;
+		log_line(LOG_WARN, "paused task works: pausing it again",
+			 "worker=%s job=%016" PRIx64
+			 " index=%u run=%u cpu_milli=%u",
+			 w->entry.addr.id, t->step->job->entry->id, t->index,
+			 t->run, t->measure);
+		t->pace_sent = PACE_UNKNOWN;
+	}
+}
+
 /* Sends again the paces that a worker has not acknowledged, and sets those of
  * tasks that were started since their group was throttled. */
 static void resend_paces(struct cell *c, struct cell_worker *w,
@@ -437,6 +461,7 @@
 	learn_samples(c, w, &v);
 	if (!v.count)
 		return;
+	check_paused(c, w);
 	if (must_pause_all(c, &v)) {
 		pause_all(c, w, &v);
 	} else {
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -53,6 +53,7 @@
 	t->throttled_since_ms = 0;
 	t->pace = PACE_FULL;
 	t->pace_sent = PACE_FULL;
+	t->pace_in_flight = false;
 	task_add_usage(t, 1);
 	cell_crash_attach(c, t);
 	if (w->poll_due_ms > c->now_ms && w->last_end == w->acked_end)
@@ -374,22 +375,31 @@
 	struct cell *c = ctx;
 	struct cell_task *t = order_finish(c, w, ref, r);
 
+	if (!t)
+		return;
+	t->pace_in_flight = false;
+	t->paced_ms = c->now_ms;
 	/* The worker may not have received the order: the next call of
 	 * cell_task_set_pace() sends it again. */
-	if (t && r->status != ORDER_OK)
+	if (r->status != ORDER_OK)
 		t->pace_sent = PACE_UNKNOWN;
+	else
+		cell_task_set_pace(c, t, t->pace);
 }
 
+/* Orders may overtake each other, so one is in flight at a time. */
 void cell_task_set_pace(struct cell *c, struct cell_task *t, uint8_t percent)
 {
 	struct order o;
 
 	t->pace = percent;
-	if (t->pace_sent == percent || t->state != TASK_RUNNING)
+	if (t->pace_in_flight || t->pace_sent == percent ||
+	    t->state != TASK_RUNNING)
 		return;
 	order_init(c, t, &o);
 	o.speed_percent = percent;
 	t->pace_sent = percent;
+	t->pace_in_flight = true;
 	c->counts.paces++;
 	cell_call_begin(c);
 	c->worker_ops->throttle(c->port, &t->worker->entry.addr, &o, on_pace,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -86,6 +86,8 @@
  * @throttled_since_ms: since when its pace is below MOVE_PACE; 0 if it is not
  * @pace: wanted pace, percent of full speed
  * @pace_sent: pace sent last, or PACE_UNKNOWN
+ * @pace_in_flight: the throttle order with it has no reply yet
+ * @paced_ms: when the last reply to a throttle order arrived
  * @avoid_worker: id of the worker that a run failed on last; 0 for none
  * @crashes: workers that crashed in a row soon after they started it
  * @settled: the worker has reported the run long enough after its start
@@ -107,6 +109,7 @@
 	uint8_t percent;
 	bool ordered;
 	bool in_intents;
+	bool pace_in_flight;
 	bool storing_intent;
 	bool settled;
 	bool on_trial;
@@ -122,6 +125,7 @@
 	int64_t retry_at_ms;
 	int64_t over_since_ms;
 	int64_t unproven_since_ms;
+	int64_t paced_ms;
 	uint32_t measure;
 	uint32_t last_sample;
 	int64_t last_sample_ms;
--- a/tests/cell_pace_test.cc
+++ b/tests/cell_pace_test.cc
@@ -1,5 +1,8 @@
 #include "tests/cell_world.h"
 
+/* What becomes of the first throttle order. */
+enum class FirstOrder { ARRIVES, IS_SLOW, IS_LATE_AND_UNANSWERED };
+
 /* One latency-critical task beside one best-effort task on a worker that
  * reports as the platform's workers do: a figure for the last half second, once
  * each half second, in whole milliseconds and with an error of 2.5 percent. */
@@ -9,28 +12,35 @@
 	/* Headroom that the latency-critical task has by itself, and what the
 	 * best-effort task takes of it at full speed. */
 	double base = 3;
-	double effect = 0.05;
+	const double effect;
 	/* Length of the present and of the longest span in which the
 	 * latency-critical task is over its target beside work. */
 	int64_t over_ms = 0;
 	int64_t longest_ms = 0;
-	int64_t worked_ms = 0;
+	FirstOrder first_order = FirstOrder::ARRIVES;
+	/* Greatest number of throttle orders in flight at a time. */
+	size_t orders_in_flight = 0;
 
-	Neighbours()
+	explicit Neighbours(double taken) : effect(taken)
 	{
 		job_step serving = serving_step(1, 8000);
+		job_step best_effort = best_effort_step(1, 4000);
 
 		long_polls = true;
 		serving.target_ms = TARGET_MS;
+		best_effort.flags = STEP_BEST_EFFORT;
 		begin({"w1"});
 		submit(SERVING, {serving});
-		run(500);
-		submit(BEST_EFFORT, {best_effort_step(1, 4000)}, 3, 2);
+		run(10000);
+		submit(BEST_EFFORT, {best_effort}, 3, 2);
 		run(500);
 	}
 
+	/* Pace at which the best-effort task works; 0 before it runs. */
 	uint8_t pace()
 	{
+		if (!find(BEST_EFFORT))
+			return 0;
 		return paces.count("w1") ? paces["w1"] : 100;
 	}
 
@@ -44,10 +54,10 @@
 		int64_t at = now / SAMPLE_MS;
 
 		CellWorld::tick();
+		deliver_orders();
 		over_ms = pace() && headroom() < 1 ? over_ms + 5 : 0;
 		if (over_ms > longest_ms)
 			longest_ms = over_ms;
-		worked_ms += 5 * pace() / 100;
 		if (at == sampled_at)
 			return;
 		sampled_at = at;
@@ -68,7 +78,42 @@
 	static const int64_t SAMPLE_MS = 500;
 
       private:
+	/* Takes the first throttle order out of the calls that are answered at
+	 * once, and carries it out later. */
+	void deliver_orders()
+	{
+		size_t n = held.size();
+
+		for (size_t i = 0; i < calls.size(); i++) {
+			if (calls[i].kind != Call::THROTTLE)
+				continue;
+			n++;
+			if (first_order == FirstOrder::ARRIVES)
+				continue;
+			held.push_back(calls[i]);
+			calls.erase(calls.begin() + (long)i--);
+			late = first_order ==
+			       FirstOrder::IS_LATE_AND_UNANSWERED;
+			first_order = FirstOrder::ARRIVES;
+			held_until = now + (late ? 1500 : 700);
+			if (late)
+				drop_call(held[0]);
+		}
+		if (!late && n > orders_in_flight)
+			orders_in_flight = n;
+		if (held.empty() || now < held_until)
+			return;
+		if (late)
+			paces["w1"] = (uint8_t)held[0].sent.speed_percent;
+		else
+			execute(workers["w1"], held[0]);
+		held.clear();
+	}
+
 	int64_t sampled_at = 0;
+	std::vector<Call> held;
+	int64_t held_until = 0;
+	bool late = false;
 };
 
 /*
@@ -79,7 +124,7 @@
  */
 TEST(CellPace, PausesBesideATaskThatIsOverItsTargetInEverySecondMeasurement)
 {
-	Neighbours w;
+	Neighbours w(0.05);
 
 	w.run(20000);
 	ASSERT_EQ(w.pace(), 100);
@@ -92,3 +137,46 @@
 	w.run(20000);
 	EXPECT_LT(w.longest_ms, 4000);
 }
+
+/* The load of the latency-critical task rises until it has next
+ * to no headroom to spare: a first order throttles the task beside it, later
+ * ones pause it. */
+static void raise_load(Neighbours *w)
+{
+	w->run(20000);
+	ASSERT_EQ(w->pace(), 100);
+	w->longest_ms = 0;
+	while (w->base > 1.02) {
+		w->base -= 0.04;
+		w->run(150);
+	}
+	w->base = 1.02;
+	w->run(20000);
+}
+
+/* Orders on different connections may overtake each other: a worker that got a
+ * pause before the order to throttle that was sent earlier worked on at the
+ * earlier pace, and the owner counted on the later one. */
+TEST(CellPace, SendsOneThrottleOrderOfATaskAtATime)
+{
+	Neighbours w(0.8);
+
+	w.first_order = FirstOrder::IS_SLOW;
+	raise_load(&w);
+	EXPECT_EQ(w.first_order, FirstOrder::ARRIVES);
+	EXPECT_EQ(w.orders_in_flight, 1u);
+	EXPECT_LT(w.longest_ms, 4000);
+}
+
+/* An order without a reply may be carried out seconds later, after newer ones:
+ * a paused task worked on at the pace of the late order, and as the pause had
+ * been acknowledged it was not sent again. */
+TEST(CellPace, PausesAgainATaskThatWorksThoughItIsPaused)
+{
+	Neighbours w(0.8);
+
+	w.first_order = FirstOrder::IS_LATE_AND_UNANSWERED;
+	raise_load(&w);
+	EXPECT_EQ(w.first_order, FirstOrder::ARRIVES);
+	EXPECT_LT(w.longest_ms, 4000);
+}
