settings: optional bounds on withdrawn keys

A deployment with client accounts says whether a withdrawn key may be served by a host that does not reach the store (strictRevocation), and for how long one may be served at all (revokeMs). Other deployments have neither, so the rows are optional; all rows so far were required. A value that is present is checked as before, and strict revocation without its bound is an error: taken for "no bound", it would serve withdrawn keys for ever.

Without the change the two new tests do not compile; with the rows read but not checked RejectsStrictRevocationWithoutAValidBound fails.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -481,6 +481,54 @@
 	arena_finish(&a);
 }
 
+/* Deployments without client accounts have neither of the two settings. */
+TEST(Settings, BoundsOnWithdrawnKeysAreOptional)
+{
+	std::string text = SETTINGS;
+	host_settings s;
+	buf error;
+
+	buf_init(&error);
+	ASSERT_EQ(host_settings_parse(str_of(SETTINGS), &s, &error), 0);
+	EXPECT_FALSE(s.strict_revocation);
+	EXPECT_EQ(s.revoke_ms, 0u);
+	text.replace(text.find("\"graceS\""), 0,
+		     "\"strictRevocation\":true,\"revokeMs\":5000,");
+	ASSERT_EQ(host_settings_parse(str_of(text.c_str()), &s, &error), 0)
+		<< error.data;
+	EXPECT_TRUE(s.strict_revocation);
+	EXPECT_EQ(s.revoke_ms, 5000u);
+	buf_finish(&error);
+}
+
+/*
+ * A host that takes strict revocation without a bound for "no bound" serves
+ * withdrawn keys as long as it does not reach the store.
+ */
+TEST(Settings, RejectsStrictRevocationWithoutAValidBound)
+{
+	for (const char *part :
+	     {"\"strictRevocation\":true,",
+	      "\"strictRevocation\":true,\"revokeMs\":0,",
+	      "\"strictRevocation\":true,\"revokeMs\":\"5000\",",
+	      "\"strictRevocation\":1,\"revokeMs\":5000,"}) {
+		std::string text = SETTINGS;
+		host_settings s;
+		buf error;
+
+		buf_init(&error);
+		text.replace(text.find("\"graceS\""), 0, part);
+		EXPECT_EQ(host_settings_parse(str_of(text.c_str()), &s, &error),
+			  -EINVAL)
+			<< part;
+		EXPECT_NE(std::string(error.data ? error.data : "")
+				  .find("bounds."),
+			  std::string::npos)
+			<< part;
+		buf_finish(&error);
+	}
+}
+
 /* The first port was cut to 32 bits, so that 4294975016 meant port 7720. */
 TEST(Settings, RejectsAPortThatDoesNotFit)
 {
