host_call: serve a queue that is not public only to known keys

Cause: keys were decoded with the configuration, but not checked.

Change: after configuration (503), size (413) and route (404), a call needs the key of an account, also one for the number of pending jobs; 401 without one, 503 with a Retry-After of a second while the configuration is too old to tell. A host that would refuse all known keys for that reason is not ready.

Thought through: - Requests in the loop's mailbox while the process is paused: judged by the clock at the time of handling and by the sending of the last read, so refused with 503 until the next read. The caller sent them before; a pause after the decision changes nothing. - A submission that waits for its append while its key is withdrawn is answered as usual: it was sent while the key was valid, and its job may be stored. - The store unreachable for this host only: not ready after 2.5 s as before, known keys refused after 4.75 s (revokeMs 5 s). - A restart: version 0 until the topic is listed (503). What changes between the pages of the listing is read from the end of the first page on. An older version is never applied, also not after a trim.

Tests over the HTTP server and a store in memory (build/bin/host_call_test, 12).

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -171,13 +171,20 @@
 		   0, "{}", 2);
 }
 
+bool host_is_ready(const struct host *h)
+{
+	return h->queues.version && !h->stop_began_ms &&
+	       follower_is_fresh(&h->job_follower, h->now_ms,
+				 READY_LOG_AGE_MS) &&
+	       follower_is_fresh(&h->operator_follower, h->now_ms,
+				 READY_LOG_AGE_MS) &&
+	       (!h->queues.has_accounts ||
+		host_config_age_ms(h) <= h->auth_bounds.serve_age_ms);
+}
+
 static void update_readiness(struct host *h)
 {
-	bool ready = h->queues.version && !h->stop_began_ms &&
-		     follower_is_fresh(&h->job_follower, h->now_ms,
-				       READY_LOG_AGE_MS) &&
-		     follower_is_fresh(&h->operator_follower, h->now_ms,
-				       READY_LOG_AGE_MS);
+	bool ready = host_is_ready(h);
 
 	__atomic_store_n(&h->ready, ready, __ATOMIC_RELAXED);
 	if (ready == h->was_ready)
@@ -185,11 +192,11 @@
 	h->was_ready = ready;
 	log_line(LOG_INFO, ready ? "ready" : "not ready",
 		 "config=%" PRIu64 " jobs_age_ms=%lld operators_age_ms=%lld "
-		 "stopping=%d",
+		 "config_age_ms=%lld stopping=%d",
 		 h->queues.version,
 		 (long long)(h->now_ms - h->job_follower.caught_up_ms),
 		 (long long)(h->now_ms - h->operator_follower.caught_up_ms),
-		 h->stop_began_ms != 0);
+		 (long long)host_config_age_ms(h), h->stop_began_ms != 0);
 }
 
 static void shutdown_tick(struct host *h)
@@ -213,6 +220,12 @@
 		loop_stop(&h->loop);
 }
 
+static void update_auth_bounds(struct host *h)
+{
+	auth_bounds_init(&h->auth_bounds, h->settings.config_apply_ms,
+			 h->settings.strict_revocation, h->settings.revoke_ms);
+}
+
 static void settings_reload(struct host *h)
 {
 	struct host_settings s;
@@ -228,6 +241,7 @@
 			 s.store_addr, h->settings.store_addr);
 		h->settings = s;
 		name_set(h->platform.store_addr, s.store_addr);
+		update_auth_bounds(h);
 	}
 	buf_finish(&error);
 }
@@ -479,6 +493,7 @@
 			h->settings.fd_limit / IDLE_CONNECTIONS_DIVISOR);
 	if (err)
 		return err;
+	update_auth_bounds(h);
 	init_store(h);
 	init_member(h);
 	host_peers_init(h);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -6,6 +6,7 @@
 #include "base/histogram.h"
 #include "cell/queue_table.h"
 #include "host/append_route.h"
+#include "host/caller_auth.h"
 #include "host/candidacy.h"
 #include "host/fleet.h"
 #include "host/owner.h"
@@ -26,6 +27,9 @@
  * @refused: submissions answered with 503 or 429
  * @unknown: submissions answered with 504: the job may or may not be stored
  * @not_found: calls answered with 410: no such job
+ * @unauthorized: calls answered with 401: no key, or an unknown one
+ * @config_too_old: calls answered with 503 as the configuration was too old to
+ *	judge their keys
  * @appends: appends of callers' records, retries included
  */
 struct host_counts {
@@ -36,6 +40,8 @@
 	uint64_t cancels;
 	uint64_t queries;
 	uint64_t not_found;
+	uint64_t unauthorized;
+	uint64_t config_too_old;
 	uint64_t appends;
 	uint64_t append_failures;
 };
@@ -50,6 +56,7 @@
  * @listed_zones: evacuated zones found by the listing that is being applied
  * @job_view: state of all jobs, as read from the log
  * @operator_follower: follower of the operators' topic
+ * @auth_bounds: ages of the configuration for decisions on callers' keys
  * @peers: connections to the other hosts; NULL until host_peers_start()
  * @known_owner: owner whose address @peers has
  * @workers_counted_ms: boot time of the last update of the relay's worker
@@ -82,6 +89,7 @@
 	struct http_server metrics;
 	uint16_t metrics_port;
 	struct queue_table queues;
+	struct auth_bounds auth_bounds;
 	struct index evacuated_zones;
 	struct index listed_zones;
 	struct job_view job_view;
@@ -124,6 +132,14 @@
  */
 int host_run(struct host *h);
 
+/**
+ * host_is_ready() - whether the load balancer shall send callers to this host
+ *
+ * Not while it has read the logs too long ago, or would refuse all requests
+ * with a key for that reason.
+ */
+bool host_is_ready(const struct host *h);
+
 /* host_metrics.c */
 
 /**
@@ -148,6 +164,12 @@
 /* host_operators.c: configuration and zone evacuations from operators */
 extern const struct follower_ops host_operator_ops;
 
+/**
+ * host_config_age_ms() - time since the configuration of this host was known to
+ * be the newest one, at the boot time h->now_ms
+ */
+int64_t host_config_age_ms(const struct host *h);
+
 /* host_mail.c: requests and messages that other threads post to the loop */
 void host_post_request(void *ctx, struct http_request *r);
 void host_post_message(void *ctx, uint64_t from, enum peers_kind kind,
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -5,6 +5,7 @@
 
 #include "adapters/clock.h"
 #include "base/logger.h"
+#include "host/caller_auth.h"
 #include "host/retry_after.h"
 #include "platform/caller.h"
 #include "platform/config.h"
@@ -25,7 +26,7 @@
  * not been read to its end for twice as long. */
 #define STORE_DOWN_MS 1000
 /* Retry-after time of refusals while the configuration or the state of a job
- * has not been read. */
+ * has not been read, or not for too long: another host may have read it. */
 #define RETRY_AFTER_SHORT_MS 500
 /* Largest payload of a job, in bytes. */
 #define PAYLOAD_MAX 4000
@@ -273,6 +274,40 @@
 	}
 }
 
+/*
+ * Decides at the time of handling, so after the caller has sent the request:
+ * a request that waited here while the process was paused is refused unless the
+ * configuration has been read since. The decision holds until the answer: a key
+ * withdrawn while a record waits for its append was valid at the time of
+ * sending, and a refusal could not say that the job has not run.
+ */
+static bool authorize(struct host *h, struct http_request *r,
+		      const struct queue *q)
+{
+	const struct account *account;
+	enum auth_verdict v =
+		caller_auth_check(&h->queues, q,
+				  str_of(http_header(r, CALLER_KEY_HEADER)),
+				  host_config_age_ms(h), &h->auth_bounds,
+				  &account);
+
+	if (v == AUTH_OK)
+		return true;
+	log_line(LOG_WARN, "call not authorized",
+		 "queue=%s method=%s reason=%s config=%" PRIu64
+		 " config_age_ms=%lld",
+		 q->name, r->method, auth_verdict_name(v), h->queues.version,
+		 (long long)host_config_age_ms(h));
+	if (v == AUTH_CONFIG_TOO_OLD) {
+		h->counts.config_too_old++;
+		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+	} else {
+		h->counts.unauthorized++;
+		reply(h, r, 401, 0, "{}");
+	}
+	return false;
+}
+
 void host_handle_call(struct host *h, struct http_request *r)
 {
 	const char *name = http_header(r, "Host");
@@ -294,6 +329,8 @@
 		reply(h, r, 404, 0, "{}");
 		return;
 	}
+	if (!authorize(h, r, q))
+		return;
 	rest = str_of(r->path + strlen(q->prefix));
 	id = job_id_parse(rest);
 	if (id)
--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -25,6 +25,11 @@
 	h->queues = t;
 }
 
+int64_t host_config_age_ms(const struct host *h)
+{
+	return h->now_ms - h->operator_follower.caught_up_ms;
+}
+
 static void operators_begin(void *ctx)
 {
 	struct host *h = ctx;
--- /dev/null
+++ b/tests/host_call_test.cc
@@ -0,0 +1,447 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "adapters/clock.h"
+#include "host/host_call.h"
+#include "platform/caller.h"
+#include "platform/config.h"
+#include "tests/fake_store.h"
+
+namespace
+{
+
+const char ID[] = "5c0e7a21d94b36f8";
+const char JOB[] = "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1}]}";
+
+std::string config(uint64_t version, const std::string &tenants)
+{
+	return "{\"version\":" + std::to_string(version) +
+	       ",\"limits\":{\"maxBodyBytes\":200},\"routes\":["
+	       "{\"name\":\"q\",\"host\":\"h\",\"pathPrefix\":\"/q/\","
+	       "\"service\":\"s\"},"
+	       "{\"name\":\"p\",\"host\":\"h\",\"pathPrefix\":\"/p/\","
+	       "\"service\":\"s\",\"public\":true}]" +
+	       (tenants.empty() ? "" : ",\"tenants\":[" + tenants + "]") + "}";
+}
+
+std::string tenant(const std::string &name, const std::string &keys)
+{
+	return "{\"name\":\"" + name + "\",\"apiKeys\":[" + keys + "]}";
+}
+
+const std::string TENANTS =
+	tenant("a", "\"a1\",\"a2\"") + "," + tenant("b", "\"b1\"");
+
+void ignore_entry(void *, job_entry *)
+{
+}
+
+const job_view_ops view_ops = {ignore_entry, ignore_entry, ignore_entry};
+
+const follower_ops job_follower_ops = {
+	[](void *) {},
+	[](void *ctx, const store_record *r) {
+		job_view_apply(&((host *)ctx)->job_view, r->key, r->value,
+			       clock_boot_ms());
+	},
+	[](void *) {},
+};
+
+struct Reply {
+	int status;
+	std::string text;
+};
+
+/* A host without its event loop: requests arrive over its HTTP server, its log
+ * is in memory, and the test handles what is pending. */
+class HostCall : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		h.owner.store = &store.ops;
+		h.owner.port = &store;
+		job_view_init(&h.job_view, &view_ops, &h);
+		queue_table_init(&h.queues);
+		index_init(&h.evacuated_zones);
+		index_init(&h.listed_zones);
+		follower_init(&h.operator_follower, &store.ops, &store,
+			      TOPIC_OPERATORS, 0, &host_operator_ops, &h);
+		follower_init(&h.job_follower, &store.ops, &store, TOPIC_JOBS,
+			      0, &job_follower_ops, &h);
+		auth_bounds_init(&h.auth_bounds, 3000, true, 5000);
+		h.callers.threads = 1;
+		h.callers.ctx = this;
+		h.callers.handle = [](void *ctx, http_request *r) {
+			HostCall *t = (HostCall *)ctx;
+			std::lock_guard<std::mutex> g(t->lock);
+
+			t->arrived.push_back(r);
+			t->changed.notify_all();
+		};
+		ASSERT_EQ(http_server_start(&h.callers, "127.0.0.1", 0, 1000),
+			  0);
+		start();
+	}
+
+	void TearDown() override
+	{
+		for (int i = 0; i < 1000 && host_has_calls(&h); i++) {
+			tick();
+			usleep(1000);
+		}
+		EXPECT_FALSE(host_has_calls(&h));
+		http_server_stop(&h.callers);
+		follower_finish(&h.operator_follower);
+		follower_finish(&h.job_follower);
+		job_view_finish(&h.job_view);
+		queue_table_finish(&h.queues);
+		index_finish(&h.evacuated_zones);
+		index_finish(&h.listed_zones);
+	}
+
+	void start()
+	{
+		store.now = clock_boot_ms();
+		follower_start(&h.operator_follower, store.now);
+		follower_start(&h.job_follower, store.now);
+	}
+
+	/* One iteration of the loop. */
+	void tick()
+	{
+		store.now = h.now_ms = clock_boot_ms();
+		if (reads) {
+			follower_tick(&h.operator_follower, h.now_ms);
+			follower_tick(&h.job_follower, h.now_ms);
+		}
+		host_calls_tick(&h);
+		store.run();
+	}
+
+	void publish(const std::string &text)
+	{
+		store.put(TOPIC_OPERATORS, KEY_CONFIG, text);
+		for (int i = 0; i < 4; i++)
+			tick();
+	}
+
+	/* Makes the last read of the operators' topic that much older. */
+	void age(int64_t ms)
+	{
+		reads = false;
+		h.operator_follower.caught_up_ms = clock_boot_ms() - ms;
+	}
+
+	/* Connects, sends a request and waits until it has arrived. */
+	int send_request(const std::string &method, const std::string &path,
+			 const std::string &key, const std::string &body)
+	{
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in to = {};
+		std::string text = method + " " + path +
+				   " HTTP/1.1\r\nHost: h\r\n"
+				   "Connection: close\r\n"
+				   "X-Deadline-Ms: 1000\r\n"
+				   "Content-Length: " +
+				   std::to_string(body.size()) + "\r\n";
+
+		if (!key.empty())
+			text += CALLER_KEY_HEADER ": " + key + "\r\n";
+		text += "\r\n" + body;
+		to.sin_family = AF_INET;
+		to.sin_port = htons(h.callers.port);
+		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(connect(fd, (sockaddr *)&to, sizeof(to)), 0);
+		EXPECT_EQ(write(fd, text.data(), text.size()),
+			  (ssize_t)text.size());
+		std::unique_lock<std::mutex> g(lock);
+		EXPECT_TRUE(changed.wait_for(g, std::chrono::seconds(10),
+					     [&] { return !arrived.empty(); }));
+		return fd;
+	}
+
+	/* Handles the requests that have arrived. */
+	void handle_arrived()
+	{
+		std::deque<http_request *> all;
+
+		{
+			std::lock_guard<std::mutex> g(lock);
+			all.swap(arrived);
+		}
+		for (http_request *r : all)
+			host_handle_call(&h, r);
+	}
+
+	/* Runs the loop until the request has its reply. */
+	Reply receive(int fd)
+	{
+		Reply r = {0, ""};
+		char part[4096];
+		ssize_t n;
+
+		for (int i = 0; i < 5000 && http_server_has_pending(&h.callers);
+		     i++) {
+			tick();
+			usleep(1000);
+		}
+		while ((n = read(fd, part, sizeof(part))) > 0)
+			r.text.append(part, (size_t)n);
+		close(fd);
+		sscanf(r.text.c_str(), "HTTP/1.1 %d", &r.status);
+		return r;
+	}
+
+	Reply call(const std::string &method, const std::string &path,
+		   const std::string &key, const std::string &body = "")
+	{
+		int fd = send_request(method, path, key, body);
+
+		handle_arrived();
+		return receive(fd);
+	}
+
+	int status(const std::string &method, const std::string &path,
+		   const std::string &key, const std::string &body = "")
+	{
+		return call(method, path, key, body).status;
+	}
+
+	static std::string path(const std::string &queue,
+				const std::string &id = ID)
+	{
+		return "/" + queue + "/" + id;
+	}
+
+	host h = {};
+	FakeStore store;
+	bool reads = true;
+	std::mutex lock;
+	std::condition_variable changed;
+	std::deque<http_request *> arrived;
+};
+
+/* Requests were served whatever their key was. */
+TEST_F(HostCall, RefusesRequestsWithoutAKnownKey)
+{
+	publish(config(1, TENANTS));
+	for (const char *method : {"POST", "GET", "DELETE"})
+		for (const char *key : {"", "x", "a1x"})
+			EXPECT_EQ(status(method, path("q"), key,
+					 *method == 'P' ? JOB : ""),
+				  401)
+				<< method << " " << key;
+	EXPECT_EQ(status("GET", "/q/", ""), 401);
+	EXPECT_EQ(status("GET", "/q/", "x"), 401);
+	EXPECT_EQ(h.counts.unauthorized, 11u);
+	EXPECT_TRUE(store.topics[TOPIC_JOBS].empty());
+	EXPECT_EQ(status("GET", "/q/", "b1"), 200);
+	EXPECT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	EXPECT_EQ(status("GET", path("q"), "a1"), 200);
+	EXPECT_EQ(status("DELETE", path("q"), "a1"), 200);
+}
+
+TEST_F(HostCall, PublicQueuesNeedNoKey)
+{
+	publish(config(1, TENANTS));
+	EXPECT_EQ(status("POST", path("p"), "", JOB), 200);
+	EXPECT_EQ(status("GET", path("p"), "x"), 200);
+	EXPECT_EQ(status("GET", "/p/", ""), 200);
+	age(1000000);
+	EXPECT_EQ(status("GET", path("p"), "a1"), 200);
+}
+
+/* Deployments without client accounts must go on as before. */
+TEST_F(HostCall, NeedsNoKeyWithoutAccounts)
+{
+	publish(config(1, ""));
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 200);
+	EXPECT_EQ(status("GET", path("q"), "x"), 200);
+	age(1000000);
+	EXPECT_EQ(status("GET", "/q/", ""), 200);
+	EXPECT_EQ(status("DELETE", path("q"), ""), 200);
+}
+
+/* A caller whose request cannot be served at all learns that first. */
+TEST_F(HostCall, ChecksTheKeyAfterConfigurationSizeAndRoute)
+{
+	std::string large(300, ' ');
+
+	EXPECT_EQ(status("GET", path("q"), ""), 503);
+	publish(config(1, TENANTS));
+	EXPECT_EQ(status("POST", path("q"), "", large), 413);
+	EXPECT_EQ(status("POST", path("none"), "", JOB), 404);
+	EXPECT_EQ(status("GET", "/q/none", ""), 401);
+	EXPECT_EQ(status("GET", "/q/none", "a1"), 404);
+}
+
+/* The host cannot know a key that was added since its last read. */
+TEST_F(HostCall, DoesNotRefuseAKeyThatMayBeNewerThanItsConfiguration)
+{
+	publish(config(1, TENANTS));
+	age(1600);
+	for (const char *key : {"", "x"}) {
+		Reply r = call("POST", path("q"), key, JOB);
+
+		EXPECT_EQ(r.status, 503) << key;
+		EXPECT_NE(r.text.find("Retry-After: 1\r\n"), std::string::npos);
+	}
+	EXPECT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	EXPECT_EQ(h.counts.config_too_old, 2u);
+	EXPECT_EQ(h.counts.unauthorized, 0u);
+}
+
+TEST_F(HostCall, RefusesAKeyOnceItIsWithdrawn)
+{
+	publish(config(1, TENANTS));
+	EXPECT_EQ(status("GET", "/q/", "a1"), 200);
+	publish(config(2, tenant("a", "\"a2\"")));
+	EXPECT_EQ(status("GET", "/q/", "a1"), 401);
+	EXPECT_EQ(status("GET", "/q/", "a2"), 200);
+	EXPECT_EQ(status("GET", "/q/", "b1"), 401);
+}
+
+/*
+ * A host that the store does not answer kept serving the keys that it knew,
+ * also those that were withdrawn meanwhile.
+ */
+TEST_F(HostCall, ServesNoKeyWhileTheConfigurationMayBeTooOld)
+{
+	publish(config(1, TENANTS));
+	age(4700);
+	EXPECT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	for (const char *method : {"POST", "GET", "DELETE"}) {
+		age(4800);
+		Reply r = call(method, path("q"), "a1",
+			       *method == 'P' ? JOB : "");
+
+		EXPECT_EQ(r.status, 503) << method;
+		EXPECT_NE(r.text.find("Retry-After: 1\r\n"), std::string::npos);
+	}
+	EXPECT_EQ(status("GET", "/q/", "a1"), 503);
+	EXPECT_EQ(store.topics[TOPIC_JOBS].size(), 1u)
+		<< "a refused submission must not be stored";
+	reads = true;
+	for (int i = 0; i < 4; i++)
+		tick();
+	EXPECT_EQ(status("GET", path("q"), "a1"), 200);
+}
+
+/*
+ * A host that refuses all requests with a key must not be sent more of them,
+ * also where the bound on withdrawn keys is short.
+ */
+TEST_F(HostCall, IsNotReadyWhileItWouldRefuseKnownKeys)
+{
+	publish(config(1, TENANTS));
+	EXPECT_TRUE(host_is_ready(&h));
+	auth_bounds_init(&h.auth_bounds, 3000, true, 2000);
+	age(1800);
+	h.now_ms = clock_boot_ms();
+	EXPECT_TRUE(host_is_ready(&h));
+	age(2000);
+	h.now_ms = clock_boot_ms();
+	EXPECT_FALSE(host_is_ready(&h));
+	auth_bounds_init(&h.auth_bounds, 3000, true, 600000);
+	EXPECT_TRUE(host_is_ready(&h));
+	age(2600);
+	h.now_ms = clock_boot_ms();
+	EXPECT_FALSE(host_is_ready(&h));
+	reads = true;
+	publish(config(2, ""));
+	auth_bounds_init(&h.auth_bounds, 3000, true, 2000);
+	age(2000);
+	h.now_ms = clock_boot_ms();
+	EXPECT_TRUE(host_is_ready(&h)) << "no keys to be judged";
+}
+
+/*
+ * The process is paused after a tick at which the configuration was fresh. A
+ * request that arrives during the pause is handled before the next tick, by a
+ * configuration in which its key may long have been withdrawn.
+ */
+TEST_F(HostCall, JudgesARequestByTheClockAfterAPause)
+{
+	publish(config(1, TENANTS));
+	tick();
+	h.operator_follower.caught_up_ms = h.now_ms - 100;
+	EXPECT_LT(host_config_age_ms(&h), 1000);
+	/* The pause: the clock goes on, the time of the tick stays. */
+	h.operator_follower.caught_up_ms -= 6000;
+	h.now_ms -= 6000;
+	int fd = send_request("GET", "/q/", "a1", "");
+	handle_arrived();
+	EXPECT_EQ(receive(fd).status, 503);
+}
+
+/*
+ * A key that is withdrawn while a record waits for its append was valid when
+ * the request was sent. Its job may be stored already: a refusal would tell the
+ * caller, wrongly, that it has not run.
+ */
+TEST_F(HostCall, AnswersASubmissionWhoseKeyIsWithdrawnMeanwhile)
+{
+	publish(config(1, TENANTS));
+	int fd = send_request("POST", path("q"), "a1", JOB);
+	handle_arrived();
+	host_calls_tick(&h);
+	ASSERT_EQ(h.batches_in_flight, 1u);
+	store.put(TOPIC_OPERATORS, KEY_CONFIG, config(2, tenant("b", "")));
+	EXPECT_EQ(receive(fd).status, 200);
+	for (int i = 0; i < 4; i++)
+		tick();
+	EXPECT_EQ(h.queues.version, 2u);
+	EXPECT_EQ(status("GET", path("q"), "a1"), 401);
+}
+
+/*
+ * The restart of a host. Its listing of the operators' topic takes several
+ * pages; a key is withdrawn after the page with the configuration.
+ */
+TEST_F(HostCall, ARestartedHostUsesNoWithdrawnKey)
+{
+	store.page = 1;
+	store.put(TOPIC_OPERATORS, KEY_CONFIG, config(1, TENANTS));
+	for (const char *zone : {"x", "y", "z"})
+		store.put(TOPIC_OPERATORS,
+			  std::string(KEY_ZONE_EVACUATED) + zone, "{}");
+	store.now = clock_boot_ms();
+	follower_tick(&h.operator_follower, store.now);
+	auto pages = store.pending;
+	store.pending.clear();
+	pages[0](); /* the page with version 1 */
+	EXPECT_EQ(status("GET", "/q/", "a1"), 503) << "not listed yet";
+	store.put(TOPIC_OPERATORS, KEY_CONFIG,
+		  config(2, tenant("a", "\"a2\"")));
+	for (int i = 0; i < 10; i++)
+		tick();
+	EXPECT_EQ(h.queues.version, 2u);
+	EXPECT_EQ(status("GET", "/q/", "a1"), 401);
+	EXPECT_EQ(status("GET", "/q/", "a2"), 200);
+}
+
+/* A record that is read again, or that comes late, must not bring back an older
+ * configuration and its keys. */
+TEST_F(HostCall, AppliesNoOlderConfiguration)
+{
+	publish(config(2, tenant("a", "\"a2\"")));
+	publish(config(1, TENANTS));
+	EXPECT_EQ(h.queues.version, 2u);
+	start(); /* lists the topic again, as after a trim */
+	for (int i = 0; i < 4; i++)
+		tick();
+	EXPECT_EQ(h.queues.version, 2u);
+	EXPECT_EQ(status("GET", "/q/", "a1"), 401);
+}
+
+} /* namespace */
