host_operators: a configuration that cannot be decoded makes the other one old

Cause: a record of the configuration that this host cannot decode was logged and passed over, and the read that brought it counted as a read to the end of the log. It may have withdrawn keys, so the configuration in force is not known to be the newest any more: with strict revocation a withdrawn key was served for ever.

Change: from the first such record until the next configuration that can be decoded, the age of the configuration counts from the last read before it. Without strict revocation known keys are served as before.

Ruled out: refusing keys at once, which would stop all callers because of one record while the bound leaves time to mend it.

HostCall.AConfigurationThatCannotBeDecodedMakesTheOneInForceOld fails without the change (200 instead of 503), and when a second such record moves the time.

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -56,6 +56,8 @@
  * @listed_zones: evacuated zones found by the listing that is being applied
  * @job_view: state of all jobs, as read from the log
  * @operator_follower: follower of the operators' topic
+ * @config_until_ms: while a newer configuration cannot be decoded, boot time up
+ *	to which @queues is known to be the newest one; 0 else
  * @auth_bounds: ages of the configuration for decisions on callers' keys
  * @peers: connections to the other hosts; NULL until host_peers_start()
  * @known_owner: owner whose address @peers has
@@ -89,6 +91,7 @@
 	struct http_server metrics;
 	uint16_t metrics_port;
 	struct queue_table queues;
+	int64_t config_until_ms;
 	struct auth_bounds auth_bounds;
 	struct index evacuated_zones;
 	struct index listed_zones;
--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -12,8 +12,11 @@
 	if (config_parse(text, &t)) {
 		log_line(LOG_ERROR, "cannot decode configuration", "bytes=%zu",
 			 text.len);
+		if (!h->config_until_ms)
+			h->config_until_ms = h->operator_follower.caught_up_ms;
 		return;
 	}
+	h->config_until_ms = 0;
 	if (t.version <= h->queues.version) {
 		queue_table_finish(&t);
 		return;
@@ -27,7 +30,9 @@
 
 int64_t host_config_age_ms(const struct host *h)
 {
-	return h->now_ms - h->operator_follower.caught_up_ms;
+	return h->now_ms - (h->config_until_ms
+				    ? h->config_until_ms
+				    : h->operator_follower.caught_up_ms);
 }
 
 static void operators_begin(void *ctx)
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -444,4 +444,25 @@
 	EXPECT_EQ(status("GET", "/q/", "a1"), 401);
 }
 
+/*
+ * A newer configuration that this host cannot decode may have withdrawn a key:
+ * the host went on with the older one as if that was the newest.
+ */
+TEST_F(HostCall, AConfigurationThatCannotBeDecodedMakesTheOneInForceOld)
+{
+	publish(config(1, TENANTS));
+	publish("{\"version\":2}");
+	EXPECT_EQ(status("GET", "/q/", "a1"), 200);
+	int64_t until = h.config_until_ms;
+	EXPECT_GT(until, 0);
+	usleep(5000);
+	tick(); /* reads on */
+	publish("{\"version\":3}");
+	EXPECT_EQ(h.config_until_ms, until);
+	h.config_until_ms -= 4800;
+	EXPECT_EQ(status("GET", "/q/", "a1"), 503);
+	publish(config(4, TENANTS));
+	EXPECT_EQ(status("GET", "/q/", "a1"), 200);
+}
+
 } /* namespace */
