host_call: a job belongs to the account of its key

Cause: whoever knew the ID of a job could see it and cancel it, and a second submission of the ID was answered with success.

Change: a submission stores the name of its account with the job; a job of a public queue has none. For a caller of another account the job does not exist: 410, after the same read of the log as for a job that does not exist. A submission of its ID by another account gets 409, also when this host learns of the other job only after it has stored its own record behind it. The name of the account decides, not the key, so a key that was exchanged for another one of the account keeps working on its jobs. Jobs without an account stay open to whoever knows the ID: those of public queues, and those accepted before accounts were configured.

HostCall.HidesJobsFromOtherAccounts and .DoesNotAcceptAJobWhoseIdAnotherAccountHas fail without the change. Each of these alone turns them red: no account stored, no hiding, 200 for every record that was stored, 200 for every record that the log shows.

Open: two accounts that submit the same ID within the time in which a host reads the log behind the other's record. Each host applies its own record before the log shows it, so the second is answered with success. Clients choose IDs of 64 bits at random. Answers would have to wait for the log, which a host that the store turns away does not read while its records go through the owner.

--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -102,7 +102,7 @@
 	if (status == STORE_OK) {
 		call_apply_record(h, c);
 		if (c->request)
-			call_answer(h, c, 200, 0, "{}");
+			call_answer_stored(h, c);
 		return;
 	}
 	if (status == STORE_UNKNOWN)
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -30,6 +30,8 @@
 #define RETRY_AFTER_SHORT_MS 500
 /* Largest payload of a job, in bytes. */
 #define PAYLOAD_MAX 4000
+/* A job of another account has the ID of a submission. */
+#define ID_TAKEN_BODY "{\"error\":\"ID in use\"}"
 
 static void reply(struct host *h, struct http_request *r, int status,
 		  uint32_t retry_ms, const char *body)
@@ -145,15 +147,46 @@
 	call_queue_append(h, c);
 }
 
+static bool can_access(const struct host *h, const char *account,
+		       const struct job_entry *e)
+{
+	return !e || !e->spec ||
+	       caller_auth_may_access(&h->queues, e->spec->account, account);
+}
+
+static void note_other_account(struct host *h, uint64_t id, const char *method,
+			       int status)
+{
+	h->counts.other_account++;
+	log_line(LOG_WARN, "job belongs to another account",
+		 "job=%016" PRIx64 " method=%s status=%d", id, method, status);
+}
+
+void call_answer_stored(struct host *h, struct host_call *c)
+{
+	if (c->kind == CALL_SUBMIT &&
+	    !can_access(h, c->account, job_view_get(&h->job_view, c->id))) {
+		note_other_account(h, c->id, c->request->method, 409);
+		call_answer(h, c, 409, 0, ID_TAKEN_BODY);
+		return;
+	}
+	call_answer(h, c, 200, 0, "{}");
+}
+
 /* Answers a submission or a cancel once the log shows its effect, a query once
- * the job is known, and a query or a cancel once the job is known not to exist.
- * Queues the record of a cancel once the job is known. */
+ * the job is known, and a query or a cancel once the job is known not to exist,
+ * or to belong to another account. Queues the record of a cancel once the job
+ * is known. */
 static void call_resolve(struct host *h, struct host_call *c)
 {
 	struct job_entry *e = job_view_get(&h->job_view, c->id);
+	bool is_hidden =
+		c->kind != CALL_SUBMIT && !can_access(h, c->account, e);
 
+	if (is_hidden)
+		e = NULL;
 	if (is_call_stored(c, e) && c->kind != CALL_QUERY) {
-		call_answer(h, c, 200, 0, "{}");
+		call_answer_stored(h, c);
 		return;
 	}
 	if (c->record.len)
@@ -167,6 +200,8 @@
 	}
 	if (h->job_follower.loaded &&
 	    h->job_follower.caught_up_ms >= c->arrived_ms) {
+		if (is_hidden)
+			note_other_account(h, c->id, c->request->method, 410);
 		call_answer(h, c, 410, 0, "{}");
 		return;
 	}
@@ -177,7 +212,8 @@
 }
 
 static struct host_call *call_new(struct host *h, struct http_request *r,
-				  enum call_kind kind, uint64_t id)
+				  enum call_kind kind, uint64_t id,
+				  const struct account *account)
 {
 	const char *deadline = http_header(r, CALLER_DEADLINE_HEADER);
 	struct host_call *c = xcalloc(1, sizeof(*c));
@@ -188,6 +224,8 @@
 	c->request = r;
 	c->kind = kind;
 	c->id = id;
+	if (account)
+		name_set(c->account, account->name);
 	c->arrived_ms = h->now_ms;
 	c->deadline_ms = h->now_ms + wait - DEADLINE_MARGIN_MS;
 	buf_init(&c->record);
@@ -207,7 +245,8 @@
 }
 
 static void submit(struct host *h, struct http_request *r,
-		   const struct queue *q, uint64_t id)
+		   const struct queue *q, const struct account *account,
+		   uint64_t id)
 {
 	struct str text = {r->body.data, r->body.len};
 	struct job_entry *e = job_view_get(&h->job_view, id);
@@ -216,6 +255,11 @@
 	struct arena a;
 
 	h->counts.submits++;
+	if (!can_access(h, account ? account->name : "", e)) {
+		note_other_account(h, id, r->method, 409);
+		reply(h, r, 409, 0, ID_TAKEN_BODY);
+		return;
+	}
 	if (e && e->spec) {
 		reply(h, r, 200, 0, "{}");
 		return;
@@ -238,7 +282,8 @@
 			 text.len);
 		reply(h, r, 400, 0, "{\"error\":\"job not readable\"}");
 	} else {
-		c = call_new(h, r, CALL_SUBMIT, id);
+		c = call_new(h, r, CALL_SUBMIT, id, account);
+		name_set(spec.account, c->account);
 		job_spec_write(&spec, &c->record);
 		call_queue_append(h, c);
 	}
@@ -259,16 +304,17 @@
 }
 
 static void route_job(struct host *h, struct http_request *r,
-		      const struct queue *q, uint64_t id)
+		      const struct queue *q, const struct account *account,
+		      uint64_t id)
 {
 	if (!strcmp(r->method, "POST")) {
-		submit(h, r, q, id);
+		submit(h, r, q, account, id);
 	} else if (!strcmp(r->method, "GET")) {
 		h->counts.queries++;
-		call_resolve(h, call_new(h, r, CALL_QUERY, id));
+		call_resolve(h, call_new(h, r, CALL_QUERY, id, account));
 	} else if (!strcmp(r->method, "DELETE")) {
 		h->counts.cancels++;
-		call_resolve(h, call_new(h, r, CALL_CANCEL, id));
+		call_resolve(h, call_new(h, r, CALL_CANCEL, id, account));
 	} else {
 		reply(h, r, 405, 0, "{}");
 	}
@@ -282,14 +328,13 @@
  * sending, and a refusal could not say that the job has not run.
  */
 static bool authorize(struct host *h, struct http_request *r,
-		      const struct queue *q)
+		      const struct queue *q, const struct account **account)
 {
-	const struct account *account;
 	enum auth_verdict v =
 		caller_auth_check(&h->queues, q,
 				  str_of(http_header(r, CALLER_KEY_HEADER)),
 				  host_config_age_ms(h), &h->auth_bounds,
-				  &account);
+				  account);
 
 	if (v == AUTH_OK)
 		return true;
@@ -311,6 +356,7 @@
 void host_handle_call(struct host *h, struct http_request *r)
 {
 	const char *name = http_header(r, "Host");
+	const struct account *account;
 	const struct queue *q;
 	struct str rest;
 	uint64_t id;
@@ -329,12 +375,12 @@
 		reply(h, r, 404, 0, "{}");
 		return;
 	}
-	if (!authorize(h, r, q))
+	if (!authorize(h, r, q, &account))
 		return;
 	rest = str_of(r->path + strlen(q->prefix));
 	id = job_id_parse(rest);
 	if (id)
-		route_job(h, r, q, id);
+		route_job(h, r, q, account, id);
 	else if (!rest.len && !strcmp(r->method, "GET"))
 		reply_pending_count(h, r, q);
 	else
--- a/src/host/host_call.h
+++ b/src/host/host_call.h
@@ -13,6 +13,7 @@
  * struct host_call - a caller's request that waits for the log or an append
  * @request: NULL once it is answered
  * @id: id of the job that the call is about
+ * @account: name of the account of the caller's key; empty for none
  * @record: record to be appended to the log; empty for a query
  * @append_pending: the record is queued, or its append is in flight
  * @batch: append in flight that holds the record, or NULL
@@ -25,6 +26,7 @@
 	struct http_request *request;
 	enum call_kind kind;
 	uint64_t id;
+	char account[NAME_SIZE];
 	struct buf record;
 	bool append_pending;
 	struct call_batch *batch;
@@ -44,6 +46,13 @@
 void call_answer(struct host *h, struct host_call *c, int status,
 		 uint32_t retry_ms, const char *body);
 
+/**
+ * call_answer_stored() - answer a call whose effect is stored
+ *
+ * A submission is refused if the job of that ID belongs to another account.
+ */
+void call_answer_stored(struct host *h, struct host_call *c);
+
 /**
  * call_apply_record() - apply the stored record of a call to the job view,
  * before the log shows it
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -25,6 +25,7 @@
 	METRIC("not_found", n->not_found);
 	METRIC("unauthorized", n->unauthorized);
 	METRIC("config_too_old", n->config_too_old);
+	METRIC("other_account", n->other_account);
 	METRIC("call_appends", n->appends);
 	METRIC("call_append_failures", n->append_failures);
 	METRIC("append_batches_via_owner", h->record_relay.sent);
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -223,6 +223,25 @@
 		return "/" + queue + "/" + id;
 	}
 
+	/* Stores a job under another ID, as another host does. */
+	void store_as_other_host(const std::string &job, uint64_t id,
+				 const std::string &key)
+	{
+		job_spec spec = {};
+		arena a;
+		buf b;
+
+		arena_init(&a);
+		buf_init(&b);
+		ASSERT_EQ(job_spec_read({job.data(), job.size()}, &spec, &a),
+			  0);
+		spec.id = id;
+		job_spec_write(&spec, &b);
+		store.put(TOPIC_JOBS, key, std::string(b.data, b.len));
+		buf_finish(&b);
+		arena_finish(&a);
+	}
+
 	host h = {};
 	FakeStore store;
 	bool reads = true;
@@ -257,6 +276,9 @@
 	EXPECT_EQ(status("POST", path("p"), "", JOB), 200);
 	EXPECT_EQ(status("GET", path("p"), "x"), 200);
 	EXPECT_EQ(status("GET", "/p/", ""), 200);
+	EXPECT_STREQ(job_view_get(&h.job_view, job_id_parse(str_of(ID)))
+			     ->spec->account,
+		     "");
 	age(1000000);
 	EXPECT_EQ(status("GET", path("p"), "a1"), 200);
 }
@@ -404,6 +426,62 @@
 	EXPECT_EQ(status("GET", path("q"), "a1"), 401);
 }
 
+/* Whoever knew the ID of a job could see it and cancel it. */
+TEST_F(HostCall, HidesJobsFromOtherAccounts)
+{
+	publish(config(1, TENANTS));
+	EXPECT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	EXPECT_STREQ(job_view_get(&h.job_view, job_id_parse(str_of(ID)))
+			     ->spec->account,
+		     "a");
+	EXPECT_EQ(status("GET", path("q"), "b1"), 410);
+	EXPECT_EQ(status("GET", path("p"), ""), 410);
+	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
+	EXPECT_EQ(status("DELETE", path("p"), ""), 410);
+	EXPECT_EQ(status("POST", path("q"), "b1", JOB), 409);
+	EXPECT_EQ(h.counts.other_account, 5u);
+	Reply r = call("GET", path("q"), "a2");
+	EXPECT_EQ(r.status, 200) << "the key was exchanged for another";
+	EXPECT_NE(r.text.find("queued"), std::string::npos);
+	EXPECT_EQ(status("POST", path("q"), "a2", JOB), 200);
+	EXPECT_EQ(status("DELETE", path("q"), "a2"), 200);
+	EXPECT_EQ(status("GET", path("q"), "b1"), 410) << "also once cancelled";
+	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
+}
+
+/*
+ * Two accounts submit a job of the same ID to two hosts. The record of the
+ * other host is the first in the log: this host stored its own behind it and
+ * answered with success, though that job will never run. It reads the other
+ * record before it answers, or, if the reply to its append is lost, later.
+ */
+TEST_F(HostCall, DoesNotAcceptAJobWhoseIdAnotherAccountHas)
+{
+	publish(config(1, TENANTS));
+	ASSERT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	std::string stored = store.topics[TOPIC_JOBS][0].value;
+
+	for (auto mode : {FakeStore::SERVE, FakeStore::LOSE_REPLIES}) {
+		uint64_t id = 0x1000 + mode;
+		char text[JOB_KEY_SIZE];
+		str key = job_key(id, 0, text);
+		std::string other(key.data, key.len);
+
+		int fd = send_request("POST", path("q", other), "b1", JOB);
+		handle_arrived();
+		store_as_other_host(stored, id, other);
+		if (mode == FakeStore::LOSE_REPLIES) {
+			store.mode = mode;
+			host_calls_tick(&h);
+			store.run();
+			store.mode = FakeStore::SERVE;
+		}
+		EXPECT_EQ(receive(fd).status, 409) << mode;
+		EXPECT_EQ(status("GET", path("q", other), "a1"), 200) << mode;
+		EXPECT_EQ(status("GET", path("q", other), "b1"), 410) << mode;
+	}
+}
+
 /*
  * The restart of a host. Its listing of the operators' topic takes several
  * pages; a key is withdrawn after the page with the configuration.
