caller_auth: a sound host can tell all the time

Cause: the age of the configuration counts from the sending of the last answered read. While nothing changes, a read waits a second for a record, so the age of a sound host goes up to 2 s, not 1 s.

Change: unknown keys are refused up to 2.5 s (less where new configurations have to be in force earlier). Where the bound on withdrawn keys is short, reads of the operators' topic wait for a fourth of it at most, so that known keys are served all the time; at the 5 s of this deployment, and without strict revocation, the wait of 1 s stays.

CallerAuth.ASoundHostCanTellAllTheTime fails with 1.5 s, and with a wait of 1 s whatever the bound is.

--- a/src/host/caller_auth.c
+++ b/src/host/caller_auth.c
@@ -1,11 +1,15 @@
 #include "host/caller_auth.h"
 
-/* A key that a configuration of at most this age does not contain is refused.
- * Reads of the log wait for a record for up to a second. */
-#define REFUSE_AGE_MAX_MS 1500
+/* A key that a configuration of at most this age does not contain is refused. A
+ * read of the log waits up to a second for a record, and the age counts from
+ * the sending of the read before it. */
+#define REFUSE_AGE_MAX_MS 2500
 /* Part of a bound that is kept as a margin for a host clock that is slow. */
 #define CLOCK_MARGIN_DIVISOR 20
 
+/* Reads of the log for each bound on the age: two may be lost or slow. */
+#define READS_PER_BOUND 4
+
 static int64_t less_margin_ms(uint32_t bound_ms)
 {
 	return bound_ms -
@@ -21,6 +25,13 @@
 	b->serve_age_ms = is_strict ? less_margin_ms(revoke_ms) : INT64_MAX;
 }
 
+uint32_t auth_bounds_poll_wait_ms(const struct auth_bounds *b, uint32_t most_ms)
+{
+	int64_t wait = b->serve_age_ms / READS_PER_BOUND;
+
+	return wait < most_ms ? (uint32_t)wait : most_ms;
+}
+
 enum auth_verdict caller_auth_check(const struct queue_table *t,
 				    const struct queue *q, struct str key,
 				    int64_t age_ms, const struct auth_bounds *b,
--- a/src/host/caller_auth.h
+++ b/src/host/caller_auth.h
@@ -45,6 +45,14 @@
 void auth_bounds_init(struct auth_bounds *b, uint32_t apply_ms, bool is_strict,
 		      uint32_t revoke_ms);
 
+/**
+ * auth_bounds_poll_wait_ms() - how long a read of the operators' topic may wait
+ * for a record, so that known keys are served all the time
+ * @most_ms: longest time without a bound
+ */
+uint32_t auth_bounds_poll_wait_ms(const struct auth_bounds *b,
+				  uint32_t most_ms);
+
 /**
  * caller_auth_check() - decide whether a request to a queue may be served
  * @t: configuration of this host
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -224,6 +224,8 @@
 {
 	auth_bounds_init(&h->auth_bounds, h->settings.config_apply_ms,
 			 h->settings.strict_revocation, h->settings.revoke_ms);
+	h->operator_follower.wait_ms =
+		auth_bounds_poll_wait_ms(&h->auth_bounds, LOG_POLL_WAIT_MS);
 }
 
 static void settings_reload(struct host *h)
@@ -429,7 +431,7 @@
 		      TOPIC_OPERATORS, 0, &host_operator_ops, h);
 	follower_init(&h->job_follower, &platform_store_ops, &h->platform,
 		      TOPIC_JOBS, CELL_INDEX, &job_follower_ops, h);
-	h->operator_follower.wait_ms = LOG_POLL_WAIT_MS;
+	update_auth_bounds(h);
 	h->job_follower.wait_ms = LOG_POLL_WAIT_MS;
 	follower_start(&h->operator_follower, h->now_ms);
 	follower_start(&h->job_follower, h->now_ms);
@@ -493,7 +495,6 @@
 			h->settings.fd_limit / IDLE_CONNECTIONS_DIVISOR);
 	if (err)
 		return err;
-	update_auth_bounds(h);
 	init_store(h);
 	init_member(h);
 	host_peers_init(h);
