host test: keys of client accounts on real processes

An unknown and a missing key, a public queue, a job seen by another key of its account and not by another account, a key withdrawn in operation, and one withdrawn while the host is paused: the call that waited through the pause is not served.

--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -31,7 +31,8 @@
 		"http://$STORE/api/log-append?topic=$1&part=0" >/dev/null
 }
 
-# grid_config VERSION: publishes a configuration with the queues check-in and watch
+# grid_config VERSION [TENANTS]: publishes a configuration with the queues check-in
+# and watch, the second of them public, and with client accounts if TENANTS is given
 grid_config()
 {
 	grid_publish keyed.op config "{\"version\":$1,\"routes\":[
@@ -40,7 +41,8 @@
 \"maxAttempts\":3,\"stretch\":1.5},
 {\"name\":\"watch\",\"host\":\"desk.example\",\"pathPrefix\":\"/watch/\",
 \"timeoutMs\":3000,\"targetLatencyMs\":2500,\"priority\":0,\"service\":\"desk\",
-\"maxAttempts\":3,\"stretch\":2.0}],\"services\":[],\"limits\":{}}"
+\"maxAttempts\":3,\"stretch\":2.0,\"public\":true}],\"services\":[],
+${2:+\"tenants\":[$2],}\"limits\":{}}"
 }
 
 # grid_start_worker ID ZONE
@@ -60,7 +62,8 @@
 	"listen":{"front":"127.0.0.1:0","readiness":"127.0.0.1:0"},
 	"limits":{"cpuShare":0.25,"memoryMb":260,"maxFds":4100},
 	"bounds":{"maxHoldMs":6000,"configApplyMs":2000,"visible_ms":3000,
-	"status_s":120,"graceS":6,"early_ms":250},
+	"status_s":120,"graceS":6,"early_ms":250,"strictRevocation":true,
+	"revokeMs":3000},
 	"platform":{"address":"$STORE","writesPerS":600,"readsPerS":2000,
 	"parts":24,"recordBytes":262144,"requestBytes":2097152,
 	"minTtlMs":1000}}
@@ -115,11 +118,13 @@
 	o=$(grid_owner) && [ "$o" != "$1" ]
 }
 
-# grid_call HOST METHOD PATH [BODY]: prints the response body and the status code
+# grid_call HOST METHOD PATH [BODY]: prints the response body and the status code;
+# sends the key of a client account if KEY is set
 grid_call()
 {
 	curl -s -m 5 -X "$2" -H 'Host: desk.example' -w ' %{http_code}' \
-		${4:+--data "$4"} "http://127.0.0.1:${HOST_PORT[$1]}$3"
+		${KEY:+-H "X-Api-Key: $KEY"} ${4:+--data "$4"} \
+		"http://127.0.0.1:${HOST_PORT[$1]}$3"
 }
 
 # grid_job RUN_MS: prints a job of two steps, whose tasks run for RUN_MS
--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # End-to-end test of real processes: hosts on stand-ins of the platform. One owner
-# of the cell is killed, the next one paused, a worker killed and the store down.
+# of the cell is killed, the next one paused, a worker killed and the store down;
+# then keys of client accounts are withdrawn, the second one from a paused host.
 set -u
 . tools/grid.sh
 PASSED=0
@@ -115,6 +116,34 @@
 check "the other host says so too" grid_wait 5 all_completed 45 "$owner"
 check "a cancel is taken" status_is 200 "$other" DELETE /watch/00000000000000aa
 check "nothing of it runs on" grid_wait 5 no_running_tasks_of 00000000000000aa
+
+scouts='{"name":"scouts","apiKeys":["k-one","k-two"]}'
+rovers='{"name":"rovers","apiKeys":["k-three"]}'
+grid_config 4 "$scouts,$rovers"
+check "a call without a key is 401" grid_wait 5 status_is 401 "$other" GET /check-in/
+KEY=k-none check "an unknown key is 401" status_is 401 "$other" GET /check-in/
+check "a public queue needs no key" status_is 200 "$other" GET /watch/
+KEY=k-one check "a job is accepted with a key" status_is 200 "$other" POST \
+	"/check-in/$(job_id 6000)" "$(grid_job 100)"
+KEY=k-two check "another key of its account sees it" status_is 200 "$other" GET \
+	"/check-in/$(job_id 6000)"
+KEY=k-three check "another account does not" status_is 410 "$other" GET \
+	"/check-in/$(job_id 6000)"
+grid_config 5 "${scouts/\"k-one\",/},$rovers"
+KEY=k-one check "a withdrawn key is 401" grid_wait 5 status_is 401 "$other" GET \
+	/check-in/
+kill -STOP "${HOST_PID[$other]}"
+grid_config 6 "$rovers"
+sleep 4
+KEY=k-two grid_call "$other" GET /check-in/ >"$GRID/paused" &
+call=$!
+sleep 0.5
+kill -CONT "${HOST_PID[$other]}"
+wait $call
+check "a key withdrawn from a paused host is not served" \
+	grep -q ' \(401\|503\)$' "$GRID/paused"
+KEY=k-three check "the other keys are" grid_wait 5 status_is 200 "$other" GET /check-in/
+
 kill -TERM "${HOST_PID[$other]}"
 wait "${HOST_PID[$other]}"
 check "a stop ends with 0" [ $? = 0 ]
