cell: keep a batch within the largest append of the store

What users would see: nothing starts and nothing ends any more, on the whole cell. Cause: a batch held all that waited, whatever its size; the store takes 2 MB a call (requestBytes, decoded and unused) and refuses more each time, so that the batch is sent for ever.

Change: a batch is cut between records. What follows from a batch follows only for what is in it: a task starts, a lease is extended and an end is acknowledged once the record that says so has been taken and stored. Progress is stored in rounds, so that no job waits for ever behind others that change again, and the ends reported up to a round can be acknowledged after it. A record that is too large is dropped with a log line; a job whose progress is too large (of a release that accepted more tasks) fails, as its tasks cannot be started safely, and holds nothing else up. Tombstones are not added again while some wait.

Ruled out: several appends in flight, which would need more than one sequence number to be open; cutting by acknowledging no end while anything waits, which a steady burst would stretch without end.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -25,6 +25,32 @@
  * owner. */
 #define EFFECT_MODEL_PERIOD_MS 2000
 
+/* Bytes of the frame that the store does not count as part of a record. */
+#define RECORD_FRAME_BYTES 4
+
+bool cell_record_fits(const struct cell *c, size_t framed_bytes)
+{
+	const struct cell_options *o = &c->opt;
+
+	return (!o->record_max_bytes ||
+		framed_bytes - RECORD_FRAME_BYTES <= o->record_max_bytes) &&
+	       (!o->append_max_bytes || framed_bytes <= o->append_max_bytes);
+}
+
+void cell_record_add(struct cell *c, struct str key, struct str value)
+{
+	size_t bytes = STORE_RECORD_HEADER + key.len + value.len;
+
+	if (cell_record_fits(c, bytes)) {
+		store_record_add(&c->pending_records, key, value);
+		return;
+	}
+	log_line(LOG_ERROR, "record is too large to store, dropped",
+		 "key=%.*s bytes=%zu record_max=%zu append_max=%zu",
+		 (int)key.len, key.data, bytes, c->opt.record_max_bytes,
+		 c->opt.append_max_bytes);
+}
+
 static void load_effect_model(struct cell *c)
 {
 	struct str text = {c->view->effect_model.data,
@@ -45,7 +71,7 @@
 	effect_model_write(&c->effect_model, &b);
 	value.data = b.data;
 	value.len = b.len;
-	store_record_add(&c->pending_records, str_of(EFFECT_MODEL_KEY), value);
+	cell_record_add(c, str_of(EFFECT_MODEL_KEY), value);
 	buf_finish(&b);
 }
 
@@ -135,31 +161,105 @@
 	c->authority_until_ms = until_ms;
 }
 
-bool cell_take_batch(struct cell *c, struct buf *out)
+static size_t batch_room(const struct cell *c, const struct buf *out)
+{
+	size_t max = c->opt.append_max_bytes;
+
+	if (!max)
+		return SIZE_MAX;
+	return out->len < max ? max - out->len : 0;
+}
+
+static void take_pending_records(struct cell *c, struct buf *out)
+{
+	struct buf *p = &c->pending_records;
+	struct str records = {p->data, p->len};
+	size_t n = store_records_fitting(records, batch_room(c, out));
+
+	buf_add(out, p->data, n);
+	buf_drop(p, n);
+	c->taken_bytes += n;
+}
+
+/*
+ * Add the progress of a job to a batch. A job whose progress cannot be stored
+ * is given up: its tasks cannot be started safely.
+ *
+ * Return: false when it does not fit in the rest of the batch.
+ */
+static bool take_progress(struct cell *c, struct cell_job *j, struct buf *out)
+{
+	size_t before = out->len, room = batch_room(c, out);
+
+	cell_progress_write(c, j, out);
+	if (!cell_record_fits(c, out->len - before)) {
+		log_line(LOG_ERROR, "progress of a job is too large to store",
+			 "job=%016" PRIx64 " bytes=%zu record_max=%zu",
+			 j->entry->id, out->len - before,
+			 c->opt.record_max_bytes);
+		out->len = before;
+		cell_job_settle(c, j, JOB_FAILED);
+		cell_progress_write(c, j, out);
+	}
+	if (out->len - before <= room)
+		return true;
+	out->len = before;
+	return false;
+}
+
+/*
+ * Progress is stored in rounds: all jobs that are dirty when a round begins are
+ * stored before any that become dirty later, so that none of them waits for
+ * ever, and the ends that workers had reported by then can be acknowledged.
+ */
+static void take_round(struct cell *c, struct buf *out)
 {
 	struct cell_worker *w;
-	struct cell_task *t;
 	struct cell_job *j;
 
-	if (c->batch_open)
-		return false;
-	for (j = c->dirty; j; j = j->next_dirty) {
-		cell_progress_write(c, j, out);
+	if (!c->round) {
+		c->round = c->dirty;
+		c->dirty = NULL;
+		for (w = c->workers; w; w = w->next)
+			w->round_end = w->last_end;
+	}
+	while (c->round && take_progress(c, c->round, out)) {
+		j = c->round;
+		c->round = j->next_dirty;
 		j->dirty = false;
 		j->storing = true;
 	}
-	c->dirty = NULL;
-	buf_add(out, c->pending_records.data, c->pending_records.len);
-	buf_clear(&c->pending_records);
+	for (w = c->workers; !c->round && w; w = w->next)
+		w->storing_end = w->round_end;
+}
+
+/* While the last record of a worker waits for a later batch, the store may say
+ * of its leases what does not hold any more. */
+static void note_worker_record(const struct cell *c, struct cell_worker *w)
+{
+	bool is_taken = w->record_end <= c->taken_bytes;
+
+	w->storing_record = w->recorded && is_taken;
+	w->freeze_sent = w->lease_frozen && is_taken;
+	if (!is_taken)
+		w->stored = false;
+}
+
+bool cell_take_batch(struct cell *c, struct buf *out)
+{
+	struct cell_worker *w;
+	struct cell_task *t;
+
+	if (c->batch_open)
+		return false;
+	take_pending_records(c, out);
+	take_round(c, out);
 	for (t = c->intents; t; t = t->next_intent) {
-		t->storing_intent = true;
+		t->storing_intent = !t->step->job->dirty;
 		t->storing_worker = t->worker ? t->worker->id : 0;
 	}
-	for (w = c->workers; w; w = w->next) {
-		w->storing_end = w->last_end;
-		w->storing_record = w->recorded;
-		w->freeze_sent = w->lease_frozen;
-	}
+	for (w = c->workers; w; w = w->next)
+		note_worker_record(c, w);
 	c->batch_open = true;
 	if (out->len)
 		return true;
@@ -194,12 +294,9 @@
 		if (!e->terminal_ms || e->cell_job ||
 		    c->now_ms - e->terminal_ms < c->opt.terminal_retention_ms)
 			continue;
-		store_record_add(&c->pending_records, job_key(e->id, 'c', key),
-				 none);
-		store_record_add(&c->pending_records, job_key(e->id, 'p', key),
-				 none);
-		store_record_add(&c->pending_records, job_key(e->id, 0, key),
-				 none);
+		cell_record_add(c, job_key(e->id, 'c', key), none);
+		cell_record_add(c, job_key(e->id, 'p', key), none);
+		cell_record_add(c, job_key(e->id, 0, key), none);
 	}
 }
 
@@ -282,7 +379,7 @@
 	if (now_ms < c->ticked_ms + TICK_MIN_MS)
 		return c->ticked_ms + TICK_MIN_MS - now_ms;
 	c->ticked_ms = now_ms;
-	if (now_ms >= c->sweep_due_ms) {
+	if (now_ms >= c->sweep_due_ms && !c->pending_records.len) {
 		c->sweep_due_ms = now_ms + SWEEP_PERIOD_MS;
 		drop_terminal_jobs(c);
 	}
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -34,7 +34,7 @@
 };
 
 /**
- * struct cell_options - time limits of the deployment, milliseconds
+ * struct cell_options - limits of the deployment; times in milliseconds
  * @lease_ms: length of a worker's lease, on the worker's clock
  * @takeover_ms: longest time after a takeover for which leases that a former
  *	owner renewed, and so runs that it started, may last on workers that do
@@ -47,6 +47,9 @@
  * @heartbeat_ms: period at which a worker renews its entry in the registry
  * @violation_ms: bound on the time for which best-effort tasks may keep a
  *	latency-critical task over its target
+ * @record_max_bytes: largest record that the store accepts
+ * @append_max_bytes: largest append that the store accepts, with the framing of
+ *	its records; 0 for both: no limit
  */
 struct cell_options {
 	int64_t lease_ms;
@@ -57,6 +60,8 @@
 	uint32_t poll_wait_ms;
 	int64_t heartbeat_ms;
 	int64_t violation_ms;
+	size_t record_max_bytes;
+	size_t append_max_bytes;
 };
 
 struct cell;
@@ -140,8 +145,11 @@
 /**
  * cell_take_batch() - take the records that wait to be stored, framed for one
  * append
+ * @out: may hold other records; with them, the batch is no larger than an
+ *	append may be
  *
- * Takes nothing until the previous batch is stored.
+ * Takes nothing until the previous batch is stored. What does not fit waits for
+ * the next batch.
  *
  * Return: true when @out holds records.
  */
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -318,15 +318,20 @@
 	cell_job_settle(c, j, JOB_CANCELLED);
 }
 
+static void dirty_list_remove(struct cell_job **at, const struct cell_job *j)
+{
+	while (*at && *at != j)
+		at = &(*at)->next_dirty;
+	if (*at)
+		*at = j->next_dirty;
+}
+
 static void job_unlist(struct cell *c, const struct cell_job *j)
 {
 	struct cell_task **at = &c->intents;
-	struct cell_job **dirty = &c->dirty;
 
-	while (j->dirty && *dirty != j)
-		dirty = &(*dirty)->next_dirty;
-	if (j->dirty)
-		*dirty = j->next_dirty;
+	dirty_list_remove(&c->dirty, j);
+	dirty_list_remove(&c->round, j);
 	while (*at) {
 		if ((*at)->step->job == j)
 			*at = (*at)->next_intent;
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -61,7 +61,8 @@
 	known_worker_write(&k, &b);
 	value.data = b.data;
 	value.len = b.len;
-	store_record_add(&c->pending_records, str_of(key), value);
+	cell_record_add(c, str_of(key), value);
+	w->record_end = c->taken_bytes + c->pending_records.len;
 	buf_finish(&b);
 	w->recorded = true;
 }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -207,8 +207,8 @@
  * @recovered: accepted under an earlier epoch: workers may run tasks of it that
  *	this owner does not know of yet
  * @placed: tasks that have a worker
- * @dirty: progress waits to be stored; the job is in the list @dirty of the
- *	cell
+ * @dirty: progress waits to be stored; the job is in the list @dirty or @round
+ *	of the cell
  * @storing: progress is part of the batch that is being stored
  * @deadline_ms: boot time at which its latency objective expires
  * @idle_since_ms: since when none of its tasks has a worker; 0 if one has
@@ -276,6 +276,8 @@
  * @recorded: its record is stored or waits to be stored
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
+ * @record_end: value of @taken_bytes of the cell from which on its last record
+ *	has been taken
  * @lease_frozen: its record, written at @frozen_ms, says that its leases are
  *	not extended
  * @freeze_sent: that record has been part of a batch, so its leases are not
@@ -311,7 +313,9 @@
  *	compared
  * @older: next in the list @changed of the cell
  * @last_end: greatest number of a reported end that has been applied
- * @storing_end: @last_end as of the batch that is being stored
+ * @round_end: @last_end when the cell began the present round of progress
+ * @storing_end: up to here, all ends are stored once the batch that is being
+ *	stored is
  * @acked_end: ends up to this number are stored; sent to the worker, which then
  *	forgets them
  */
@@ -338,6 +342,7 @@
 	bool recorded;
 	bool storing_record;
 	bool stored;
+	uint64_t record_end;
 	bool lease_frozen;
 	bool freeze_sent;
 	bool poll_in_flight;
@@ -358,6 +363,7 @@
 	uint64_t failed_job;
 	uint32_t fail_streak;
 	uint64_t last_end;
+	uint64_t round_end;
 	uint64_t storing_end;
 	uint64_t acked_end;
 	bool headroom_stale;
@@ -433,6 +439,9 @@
  * @stopped: cell_stop() was called; memory is freed after the last call
  * @batch_open: a batch has been taken and is not stored yet
  * @place_due: something changed that a placement pass may make use of
+ * @round: jobs with progress to store before that of those in @dirty; more than
+ *	one batch may be needed for all of them
+ * @taken_bytes: bytes of @pending_records that batches have taken so far
  * @calls: calls to workers in flight
  * @trials: sum of @trials of all workers
  * @version: counts changes of workers
@@ -474,7 +483,9 @@
 	int64_t doubts_due_ms;
 	struct index worker_ids;
 	struct cell_worker *workers;
-	struct cell_job *dirty;      /* jobs with progress to store */
+	struct cell_job *dirty; /* jobs with progress to store */
+	struct cell_job *round;
+	uint64_t taken_bytes;
 	struct cell_worker *changed; /* all workers, last changed first */
 	uint64_t version;
 	struct cell_demand no_fit[NO_FIT_MAX];
@@ -494,6 +505,19 @@
 
 /* cell.c */
 
+/**
+ * cell_record_add() - have a record stored with the next batch
+ *
+ * One that is larger than the store accepts is dropped with a log line.
+ */
+void cell_record_add(struct cell *c, struct str key, struct str value);
+
+/**
+ * cell_record_fits() - whether a record of this many bytes, framed, can be
+ * stored
+ */
+bool cell_record_fits(const struct cell *c, size_t framed_bytes);
+
 /**
  * cell_call_begin() - count a call to a worker, which keeps the cell allocated
  */
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -128,6 +128,7 @@
 	w->clock_received_ms = 0;
 	w->lease_end_ms = 0;
 	w->last_end = 0;
+	w->round_end = 0;
 	w->storing_end = 0;
 	w->acked_end = 0;
 	w->confirmed = false;
@@ -466,7 +467,7 @@
 
 	snprintf(key, sizeof(key), WORKER_KEY_PREFIX "%s", w->entry.addr.id);
 	if (w->recorded)
-		store_record_add(&c->pending_records, str_of(key), none);
+		cell_record_add(c, str_of(key), none);
 	*at = w->next;
 	cell_recovery_resolve(c, w);
 	changed_list_remove(c, w);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -400,6 +400,8 @@
 	o->options.violation_ms = h->settings.violation_ms
 					  ? h->settings.violation_ms
 					  : VIOLATION_DEFAULT_MS;
+	o->options.record_max_bytes = h->settings.record_max_bytes;
+	o->options.append_max_bytes = h->settings.append_max_bytes;
 	owner_init(o);
 }
 
--- a/src/ports/cluster.c
+++ b/src/ports/cluster.c
@@ -53,3 +53,19 @@
 	} while (!err);
 	return err == -ENOENT;
 }
+
+size_t store_records_fitting(struct str records, size_t max)
+{
+	struct str rest = records;
+	struct store_record r;
+	size_t fitting = 0;
+
+	if (records.len <= max)
+		return records.len;
+	while (store_record_take(&rest, &r) != -EBADMSG) {
+		if (records.len - rest.len > max)
+			break;
+		fitting = records.len - rest.len;
+	}
+	return fitting;
+}
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -105,6 +105,15 @@
  */
 void store_record_add(struct buf *out, struct str key, struct str value);
 
+/* Bytes that store_record_add() adds before the key: two lengths. */
+#define STORE_RECORD_HEADER 5
+
+/**
+ * store_records_fitting() - length of the whole records at the start of
+ * @records that take at most @max bytes together
+ */
+size_t store_records_fitting(struct str records, size_t max);
+
 /**
  * store_record_take() - take the first record off a sequence of framed records
  * @rest: the sequence; receives what follows the record
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -308,6 +308,14 @@
 		}
 	}
 
+	/* Runs end when their lease does, also on a worker that nobody calls.
+	 */
+	void expire_all()
+	{
+		for (auto &w : workers)
+			expire_lease(w.second);
+	}
+
 	/* Called when a worker has started a run. */
 	virtual void on_start(const std::string &worker, const order &sent)
 	{
