owner: keep other hosts' records within the largest append of the store

Cause: records of all other hosts that waited went into the next batch, whatever their size; one that the store refuses as too large takes the cell's records with it. Change: they take half of an append, the longest waiting first, at least those of one host; the rest waits. Records that no append can hold are not taken, with a log line: the host that sent them hears that they were refused. Ruled out: the whole append for them, which would keep the cell's own records waiting in a long burst.

Result: Owner.KeepsToTheLargestAppendOfTheStore fails with the cut taken out, and with the offsets of what waits left as they were; passes. The fake store refuses appends and records beyond its limits.

--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -19,6 +19,9 @@
  * an owner appends each two seconds at least. */
 #define RETAIN_WITHOUT_APPEND_MS 3000
 #define IDLE_TICK_MS 50
+/* Share of an append that records of other hosts may take before those of the
+ * cell, so that neither waits for ever for the other. */
+#define PEER_SHARE_DIVISOR 2
 /* Pauses between reads of the job log, by an owner and by any other host: an
  * owner reads new jobs as they arrive, other hosts may lag a little. */
 #define OWNER_READ_GAP_MS 5
@@ -106,10 +109,16 @@
 bool owner_add_records(struct owner *o, uint64_t from, uint64_t seq,
 		       struct str records)
 {
+	size_t max = o->options.append_max_bytes;
 	struct peer_records *p;
 
 	if (o->phase != OWNER_ACTIVE || o->handover_began_ms)
 		return false;
+	if (max && records.len > max) {
+		log_line(LOG_ERROR, "records of another host exceed an append",
+			 "bytes=%zu append_max=%zu", records.len, max);
+		return false;
+	}
 	p = xcalloc(1, sizeof(*p));
 	p->from = from;
 	p->seq = seq;
@@ -150,17 +159,43 @@
 	return true;
 }
 
+/* Length of the records of other hosts that the next batch takes: those that
+ * have waited longest, at least of one host. */
+static size_t peer_bytes_to_take(const struct owner *o)
+{
+	size_t share = o->options.append_max_bytes / PEER_SHARE_DIVISOR;
+	const struct peer_records *p;
+	size_t bytes = 0;
+
+	if (!share || o->peer_record_buf.len <= share)
+		return o->peer_record_buf.len;
+	for (p = o->peers; p; p = p->next) {
+		size_t end = p->offset + p->len;
+
+		if (!p->in_batch && end > bytes && (end <= share || !p->offset))
+			bytes = end;
+	}
+	return bytes;
+}
+
 static void take_peer_records(struct owner *o)
 {
+	size_t bytes = peer_bytes_to_take(o);
 	struct peer_records *p;
 
-	o->batch_peer_bytes = o->peer_record_buf.len;
+	o->batch_peer_bytes = bytes;
 	o->batch_may_be_stored = false;
 	o->batch_began_ms = o->now_ms;
-	buf_add(&o->batch, o->peer_record_buf.data, o->peer_record_buf.len);
-	buf_clear(&o->peer_record_buf);
-	for (p = o->peers; p; p = p->next)
-		p->in_batch = true;
+	buf_add(&o->batch, o->peer_record_buf.data, bytes);
+	buf_drop(&o->peer_record_buf, bytes);
+	for (p = o->peers; p; p = p->next) {
+		if (p->in_batch)
+			continue;
+		if (p->offset < bytes)
+			p->in_batch = true;
+		else
+			p->offset -= bytes;
+	}
 }
 
 /* Reports the outcome of the batch to the hosts whose records it holds. */
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -144,7 +144,8 @@
  * owner_add_records() - store records of another host with the next batch
  * @from: id of the host, and @seq its number of them, for peer_records_done()
  *
- * Return: false if this host is not the active owner; nothing is done then.
+ * Return: false if this host is not the active owner, or an append cannot hold
+ * the records; nothing is done then.
  */
 bool owner_add_records(struct owner *o, uint64_t from, uint64_t seq,
 		       struct str records);
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -79,6 +79,10 @@
 	uint64_t trimmed = 0; /* first offset that can be read */
 	size_t page = 500;
 	size_t calls = 0;
+	/* Limits of an append and of a record, bytes; a larger one is refused.
+	 */
+	size_t append_max = SIZE_MAX;
+	size_t record_max = SIZE_MAX;
 	std::map<std::string, std::vector<Record>> topics;
 	std::vector<std::function<void()>> pending;
 
@@ -123,6 +127,11 @@
 		std::vector<Record> &t = topics[a->topic];
 		store_reply r = {};
 
+		if (!is_within_limits(a->records)) {
+			r.status = STORE_REFUSED;
+			reply(r, d, ctx);
+			return;
+		}
 		if (accepts_writes() && a->producer && a->producer[0]) {
 			if (a->epoch < epoch) {
 				r.status = STORE_FENCED;
@@ -151,6 +160,17 @@
 		reply(r, d, ctx);
 	}
 
+	bool is_within_limits(str records) const
+	{
+		str rest = records;
+		store_record x;
+
+		while (!store_record_take(&rest, &x))
+			if (1 + x.key.len + x.value.len > record_max)
+				return false;
+		return records.len <= append_max;
+	}
+
 	static void add(std::vector<Record> &t, str b)
 	{
 		for (size_t at = 0; at < b.len;) {
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -108,13 +108,14 @@
 	std::vector<std::pair<uint64_t, store_status>> peer_outcomes;
 	record_relay *relay = nullptr;
 
-	bool add_records(uint64_t seq, const char *key)
+	bool add_records(uint64_t seq, const char *key,
+			 const std::string &value = "v")
 	{
 		bool taken;
 		buf b;
 
 		buf_init(&b);
-		store_record_add(&b, str_of(key), str_of("v"));
+		store_record_add(&b, str_of(key), {value.data(), value.size()});
 		taken = owner_add_records(&owner, 9, seq, {b.data, b.len});
 		buf_finish(&b);
 		return taken;
@@ -374,6 +375,34 @@
 	EXPECT_FALSE(owner_withdraw_records(&a.owner, 9, 4)); /* stored */
 }
 
+/* The records of many hosts filled one batch beyond what the store accepts: it
+ * refused each append of the owner from then on. */
+TEST_F(Owner, KeepsToTheLargestAppendOfTheStore)
+{
+	Host a(&store, "a");
+	const std::string large(900, 'x');
+	size_t copies = 0;
+
+	a.owner.options.append_max_bytes = store.append_max = 4000;
+	run({&a}, 500);
+	for (uint64_t seq = 1; seq <= 20; seq++)
+		EXPECT_TRUE(
+			a.add_records(seq, std::to_string(seq).c_str(), large));
+	EXPECT_TRUE(a.add_records(21, "more than half", large + large + large));
+	EXPECT_FALSE(a.add_records(22, "too large", std::string(4000, 'x')));
+	EXPECT_TRUE(a.add_records(23, "last"));
+	run({&a}, 100);
+	EXPECT_TRUE(owner_withdraw_records(&a.owner, 9, 23));
+	run({&a}, 900);
+	ASSERT_EQ(a.peer_outcomes.size(), 21u);
+	for (auto &p : a.peer_outcomes)
+		EXPECT_EQ(p.second, STORE_OK) << p.first;
+	for (auto &r : store.topics[TOPIC_JOBS])
+		copies += r.value.size() >= large.size();
+	EXPECT_EQ(copies, 21u);
+	EXPECT_EQ(a.owner.append_failures, 0u);
+}
+
 /* Two hosts whose messages are late, lost and out of order. */
 class Wire
 {
