host: keep callers' records within the largest append of the store

Cause: all calls that waited shared one append; beyond 2 MB the store refuses it, and all of them for as long as they wait. Change: an append takes calls up to half of the limit, so that the owner can add its own records to it; the others follow with the next. A record beyond the limit of one is refused alone, with a log line (by the limits of a submission none is known to reach it).

Result: HostAppend.KeepsToTheLargestAppendOfTheStore fails without the cut (18,420 of 4,000 bytes in one append) and passes; RefusesARecordThatIsTooLargeAndNoOther is new with it.

--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -1,5 +1,6 @@
 #include "host/host_call.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 
@@ -12,6 +13,9 @@
 #define APPEND_RETRY_MS 60
 /* Appends of callers' records that one host may have in flight. */
 #define BATCHES_IN_FLIGHT_MAX 4
+/* Share of an append that callers' records may take: the owner adds them to its
+ * own. */
+#define APPEND_SHARE_DIVISOR 2
 
 /**
  * struct call_batch - an append that holds the records of several calls
@@ -186,32 +190,84 @@
 	h->owner.store->append(h->owner.port, &a, on_append, b);
 }
 
-void host_append_queue_send(struct host *h)
+/*
+ * Add the record of a call to a batch.
+ *
+ * Return: 0, or -ENOSPC when the batch is full, or -EFBIG when the store takes
+ * no such record; the batch is not changed then.
+ */
+static int batch_add(struct call_batch *b, struct host_call *c)
 {
+	const struct cell_options *o = &b->host->owner.options;
+	size_t share = o->append_max_bytes / APPEND_SHARE_DIVISOR;
+	struct str value = {c->record.data, c->record.len};
+	size_t before = b->frames.len;
 	char key[JOB_KEY_SIZE];
+
+	store_record_add(&b->frames,
+			 job_key(c->id, c->kind == CALL_CANCEL ? 'c' : 0, key),
+			 value);
+	if (o->record_max_bytes && value.len > o->record_max_bytes) {
+		b->frames.len = before;
+		return -EFBIG;
+	}
+	if (!share || !before || b->frames.len <= share)
+		return 0;
+	b->frames.len = before;
+	return -ENOSPC;
+}
+
+static void refuse_large_record(struct host *h, struct host_call *c)
+{
+	log_line(LOG_ERROR, "record of a call is too large to store",
+		 "job=%016" PRIx64 " bytes=%zu record_max=%zu", c->id,
+		 c->record.len, h->owner.options.record_max_bytes);
+	c->append_pending = false;
+	if (c->request)
+		call_refuse(h, c);
+}
+
+/* Takes calls from the queue until the batch is full. */
+static void batch_fill(struct call_batch *b)
+{
+	struct host *h = b->host;
+	struct host_call **last = &b->calls, *c;
+	int err;
+
+	while (h->append_queue) {
+		c = h->append_queue;
+		err = batch_add(b, c);
+		if (err == -ENOSPC)
+			break;
+		h->append_queue = c->append_next;
+		c->append_next = NULL;
+		if (err) {
+			refuse_large_record(h, c);
+			continue;
+		}
+		c->batch = b;
+		*last = c;
+		last = &c->append_next;
+		if (c->arrived_ms < b->oldest_call_ms)
+			b->oldest_call_ms = c->arrived_ms;
+	}
+}
+
+void host_append_queue_send(struct host *h)
+{
 	struct call_batch *b;
-	struct host_call *c;
 
 	if (!h->append_queue || h->batches_in_flight >= BATCHES_IN_FLIGHT_MAX ||
 	    (h->store_failures && h->now_ms < h->append_due_ms))
 		return;
 	b = xcalloc(1, sizeof(*b));
 	b->host = h;
-	b->calls = h->append_queue;
 	b->oldest_call_ms = h->now_ms;
 	buf_init(&b->frames);
-	h->append_queue = NULL;
-	for (c = b->calls; c; c = c->append_next) {
-		struct str value = {c->record.data, c->record.len};
-
-		c->batch = b;
-		store_record_add(&b->frames,
-				 job_key(c->id,
-					 c->kind == CALL_CANCEL ? 'c' : 0, key),
-				 value);
-		if (c->arrived_ms < b->oldest_call_ms)
-			b->oldest_call_ms = c->arrived_ms;
-	}
+	batch_fill(b);
 	h->batches_in_flight++;
-	batch_send(b);
+	if (b->calls)
+		batch_send(b);
+	else
+		batch_free(b);
 }
