effect model: store no more than one record holds

What users would see: on a cell with effects between more than a hundred images on each other, the model outgrows the largest record, 256 KB; the store then refuses each batch that holds it, and with the batch limit alone it would be dropped, also as the sign that the cell has an owner. Change: 8,000 effects are stored, the latest found first. Ruled out: storing them in several records, since those that were found long ago and never again matter least.

--- a/src/cell/effect_model.c
+++ b/src/cell/effect_model.c
@@ -212,11 +212,11 @@
 	struct arena a;
 	size_t n = 0;
 
-	for (r = m->list; r; r = r->next)
+	for (r = m->list; r && n < EFFECT_ROWS_STORED_MAX; r = r->next)
 		n++;
 	arena_init(&a);
 	rows = arena_alloc(&a, n * sizeof(*rows));
-	for (r = m->list; r; r = r->next) {
+	for (r = m->list; stored.rows.count < n; r = r->next) {
 		struct stored_row *row = &rows[stored.rows.count++];
 
 		row->key = r->key;
--- a/src/cell/effect_model.h
+++ b/src/cell/effect_model.h
@@ -12,6 +12,9 @@
 /* Greatest number of neighbours, the best-effort images on the same worker,
  * that are taken into account. */
 #define EFFECT_NEIGHBOURS_MAX 32
+/* Effects that are stored, the latest found first: one record of the store
+ * holds 256 KB, and an effect takes up to 30 bytes. */
+#define EFFECT_ROWS_STORED_MAX 8000
 
 /**
  * struct effect_neighbour - best-effort tasks of one image on a worker
--- a/tests/effect_model_test.cc
+++ b/tests/effect_model_test.cc
@@ -102,4 +102,32 @@
 	effect_model_finish(&m);
 }
 
+/* The record is also what tells other hosts that the cell has an owner. With
+ * the effects between more than a hundred images on each other, it was larger
+ * than the store accepts. */
+TEST(EffectModel, FitsInOneRecord)
+{
+	const size_t record_max = 262144;
+	effect_model m, copy;
+	load_curve curve;
+	buf b;
+
+	effect_model_init(&m);
+	effect_model_init(&copy);
+	for (uint64_t i = 0; i < 20000; i++) {
+		effect_neighbour n[] = {{(i << 40) + HEAVY, 0.5}};
+
+		effect_model_curve_init(&m, i << 40, &curve);
+		effect_model_learn(&m, i << 40, &curve, 1, 0.5, n, 1);
+	}
+	buf_init(&b);
+	effect_model_write(&m, &b);
+	EXPECT_LT(b.len, record_max);
+	EXPECT_GT(b.len, record_max / 2);
+	EXPECT_EQ(effect_model_read(&copy, {b.data, b.len}), 0);
+	buf_finish(&b);
+	effect_model_finish(&copy);
+	effect_model_finish(&m);
+}
+
 } /* namespace */
