progress: store the checkpoints of tasks that do not run

What users see: a task that was stopped on a worker that leaves starts from zero when the owner changes before it starts again, though the former owner knew its checkpoint. Weighed: a checkpoint has at most 39 bytes, and 42 with its frame, beside 2 to 20 bytes that the record holds for a task anyway; only tasks without a run need it, as workers report those of the others. 16 KB a job at most, 390 such tasks; without them if the record would be too large. Ruled out: checkpoints of running tasks, which would make every record of a large job several times as long; a record of its own for each, which would have to be dropped again.

Result: CellRecovery.ResumesFromTheCheckpointThatThePreviousOwnerHeardOf fails without them, passes. CellBatch.LeavesOutCheckpointsThatDoNotFit fails when they are kept beyond the limit of a record. ReadsProgressWithoutCheckpointsAndIsReadWithThem: records of the former release are read, and that release's shape reads the new ones.

--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -12,6 +12,11 @@
 #define BITS 8
 #define RUN_LOW_BYTES 2
 #define WORKER_REF_BYTES 2
+#define TASK_INDEX_BYTES 2
+#define CHECKPOINT_HEADER (TASK_INDEX_BYTES + 1)
+/* Checkpoints stored with one job, bytes; tasks beyond start from zero after a
+ * change of the owner. */
+#define CHECKPOINTS_STORED_MAX 16384
 
 /*
  * Decode the failed runs of one task from the start of @p.
@@ -73,6 +78,73 @@
 	p[1] = (char)(ref >> BITS);
 }
 
+/* Checkpoints of tasks that are not known, or longer than any, are skipped. */
+static void checkpoints_read(struct cell_step *st, struct str p)
+{
+	while (p.len >= CHECKPOINT_HEADER) {
+		const unsigned char *b = (const unsigned char *)p.data;
+		uint32_t index = (uint32_t)(b[0] | b[1] << BITS);
+		size_t len = b[TASK_INDEX_BYTES];
+
+		p.data += CHECKPOINT_HEADER;
+		p.len -= CHECKPOINT_HEADER;
+		if (len > p.len)
+			return;
+		if (index < st->spec->count && len < CHECKPOINT_SIZE) {
+			char *to = st->tasks[index].checkpoint;
+
+			memcpy(to, p.data, len);
+			to[len] = '\0';
+		}
+		p.data += len;
+		p.len -= len;
+	}
+}
+
+/* A worker that runs a task reports its checkpoint; of any other task, only
+ * this owner knows it. */
+static bool has_checkpoint_to_store(const struct cell_task *t)
+{
+	return t->checkpoint[0] && t->index <= UINT16_MAX &&
+	       (t->state == TASK_WAITING || t->state == TASK_STORING ||
+		t->state == TASK_STARTING);
+}
+
+/* @left: bytes of the job's checkpoints that may yet be stored */
+static void checkpoints_write(const struct cell_step *st, struct arena *a,
+			      size_t *left, struct str *out)
+{
+	size_t used = 0, max = 0, len;
+	uint32_t i;
+	char *p;
+
+	for (i = 0; i < st->spec->count; i++)
+		if (has_checkpoint_to_store(&st->tasks[i]))
+			max += CHECKPOINT_HEADER +
+			       strlen(st->tasks[i].checkpoint);
+	if (max > *left)
+		max = *left;
+	if (!max)
+		return;
+	p = arena_alloc(a, max);
+	for (i = 0; i < st->spec->count; i++) {
+		const struct cell_task *t = &st->tasks[i];
+
+		len = strlen(t->checkpoint);
+		if (!has_checkpoint_to_store(t) ||
+		    used + CHECKPOINT_HEADER + len > max)
+			continue;
+		p[used] = (char)i;
+		p[used + 1] = (char)(i >> BITS);
+		p[used + TASK_INDEX_BYTES] = (char)len;
+		memcpy(p + used + CHECKPOINT_HEADER, t->checkpoint, len);
+		used += CHECKPOINT_HEADER + len;
+	}
+	*left -= used;
+	out->data = p;
+	out->len = used;
+}
+
 static void progress_apply(struct cell *c, struct cell_job *j,
 			   const struct step_progress *p)
 {
@@ -99,6 +171,7 @@
 		return;
 	}
 	st->is_recovered = true;
+	checkpoints_read(st, p->checkpoints);
 	for (i = 0; i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
 
@@ -152,6 +225,7 @@
 }
 
 static void progress_of_step(const struct cell_step *st, struct arena *a,
+			     size_t *checkpoints_left,
 			     struct step_progress *out)
 {
 	uint32_t n = st->spec->count, i;
@@ -194,10 +268,11 @@
 	out->failures.len = failed ? used : 0;
 	out->crashes.data = crashes;
 	out->crashes.len = st->suspects ? n : 0;
+	checkpoints_write(st, a, checkpoints_left, &out->checkpoints);
 }
 
-void cell_progress_write(const struct cell *c, const struct cell_job *j,
-			 struct buf *out)
+static void write_record(const struct cell *c, const struct cell_job *j,
+			 size_t checkpoints_max, struct buf *out)
 {
 	struct job_progress p = {c->epoch, j->state, {NULL, 0}};
 	size_t n = j->spec->steps.count, s;
@@ -215,6 +290,7 @@
 	for (k = 0; !job_state_is_terminal(j->state) && k < j->count; k++)
 		for (s = 0; j->occurrences[k].open && s < n; s++)
 			progress_of_step(&j->occurrences[k].steps[s], &a,
+					 &checkpoints_max,
 					 &rows[p.steps.count++]);
 	job_progress_write(&p, &b);
 	value.data = b.data;
@@ -223,3 +299,17 @@
 	buf_finish(&b);
 	arena_finish(&a);
 }
+
+/* Checkpoints save work, but what else the record says is needed to run a task
+ * in one place only. */
+void cell_progress_write(const struct cell *c, const struct cell_job *j,
+			 struct buf *out)
+{
+	size_t before = out->len;
+
+	write_record(c, j, CHECKPOINTS_STORED_MAX, out);
+	if (cell_record_fits(c, out->len - before))
+		return;
+	out->len = before;
+	write_record(c, j, 0, out);
+}
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -40,7 +40,7 @@
 static const struct field part_rows[] = {
 	PART(U32, occurrence), PART(U32, step),     PART(U32, all_done),
 	PART(STR, done),       PART(STR, failures), PART(STR, ordered),
-	PART(STR, workers),    PART(STR, crashes),
+	PART(STR, workers),    PART(STR, crashes),  PART(STR, checkpoints),
 };
 
 static const struct shape part_shape = SHAPE_OF(part_rows, step_progress);
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -177,6 +177,9 @@
  *	empty in records of releases that did not write it
  * @crashes: for each task one byte with the number of workers that crashed in a
  *	row soon after they started it; empty when there is none
+ * @checkpoints: of tasks that have to start again: index of the task, two
+ *bytes, low byte first, length of its checkpoint, one byte, and the checkpoint;
+ *	empty in records of releases that did not write it
  */
 struct step_progress {
 	uint32_t occurrence;
@@ -187,6 +190,7 @@
 	struct str ordered;
 	struct str workers;
 	struct str crashes;
+	struct str checkpoints;
 };
 
 /**
--- a/tests/cell_batch_test.cc
+++ b/tests/cell_batch_test.cc
@@ -139,6 +139,23 @@
 	EXPECT_EQ(w.starts.size(), 2u);
 }
 
+/* Checkpoints must not make the progress of a job too large to be stored. */
+TEST_F(CellBatch, LeavesOutCheckpointsThatDoNotFit)
+{
+	w.limit(4000, 250);
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(40, 100)});
+	w.run(500);
+	ASSERT_EQ(w.runs(7), 40u);
+	w.closed_zones.insert("z1");
+	w.end_all(7, RUN_STOPPED);
+	w.run(500);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_RUNNING);
+	w.closed_zones.clear();
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 40u);
+}
+
 /* An end is acknowledged only once it is stored, also when the progress that
  * holds it waits for a later batch: else the worker forgets it, and a task that
  * is done runs again under the next owner. */
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -450,6 +450,104 @@
 	EXPECT_TRUE(w.workers["w1"].running.empty());
 }
 
+/* A task was stopped on a worker that leaves. The owner that had heard of its
+ * checkpoint went before the task started again, and it began from zero. */
+TEST_F(CellRecovery, ResumesFromTheCheckpointThatThePreviousOwnerHeardOf)
+{
+	start_on_w1(CellWorld::task_step(3));
+	w.closed_zones.insert("z1");
+	w.end(7, RUN_STOPPED, 0, 1);
+	w.run(200);
+	leave("w1");
+	w.workers["w1"].running.clear();
+	w.take_over_on_a_new_host(2);
+	w.run(200);
+	w.take_over_on_a_new_host(3);
+	w.closed_zones.clear();
+	w.checkpoints.clear();
+	w.run(w.opt.takeover_ms + 1000);
+	ASSERT_EQ(w.runs(7), 3u);
+	EXPECT_EQ(w.checkpoints[1], "saved");
+	EXPECT_EQ(w.checkpoints[0], "");
+	EXPECT_EQ(w.checkpoints[2], "");
+}
+
+/* The progress of a step as releases before the checkpoints wrote it. */
+const field old_rows[] = {
+	FIELD_OF(U32, step_progress, occurrence),
+	FIELD_OF(U32, step_progress, step),
+	FIELD_OF(U32, step_progress, all_done),
+	FIELD_OF(STR, step_progress, done),
+	FIELD_OF(STR, step_progress, failures),
+	FIELD_OF(STR, step_progress, ordered),
+	FIELD_OF(STR, step_progress, workers),
+	FIELD_OF(STR, step_progress, crashes),
+};
+const shape old_shape = SHAPE_OF(old_rows, step_progress);
+const field old_progress_rows[] = {
+	FIELD_OF(U64, job_progress, epoch),
+	FIELD_OF(U32, job_progress, state),
+	FIELD_LIST_OF(job_progress, steps, &old_shape),
+};
+const shape old_progress_shape = SHAPE_OF(old_progress_rows, job_progress);
+
+/* During an update, owners of both releases read each other's records. */
+TEST_F(CellRecovery, ReadsProgressWithoutCheckpointsAndIsReadWithThem)
+{
+	step_progress row = {};
+	job_progress p = {1, JOB_RUNNING, {&row, 1}}, back = {};
+	char key[JOB_KEY_SIZE];
+	arena a;
+	buf b;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(2)});
+	row.done = row.ordered = {"\x01", 1};
+	row.crashes = {"\x00\x01", 2};
+	buf_init(&b);
+	shape_write(&old_progress_shape, &p, &b);
+	job_view_apply(&w.view, job_key(7, 'p', key), {b.data, b.len}, w.now);
+	w.take_over(2);
+	w.run(w.opt.takeover_ms + 1000);
+	EXPECT_EQ(w.runs(7), 1u);
+	row.checkpoints = {"\x01\x00\x02ok", 5};
+	buf_clear(&b);
+	job_progress_write(&p, &b);
+	arena_init(&a);
+	ASSERT_EQ(shape_read(&old_progress_shape, {b.data, b.len}, &back, &a),
+		  0);
+	ASSERT_EQ(back.steps.count, 1u);
+	EXPECT_EQ(((step_progress *)back.steps.items)[0].crashes.len, 2u);
+	arena_finish(&a);
+	buf_finish(&b);
+}
+
+/* Bytes that name no task, or are cut off, are skipped. */
+TEST_F(CellRecovery, SkipsCheckpointsThatNameNoTask)
+{
+	const char bytes[] = "\x01\x00\x02ok"
+			     "\x09\x00\x02no"
+			     "\x00\x00\x7fno";
+	step_progress row = {};
+	job_progress p = {1, JOB_RUNNING, {&row, 1}};
+	char key[JOB_KEY_SIZE];
+	buf b;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(2)});
+	row.ordered = {"\x03", 1};
+	row.checkpoints = {bytes, sizeof(bytes) - 1};
+	buf_init(&b);
+	job_progress_write(&p, &b);
+	job_view_apply(&w.view, job_key(7, 'p', key), {b.data, b.len}, w.now);
+	buf_finish(&b);
+	w.take_over(2);
+	w.run(w.opt.takeover_ms + 1000);
+	ASSERT_EQ(w.runs(7), 2u);
+	EXPECT_EQ(w.checkpoints[0], "");
+	EXPECT_EQ(w.checkpoints[1], "ok");
+}
+
 /*
  * A progress record that names a step twice counted its tasks twice: the count
  * of waiting tasks fell below zero.
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -436,6 +436,8 @@
 	/* Workers that ran a task when it was started a second time. */
 	std::vector<std::string> duplicates;
 	std::vector<order> starts;
+	/* Checkpoint that the last start of a task passed, by index. */
+	std::map<uint32_t, std::string> checkpoints;
 	std::map<std::string, uint8_t> paces;
 	cell_options opt = {};
 
@@ -528,6 +530,7 @@
 				   std::make_pair(call.worker.id,
 						  call.sent.ref.run));
 		starts.push_back(call.sent);
+		checkpoints[call.sent.ref.index] = call.checkpoint;
 		on_start(call.worker.id, call.sent);
 	}
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -222,6 +222,8 @@
 	const std::string crashes(JOB_TASKS_MAX, '\1');
 	const std::string workers(2 * JOB_TASKS_MAX, '\xff');
 	const std::string bits(JOB_TASKS_MAX / 8 + 1, '\x55');
+	/* the most that is stored of one job */
+	const std::string checkpoints(16384, 'x');
 
 	for (size_t rows : {(size_t)1, (size_t)JOB_TASKS_MAX}) {
 		size_t n = JOB_TASKS_MAX / rows;
@@ -238,6 +240,10 @@
 			s.workers = {workers.data(), 2 * n};
 			s.ordered = s.done = {bits.data(), n / 8 + 1};
 		}
+		/* Without them, if they do not fit: CellBatch. */
+		if (rows == 1)
+			parts[0].checkpoints = {checkpoints.data(),
+						checkpoints.size()};
 		p.epoch = UINT32_MAX;
 		p.state = JOB_RUNNING;
 		p.steps = {parts.data(), rows};
