follower: take no listing for complete that goes on

What users would see: zones open that are taken out, workers forgotten. Cause: a page without a usable record ended the listing, also when the store said that more follows; what was not listed counts as deleted. Class of fault: an answer that says less than expected taken for one that says nothing is there. Change: such a page is a failure, with a log line; the listing starts again after a pause.

Result: Follower.TakesNoListingForCompleteThatGoesOn fails on the former code, passes.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -135,6 +135,15 @@
 		follower_note_failure(f, r->status);
 		return;
 	}
+	/* A page of which nothing can be used gives no key to go on from. */
+	if (r->has_more && !r->count) {
+		log_line(LOG_ERROR, "page of a listing holds no usable record",
+			 "topic=%s part=%u keys=%zu", f->topic, f->part,
+			 f->listed_count);
+		listed_clear(f);
+		follower_note_failure(f, STORE_UNKNOWN);
+		return;
+	}
 	follower_note_recovery(f);
 	if (!f->listed_count) {
 		f->list_end_offset = r->end;
@@ -142,7 +151,7 @@
 	}
 	for (i = 0; i < r->count; i++)
 		listed_add(f, &r->records[i]);
-	if (!r->has_more || !r->count)
+	if (!r->has_more)
 		follower_apply_listing(f);
 }
 
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -125,4 +125,33 @@
 	EXPECT_EQ(f.caught_up_ms, 5000);
 }
 
+/* The listing ended with a page of which nothing could be decoded, and all that
+ * the pages after it hold counted as deleted. */
+TEST_F(Follower, TakesNoListingForCompleteThatGoesOn)
+{
+	store_ops broken = store.ops;
+
+	broken.read_newest = [](void *p, const char *, uint32_t, str after,
+				store_done d, void *ctx) {
+		((FakeStore *)p)->pending.push_back([=]() {
+			store_record row = {str_of("a"), str_of("1"), 0};
+			store_reply r = {};
+
+			r.records = &row;
+			r.count = after.len ? 0 : 1;
+			r.has_more = true;
+			d(ctx, &r);
+		});
+	};
+	f.store = &broken;
+	run(500);
+	EXPECT_FALSE(f.loaded);
+	EXPECT_EQ(sink.listings, 0);
+	f.store = &store.ops;
+	store.put("keyed.t", "a", "1");
+	store.put("keyed.t", "b", "2");
+	run(2000);
+	EXPECT_EQ(sink.keys.size(), 2u);
+}
+
 } /* namespace */
