store: trust no reply whose decisive fields are missing

Found with the decoders of the replies to join and append, which had no test. Each is a field that is absent, or of another type, read as 0: - a join whose row holds no number assigned partition 0: the host took over a cell that was not its own, and the owner was fenced; - an append without the end of the log gave 0: a new owner took the log for read and scheduled without the records of the former one, so that tasks run twice; - a listing without its end, or without saying whether more follows, counted as complete; - a refusal that names no sequence number set the owner's to 0. Besides, one item of a listing that could not be decoded refused the whole page, for ever: no host became ready.

Ruled out: requiring `offset` in the reply to an append, which nothing uses.

--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -436,6 +436,47 @@
 	});
 }
 
+TEST_F(DecoderTest, RepliesToAppends)
+{
+	const char body[] = "{\"offset\":4812,\"endOffset\":4815}";
+
+	for_each_mutation(21, body, MUTATIONS, [&](str text) {
+		store_reply r = {};
+
+		if (!store_append_parse(text, &r)) {
+			EXPECT_LE(r.end, (uint64_t)INT64_MAX);
+		}
+	});
+}
+
+TEST_F(DecoderTest, RepliesToJoins)
+{
+	const char body[] = "{\"generation\":17,\"parts\":[[\"cells\",3],"
+			    "[\"other\",0],[\"cells\",11]]}";
+	int whole = 0;
+
+	for_each_mutation(22, body, MUTATIONS, [&](str text) {
+		store_reply r = {};
+
+		if (store_join_parse(text, "cells", &r)) {
+			EXPECT_EQ(r.assigned, 0u);
+		}
+		whole += r.assigned == (1u << 3 | 1u << 11);
+	});
+	EXPECT_GT(whole, 0);
+}
+
+TEST_F(DecoderTest, Conflicts)
+{
+	const char body[] = "{\"reason\":\"seq\",\"seq\":41}";
+
+	for_each_mutation(23, body, MUTATIONS, [&](str text) {
+		store_reply r = {};
+
+		EXPECT_NE(store_conflict_parse(text, &r), STORE_OK);
+	});
+}
+
 /* What an owner stores, for a mutated record of each kind. */
 class Records : public Decoder
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -340,6 +340,125 @@
 	arena_finish(&a);
 }
 
+/* One item that could not be decoded made every host refuse the whole listing,
+ * again and again: none became ready. */
+TEST(StoreNewest, SkipsAnItemThatCannotBeDecoded)
+{
+	const char *bad[] = {
+		"7",
+		"{}",
+		"{\"key\":\"k\",\"value\":4,\"offset\":4}",
+		"{\"key\":null,\"value\":\"\",\"offset\":4}",
+		"{\"key\":\"k\",\"value\":\"\",\"offset\":\"4\"}",
+		"{\"key\":\"k\",\"value\":\"\"}",
+	};
+
+	for (const char *item : bad) {
+		std::string body =
+			"{\"items\":[{\"key\":\"a\",\"value\":\"aGVsbG8=\","
+			"\"offset\":4}," +
+			std::string(item) +
+			",{\"key\":\"z\",\"value\":\"\",\"offset\":5}],"
+			"\"hasMore\":false,\"endOffset\":6}";
+		store_reply r = {};
+		arena a;
+
+		arena_init(&a);
+		ASSERT_EQ(store_newest_parse(str_of(body.c_str()), &r, &a), 0)
+			<< item;
+		ASSERT_EQ(r.count, 2u) << item;
+		EXPECT_TRUE(str_eq(r.records[0].key, str_of("a")));
+		EXPECT_TRUE(str_eq(r.records[1].key, str_of("z")));
+		EXPECT_EQ(r.records[1].offset, 5u);
+		arena_finish(&a);
+	}
+}
+
+/* Fields that were missing counted as 0: the end of a listing, so that the log
+ * was read from its start, and that there is no further page. */
+TEST(StoreNewest, RejectsAListingWithoutItsEnd)
+{
+	store_reply r = {};
+	arena a;
+
+	arena_init(&a);
+	EXPECT_EQ(store_newest_parse(str_of("{\"items\":[],\"hasMore\":true}"),
+				     &r, &a),
+		  -EBADMSG);
+	EXPECT_EQ(store_newest_parse(str_of("{\"items\":[],\"endOffset\":6}"),
+				     &r, &a),
+		  -EBADMSG);
+	arena_finish(&a);
+}
+
+/* A reply without the end of the log counted as one of an empty log: the next
+ * owner scheduled without having read the records of the former one. */
+TEST(StoreAppend, RejectsAReplyWithoutTheEndOfTheLog)
+{
+	store_reply r = {};
+
+	for (const char *text :
+	     {"{}", "[]", "{\"offset\":4}", "", "{\"offset\"",
+	      "{\"offset\":4,\"endOffset\":null}",
+	      "{\"offset\":4,\"endOffset\":\"5\"}",
+	      "{\"offset\":4,\"endOffset\":-5}"})
+		EXPECT_EQ(store_append_parse(str_of(text), &r), -EBADMSG)
+			<< text;
+	EXPECT_EQ(store_append_parse(str_of("{\"offset\":4,\"endOffset\":5}"),
+				     &r),
+		  0);
+	EXPECT_EQ(r.first, 4u);
+	EXPECT_EQ(r.end, 5u);
+}
+
+/* A partition that is not a number counted as partition 0: the host took over a
+ * cell that was not assigned to it. */
+TEST(StoreJoin, SkipsAPartitionThatCannotBeUsed)
+{
+	for (const char *row :
+	     {"[\"cells\",\"x\"]", "[\"cells\",null]", "[\"cells\"]", "7",
+	      "[\"cells\",0.5]", "[\"cells\",-1]", "[\"cells\",64]", "[0,0]"}) {
+		std::string body = "{\"generation\":9,\"parts\":[" +
+				   std::string(row) + ",[\"cells\",3]]}";
+		store_reply r = {};
+
+		ASSERT_EQ(store_join_parse(str_of(body.c_str()), "cells", &r),
+			  0)
+			<< row;
+		EXPECT_EQ(r.assigned, 8u) << row;
+		EXPECT_EQ(r.generation, 9u);
+	}
+}
+
+TEST(StoreJoin, RejectsAReplyWithoutAGeneration)
+{
+	for (const char *text :
+	     {"", "[]", "{}", "{\"parts\":[[\"cells\",0]]}",
+	      "{\"generation\":9}", "{\"generation\":9,\"parts\":4}"}) {
+		store_reply r = {};
+
+		EXPECT_EQ(store_join_parse(str_of(text), "cells", &r), -EBADMSG)
+			<< text;
+		EXPECT_EQ(r.assigned, 0u) << text;
+	}
+}
+
+/* An owner whose expected sequence number was missing set its own to 0. */
+TEST(StoreConflict, NeedsTheExpectedSequenceNumber)
+{
+	store_reply r = {};
+
+	EXPECT_EQ(store_conflict_parse(str_of("{\"reason\":\"seq\"}"), &r),
+		  STORE_REFUSED);
+	EXPECT_EQ(store_conflict_parse(str_of("{\"reason\":\"seq\",\"seq\":4}"),
+				       &r),
+		  STORE_BAD_SEQ);
+	EXPECT_EQ(r.seq, 4u);
+	EXPECT_EQ(store_conflict_parse(str_of("{\"reason\":\"fenced\"}"), &r),
+		  STORE_FENCED);
+	EXPECT_EQ(store_conflict_parse(str_of(""), &r), STORE_REFUSED);
+}
+
 TEST(Hold, DecodesRunningAndEndedRuns)
 {
 	poll_reply r = {};
