host: say which record cannot be decoded, and why

What operators see: "cannot parse worker entry" without the place of the record; nothing at all for a worker, host or zone whose name does not fit. Change: log lines of the registry, the operators' topic, the hosts' list, job records and messages between hosts give the offset (or the sender), the length and the error number; what was dropped silently has a line. Not split further: the decoders return one error number for each kind of fault.

Result: Owner.SkipsRegistryEntriesThatCannotBeDecoded and HostOperators.SkipsRecordsThatCannotBeDecoded fail on the former code for the missing lines; that the records around a bad one are kept held already, also JobView.LosesNothingToARecordThatCannotBeDecoded and HostOperators.KeepsTheLatestConfiguration (both new, passed at once). Messages between hosts: RecordRelay.DropsRecordsThatAreNotFramed, DecoderTest.RelayedCalls and .RelayedAnswers as before.

--- a/src/host/fleet.c
+++ b/src/host/fleet.c
@@ -1,5 +1,7 @@
 #include "host/fleet.h"
 
+#include <inttypes.h>
+
 #include "base/logger.h"
 
 /* Pause after a failed announcement. */
@@ -33,8 +35,12 @@
 	struct arena a;
 	int err;
 
-	if (!r->key.len || r->key.len >= NAME_SIZE)
+	if (!r->key.len || r->key.len >= NAME_SIZE) {
+		log_line(LOG_ERROR, "cannot use the name of a host",
+			 "offset=%" PRIu64 " name_bytes=%zu max=%d", r->offset,
+			 r->key.len, NAME_SIZE - 1);
 		return;
+	}
 	memcpy(name, r->key.data, r->key.len);
 	name[r->key.len] = '\0';
 	if (!strcmp(name, f->name))
@@ -48,7 +54,8 @@
 	arena_finish(&a);
 	if (err)
 		log_line(LOG_ERROR, "cannot decode the record of a host",
-			 "host=%s bytes=%zu", name, r->value.len);
+			 "host=%s offset=%" PRIu64 " bytes=%zu error=%d", name,
+			 r->offset, r->value.len, err);
 	else
 		f->ops->host_announced(f->ctx, name, rec.address,
 				       rec.cpu_milli);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -148,8 +148,8 @@
 
 	if (err)
 		log_line(LOG_ERROR, "cannot decode job record",
-			 "offset=%" PRIu64 " key_bytes=%zu error=%d", r->offset,
-			 r->key.len, err);
+			 "offset=%" PRIu64 " key_bytes=%zu bytes=%zu error=%d",
+			 r->offset, r->key.len, r->value.len, err);
 }
 
 static const struct follower_ops job_follower_ops = {ignore_listing, jobs_apply,
--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -5,13 +5,17 @@
 #include "base/logger.h"
 #include "platform/config.h"
 
-static void apply_config(struct host *h, struct str text)
+static void apply_config(struct host *h, const struct store_record *r)
 {
 	struct queue_table t;
+	int err;
 
-	if (config_parse(text, &t)) {
-		log_line(LOG_ERROR, "cannot decode configuration", "bytes=%zu",
-			 text.len);
+	err = config_parse(r->value, &t);
+	if (err) {
+		log_line(LOG_ERROR, "cannot decode configuration",
+			 "offset=%" PRIu64 " bytes=%zu error=%d "
+			 "kept_version=%" PRIu64,
+			 r->offset, r->value.len, err, h->queues.version);
 		if (!h->config_until_ms)
 			h->config_until_ms = h->operator_follower.caught_up_ms;
 		return;
@@ -51,12 +55,18 @@
 
 	if (str_eq(r->key, str_of(KEY_CONFIG))) {
 		if (r->value.len)
-			apply_config(h, r->value);
+			apply_config(h, r);
 		return;
 	}
-	if (r->key.len <= prefix || r->key.len - prefix >= NAME_SIZE ||
+	if (r->key.len < prefix ||
 	    memcmp(r->key.data, KEY_ZONE_EVACUATED, prefix))
 		return;
+	if (r->key.len == prefix || r->key.len - prefix >= NAME_SIZE) {
+		log_line(LOG_ERROR, "cannot use the name of an evacuated zone",
+			 "offset=%" PRIu64 " name_bytes=%zu max=%d", r->offset,
+			 r->key.len - prefix, NAME_SIZE - 1);
+		return;
+	}
 	memcpy(zone, r->key.data + prefix, r->key.len - prefix);
 	zone[r->key.len - prefix] = '\0';
 	log_line(LOG_INFO,
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -14,9 +14,12 @@
 
 static void receive_records(struct host *h, uint64_t from, struct str text)
 {
-	if (record_relay_receive(&h->record_relay, from, text))
+	int err = record_relay_receive(&h->record_relay, from, text);
+
+	if (err)
 		log_line(LOG_ERROR, "cannot decode records of another host",
-			 "from=%016" PRIx64 " bytes=%zu", from, text.len);
+			 "from=%016" PRIx64 " bytes=%zu error=%d", from,
+			 text.len, err);
 }
 
 void host_peers_receive(struct host *h, uint64_t from, enum peers_kind kind,
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -54,20 +54,27 @@
 	struct owner *o = ctx;
 	struct worker_entry e;
 	char id[NAME_SIZE];
+	int err;
 
-	if (!r->key.len || r->key.len >= NAME_SIZE)
+	if (!o->cell)
+		return;
+	if (!r->key.len || r->key.len >= NAME_SIZE) {
+		log_line(LOG_WARN, "cannot use the key of a worker entry",
+			 "offset=%" PRIu64 " key_bytes=%zu max=%d", r->offset,
+			 r->key.len, NAME_SIZE - 1);
 		return;
+	}
 	memcpy(id, r->key.data, r->key.len);
 	id[r->key.len] = '\0';
-	if (!o->cell)
-		return;
 	if (!r->value.len) {
 		cell_worker_gone(o->cell, id);
 		return;
 	}
-	if (o->parse_worker(r->key, r->value, &e)) {
+	err = o->parse_worker(r->key, r->value, &e);
+	if (err) {
 		log_line(LOG_WARN, "cannot parse worker entry",
-			 "worker=%s bytes=%zu", id, r->value.len);
+			 "worker=%s offset=%" PRIu64 " bytes=%zu error=%d", id,
+			 r->offset, r->value.len, err);
 		return;
 	}
 	index_put(&o->listed_workers, name_hash(id), o);
@@ -216,16 +223,21 @@
 }
 
 /* Lets the jobs of other hosts be scheduled before the log is read. */
-static void apply_peer_records(struct owner *o)
+static void apply_peer_records(struct owner *o, uint64_t offset)
 {
 	struct str rest = {o->batch.data, o->batch_peer_bytes};
 	struct store_record r;
+	int err;
 
-	while (!store_record_take(&rest, &r))
-		if (job_view_apply(o->job_view, r.key, r.value, o->now_ms))
+	while (!store_record_take(&rest, &r)) {
+		err = job_view_apply(o->job_view, r.key, r.value, o->now_ms);
+		if (err)
 			log_line(LOG_ERROR, "cannot decode job record",
-				 "key_bytes=%zu bytes=%zu", r.key.len,
-				 r.value.len);
+				 "offset=%" PRIu64
+				 " key_bytes=%zu bytes=%zu error=%d",
+				 offset, r.key.len, r.value.len, err);
+		offset++;
+	}
 }
 
 /*
@@ -338,7 +350,7 @@
 		o->attempt = 0;
 		o->stored_ms = r->sent_ms;
 		o->seq++;
-		apply_peer_records(o);
+		apply_peer_records(o, r->first);
 		buf_clear(&o->batch);
 		answer_peers(o, STORE_OK);
 		cell_batch_stored(o->cell);
--- /dev/null
+++ b/tests/host_operators_test.cc
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "host/host.h"
+#include "platform/config.h"
+
+namespace
+{
+
+class HostOperators : public testing::Test
+{
+      protected:
+	HostOperators() : h(new host())
+	{
+		index_init(&h->evacuated_zones);
+		index_init(&h->listed_zones);
+	}
+
+	~HostOperators() override
+	{
+		index_finish(&h->evacuated_zones);
+		index_finish(&h->listed_zones);
+		queue_table_finish(&h->queues);
+	}
+
+	/* Returns what is logged. */
+	std::string apply(const std::string &key, const std::string &value,
+			  uint64_t offset)
+	{
+		store_record r = {{key.data(), key.size()},
+				  {value.data(), value.size()},
+				  offset};
+
+		testing::internal::CaptureStderr();
+		host_operator_ops.apply(h.get(), &r);
+		return testing::internal::GetCapturedStderr();
+	}
+
+	static std::string config(int version)
+	{
+		return "{\"version\":" + std::to_string(version) +
+		       ",\"routes\":[{\"name\":\"a\",\"host\":\"a.example\","
+		       "\"pathPrefix\":\"/a/\",\"service\":\"pool\"}],"
+		       "\"limits\":{}}";
+	}
+
+	bool is_evacuated(const char *zone)
+	{
+		return index_get(&h->evacuated_zones, name_hash(zone));
+	}
+
+	std::unique_ptr<host> h;
+};
+
+/* A record of the operators that cannot be decoded must not take away the
+ * configuration in force, nor the records around it. */
+TEST_F(HostOperators, SkipsRecordsThatCannotBeDecoded)
+{
+	const std::string zone = KEY_ZONE_EVACUATED;
+	std::string log;
+
+	apply(KEY_CONFIG, config(3), 1);
+	ASSERT_EQ(h->queues.version, 3u);
+	for (std::string bad :
+	     {std::string("{"), std::string("\xff\xfe"), std::string("[]"),
+	      std::string("{\"version\":4,\"routes\":7}"),
+	      config(4).substr(0, 60)}) {
+		log = apply(KEY_CONFIG, bad, 77);
+		EXPECT_NE(log.find("offset=77"), std::string::npos) << bad;
+		EXPECT_NE(log.find("error="), std::string::npos) << bad;
+		EXPECT_EQ(h->queues.version, 3u) << bad;
+		EXPECT_EQ(h->queues.count, 1u) << bad;
+	}
+	log = apply(zone + std::string(NAME_SIZE, 'z'), "{}", 78);
+	EXPECT_NE(log.find("offset=78"), std::string::npos);
+	log = apply(zone, "{}", 79);
+	EXPECT_NE(log.find("offset=79"), std::string::npos);
+	apply("some-other-key", "{}", 80);
+	apply(zone + "z2", "\xff", 81);
+	apply(KEY_CONFIG, config(5), 82);
+	EXPECT_TRUE(is_evacuated("z2"));
+	EXPECT_EQ(index_count(&h->evacuated_zones), 1u);
+	EXPECT_EQ(h->queues.version, 5u);
+}
+
+/* A configuration that had been withdrawn came back with a record that was read
+ * a second time. */
+TEST_F(HostOperators, KeepsTheLatestConfiguration)
+{
+	apply(KEY_CONFIG, config(5), 1);
+	apply(KEY_CONFIG, config(4), 2);
+	EXPECT_EQ(h->queues.version, 5u);
+	apply(KEY_CONFIG, "", 3);
+	EXPECT_EQ(h->queues.version, 5u);
+}
+
+} /* namespace */
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -132,6 +132,32 @@
 	EXPECT_EQ(accepted, 0);
 }
 
+/* A record that cannot be decoded must leave what was known of its job, and all
+ * other jobs and workers, as they are. */
+TEST_F(JobView, LosesNothingToARecordThatCannotBeDecoded)
+{
+	const std::string good = progress(JOB_RUNNING);
+
+	EXPECT_EQ(put(5, 0, spec(5)), 0);
+	EXPECT_EQ(put(5, 'p', good), 0);
+	EXPECT_EQ(put(6, 0, "junk"), -EBADMSG);
+	EXPECT_EQ(put(5, 'p', "junk"), -EBADMSG);
+	EXPECT_EQ(put(5, 'p', progress(99)), -EBADMSG);
+	EXPECT_EQ(job_view_apply(&v, str_of("w/w1"), str_of("junk"), 1),
+		  -EBADMSG);
+	EXPECT_EQ(job_view_apply(&v, str_of(OWNER_KEY), str_of("junk"), 1),
+		  -EBADMSG);
+	EXPECT_EQ(put(6, 0, spec(6)), 0);
+	EXPECT_EQ(accepted, 2);
+	ASSERT_NE(job_view_get(&v, 5)->spec, nullptr);
+	ASSERT_NE(job_view_get(&v, 6)->spec, nullptr);
+	EXPECT_EQ(job_view_get(&v, 5)->state, (uint32_t)JOB_RUNNING);
+	EXPECT_EQ(std::string(job_view_get(&v, 5)->progress.data,
+			      job_view_get(&v, 5)->progress.len),
+		  good);
+	EXPECT_EQ(job_view_pending(&v, "q"), 1u);
+}
+
 TEST_F(JobView, TracksKnownWorkers)
 {
 	known_worker w = {};
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -6,6 +6,7 @@
 
 #include "host/owner.h"
 #include "host/record_relay.h"
+#include "platform/config.h"
 #include "tests/fake_store.h"
 
 namespace
@@ -403,6 +404,37 @@
 	EXPECT_EQ(a.owner.append_failures, 0u);
 }
 
+/* Entries of the registry that cannot be decoded name no worker; the owner must
+ * say which, and know of all others. */
+TEST_F(Owner, SkipsRegistryEntriesThatCannotBeDecoded)
+{
+	const std::string good =
+		"{\"address\":\"10.0.0.9:1\",\"service\":\"pool\",\"zone\":"
+		"\"z\",\"state\":\"ready\",\"born\":5,\"capacity\":{\"cpu\":"
+		"1000,\"memMb\":100}}";
+	const char *topic = "keyed.servers";
+	struct cell_counts n;
+	Host a(&store, "a");
+	std::string log;
+
+	a.owner.parse_worker = worker_entry_parse;
+	store.put(topic, "w1", good);
+	store.put(topic, "w2", "{\"address\":");
+	store.put(topic, "w3", good);
+	store.put(topic, std::string(NAME_SIZE, 'w'), good);
+	run({&a}, 1000);
+	testing::internal::CaptureStderr();
+	store.put(topic, "w4", "\xff\x01");
+	store.put(topic, "w5", good);
+	store.put(topic, std::string(NAME_SIZE + 1, 'w'), good);
+	run({&a}, 1000);
+	log = testing::internal::GetCapturedStderr();
+	cell_get_counts(a.owner.cell, &n);
+	EXPECT_EQ(n.workers, 3u);
+	EXPECT_NE(log.find("worker=w4 offset=4 "), std::string::npos) << log;
+	EXPECT_NE(log.find("offset=6 key_bytes=65"), std::string::npos) << log;
+}
+
 /* Two hosts whose messages are late, lost and out of order. */
 class Wire
 {
