soak: workers that stand still, wall clocks that jump

New: SIGSTOP for workers, 2 to 10 s, and a preloaded clock for hosts (the store and the workers keep theirs, as their logs are compared).

Two faults of the check itself came up with it. A worker that stood still logs the end of its runs when it goes on: the log now says when the lease ended, as nothing ran since.

--- a/standins/gridworker.c
+++ b/standins/gridworker.c
@@ -70,6 +70,17 @@
 	FILE *run_log;
 };
 
+/* A process that stood still ends its runs, as it goes on, for a lease that ran
+ * out while nothing could run. */
+static int64_t lease_overrun_ms(const struct worker_server *s,
+				const struct grid_run *r)
+{
+	int64_t late = clock_mono_ms() - s->worker.lease_until_ms;
+	bool is_expiry = !r || (r->end_seq && r->outcome == RUN_EXPIRED);
+
+	return is_expiry && late > 0 ? late : 0;
+}
+
 static void log_run_event(void *ctx, const struct grid_run *r,
 			  const char *event)
 {
@@ -77,17 +88,18 @@
 						"lapsed", "broken", "alone"};
 	struct worker_server *s = ctx;
 	char name[TASK_NAME_SIZE];
+	int64_t at_ms = clock_wall_ms() - lease_overrun_ms(s, r);
 
 	if (!s->run_log)
 		return;
 	if (!r) {
-		fprintf(s->run_log, "%" PRId64 " %s - 0 %s -\n",
-			clock_wall_ms(), settings_text(s->set, "id"), event);
+		fprintf(s->run_log, "%" PRId64 " %s - 0 %s -\n", at_ms,
+			settings_text(s->set, "id"), event);
 		fflush(s->run_log);
 		return;
 	}
 	task_name(&r->ref, name);
-	fprintf(s->run_log, "%" PRId64 " %s %s %u %s %s\n", clock_wall_ms(),
+	fprintf(s->run_log, "%" PRId64 " %s %s %u %s %s\n", at_ms,
 		settings_text(s->set, "id"), name, r->ref.run, event,
 		r->end_seq ? end_names[r->outcome] : "-");
 	fflush(s->run_log);
--- a/tools/harm.sh
+++ b/tools/harm.sh
@@ -1,5 +1,6 @@
 # Sourced after grid.sh: runs hosts and workers behind loopback proxies that can
-# delay, silence or reset their connections. Each host h0, h1, ... reaches the store
+# delay, silence or reset their connections. $GRID/NAME.clock sets the wall clock of
+# a host off by that many milliseconds. Each host h0, h1, ... reaches the store
 # through a proxy of its own; each worker w0, w1, ... is reached through one.
 
 declare -A PROXY_PID INCARNATION
@@ -35,7 +36,8 @@
 	[ -e "$GRID/$1.log" ] && cat "$GRID/$1.log" >>"$GRID/$1.log.before"
 	rm -f "$GRID/$1.log"
 	STORE=127.0.0.1:$(cat "$GRID/$1.proxy")
-	grid_start_host "$1" z1
+	LD_PRELOAD=$(realpath "$BIN/libclock_jump.so") \
+		CLOCK_JUMP_FILE="$GRID/$1.clock" grid_start_host "$1" z1
 }
 
 # proxied_start HOSTS WORKERS: numbers of hosts and workers
--- a/tools/host_demo.sh
+++ b/tools/host_demo.sh
@@ -68,7 +68,7 @@
 	sed 's/^ts=\([0-9.]*\) level=[a-z]* process=/  \1 /' | sort | cut -c1-110
 echo
 printf 'judged from the records of the workers: '
-cat "$GRID"/runs.* | sort -n | awk -f tools/judge_runs.awk
+cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -f tools/judge_runs.awk
 judged=$?
 echo "demo: $sent sent, $accepted accepted, $completed completed, $((accepted - completed)) lost"
 [ $judged = 0 ] && [ $completed = $accepted ]
--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -3,8 +3,9 @@
 # lost it before the acknowledgement, because it was killed or its lease lapsed.
 #
 # Input: lines "ms worker task run start|end|ack|lapse how" of all workers, sorted
-# by time. -v killed_workers="WORKER MS ..." lists killed workers and the time of
-# each kill. Exits 1 if there was a violation.
+# by time, those of one worker and millisecond in the order written (sort -s).
+# -v killed_workers="WORKER MS ..." lists killed workers and the time of each kill.
+# Exits 1 if there was a violation.
 BEGIN {
 	n = split(killed_workers, pair, " ")
 	for (i = 1; i < n; i += 2)
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -45,12 +45,24 @@
 	start_host "$1"
 }
 
-fault_pause_host()
+# fault_pause PID SECONDS
+fault_pause()
 {
-	kill -STOP "${HOST_PID[$1]}"
+	kill -STOP "$1"
 	(
 		sleep "$2"
-		kill -CONT "${HOST_PID[$1]}"
+		kill -CONT "$1"
+	) &
+	PENDING+=($!)
+}
+
+# fault_clock HOST MS SECONDS: the wall clock of the host jumps, and back
+fault_clock()
+{
+	echo "$2" >"$GRID/$1.clock"
+	(
+		sleep "$3"
+		echo 0 >"$GRID/$1.clock"
 	) &
 	PENDING+=($!)
 }
@@ -87,17 +99,22 @@
 {
 	local h=h$((RANDOM % HOSTS)) w=w$((RANDOM % WORKERS)) s=$((1 + RANDOM % 5))
 	local modes=(delay=150 delay=600 silence no-answers reset)
-	local mode=${modes[$((RANDOM % 5))]} kind=$((RANDOM % 10))
+	local mode=${modes[$((RANDOM % 5))]} kind=$((RANDOM % 14))
+	local jumps=(-86400000 -3600000 -4000 -300 300 4000 3600000 86400000)
+	local jump=${jumps[$((RANDOM % 8))]}
 
-	echo "$(now_ms) fault=$kind host=$h worker=$w mode=$mode seconds=$s" >>"$GRID/faults.log"
+	echo "$(now_ms) fault=$kind host=$h worker=$w mode=$mode jump=$jump seconds=$s" \
+		>>"$GRID/faults.log"
 	case $kind in
 	0) fault_kill_host "$h" ;;
 	1) fault_stop_host "$h" ;;
-	2 | 3) fault_pause_host "$h" "$s" ;;
+	2 | 3) fault_pause "${HOST_PID[$h]}" "$s" ;;
 	4) fault_kill_worker "$w" ;;
 	5 | 6) fault_proxy "$w" "$mode" "$s" ;;
 	7 | 8) fault_proxy "$h" "$mode" "$s" ;;
 	9) fault_store $((1 + s / 2)) ;;
+	10 | 11) fault_pause "${WORKER_PID[$w]}" $((s * 2)) ;;
+	12 | 13) fault_clock "$h" "$jump" "$s" ;;
 	esac
 }
 
@@ -188,7 +205,7 @@
 grid_wait $SETTLE_S all_ended || { echo "seed $SEED: has not ended: $(cat "$GRID/not-ended")"; FAILED=1; }
 [ -s "$GRID/denied" ] && { echo "seed $SEED: denied: $(sort -u "$GRID/denied" | head -3)"; FAILED=1; }
 [ -s "$GRID/faults.bad" ] && { cat "$GRID/faults.bad"; FAILED=1; }
-cat "$GRID"/runs.* | sort -n | awk -v killed_workers="$KILLED_WORKERS" -f tools/judge_runs.awk \
+cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -v killed_workers="$KILLED_WORKERS" -f tools/judge_runs.awk \
 	>"$GRID/judged" || { echo "seed $SEED: $(head -3 "$GRID/judged")"; FAILED=1; }
 for id in $(cat "$GRID/refused"); do
 	grep -q " $id\." "$GRID"/runs.* && { echo "seed $SEED: refused, but ran: $id"; FAILED=1; }
