tests: the fence, in the orders of an owner and in the replies to it

Found with builds that have one protection off: no test turned red when orders carried a constant fence, nor when an owner ignored that a worker had seen the next one. New: a start of the former owner that arrives after a takeover, and an owner that is told by the reply to a start, a stop or a poll. Both held already.

Result: FencesAStartOfTheFormerOwnerThatArrivesLate fails with a constant fence, StopsOnceAWorkerHasSeenTheNextOwner with the reply ignored, to orders or to polls.

--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -419,6 +419,67 @@
 	EXPECT_TRUE(w.duplicates.empty());
 }
 
+/* An order of the former owner was under way while the next one took over and
+ * started the task elsewhere: the worker carried it out. */
+TEST_F(CellRecovery, FencesAStartOfTheFormerOwnerThatArrivesLate)
+{
+	std::vector<Call> late;
+
+	w.begin({"w1", "w2"});
+	w.submit(7, {CellWorld::task_step(1)});
+	while (late.empty()) {
+		w.now += 5;
+		cell_set_authority(w.c, w.now + 1000);
+		w.tick();
+		w.commit();
+		for (size_t i = 0; i < w.calls.size(); i++)
+			if (w.calls[i].kind == Call::START) {
+				late.push_back(w.calls[i]);
+				w.calls.erase(w.calls.begin() + (long)i);
+				break;
+			}
+		w.answer_all();
+	}
+	w.take_over(2);
+	w.run(2000);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.answer(late[0]);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.workers["w1"].fence, 2u);
+	EXPECT_EQ(w.workers["w2"].fence, 2u);
+}
+
+/* An owner that had been paused went on after a worker had seen the next one.
+ * Each kind of call tells it. */
+TEST_F(CellRecovery, StopsOnceAWorkerHasSeenTheNextOwner)
+{
+	for (Call::Kind kind : {Call::START, Call::STOP, Call::POLL}) {
+		CellWorld x;
+
+		x.begin({"w1"});
+		x.submit(7, {CellWorld::task_step(1)});
+		if (kind == Call::STOP) {
+			x.run(200);
+			x.cancel(7);
+		}
+		for (int i = 0; i < 400 && !x.fenced; i++) {
+			x.now += 5;
+			cell_set_authority(x.c, x.now + 1000);
+			x.tick();
+			x.commit();
+			auto out = x.calls;
+			x.calls.clear();
+			for (auto &call : out) {
+				x.workers["w1"].fence =
+					call.kind == kind ? 2 : 1;
+				x.answer(call);
+			}
+		}
+		EXPECT_TRUE(x.fenced) << (int)kind;
+	}
+}
+
 /* The registry entry that a new owner reads first is up to a heartbeat old. It
  * counted the time left from its own reading, so the stop came too late and the
  * run ended with the worker, unreported. */
