tests: protections whose absence no test showed

Found with one protection taken out at a time: none of the tests of the cell and of the host turned red.

--- a/tests/host_append_test.cc
+++ b/tests/host_append_test.cc
@@ -90,4 +90,26 @@
 	EXPECT_EQ(h->batches_in_flight, 0u);
 }
 
+/* The answer to an append was lost, and the caller was told that its job had not
+ * been accepted: the job ran. */
+TEST_F(HostAppend, WithdrawsNoRecordThatMayBeStored)
+{
+	add_call(10);
+	EXPECT_TRUE(call_withdraw(h.get(), calls[0].get()));
+	add_call(10);
+	store.mode = FakeStore::LOSE_REPLIES;
+	host_append_queue_send(h.get());
+	EXPECT_FALSE(call_withdraw(h.get(), calls[1].get()));
+	store.run();
+	EXPECT_FALSE(call_withdraw(h.get(), calls[1].get()));
+	EXPECT_EQ(store.topics[TOPIC_JOBS].size(), 1u);
+	add_call(10);
+	store.mode = FakeStore::REFUSE;
+	h->append_due_ms = 0;
+	h->store_failures = 0;
+	host_append_queue_send(h.get());
+	store.run();
+	EXPECT_TRUE(call_withdraw(h.get(), calls[2].get()));
+}
+
 } /* namespace */
--- a/tests/host_operators_test.cc
+++ b/tests/host_operators_test.cc
@@ -95,4 +95,22 @@
 	EXPECT_EQ(h->queues.version, 5u);
 }
 
+/* A zone's evacuation was withdrawn by a record that was trimmed before this
+ * host read it: the listing no longer holds the zone. */
+TEST_F(HostOperators, OpensAZoneThatTheListingDoesNotHold)
+{
+	const std::string zone = KEY_ZONE_EVACUATED;
+
+	host_operator_ops.begin(h.get());
+	apply(zone + "z1", "{}", 1);
+	apply(zone + "z2", "{}", 2);
+	host_operator_ops.end(h.get());
+	EXPECT_TRUE(is_evacuated("z1"));
+	host_operator_ops.begin(h.get());
+	apply(zone + "z2", "{}", 2);
+	host_operator_ops.end(h.get());
+	EXPECT_FALSE(is_evacuated("z1"));
+	EXPECT_TRUE(is_evacuated("z2"));
+}
+
 } /* namespace */
