--- a/tests/host_append_test.cc
+++ b/tests/host_append_test.cc
@@ -90,8 +90,8 @@
 	EXPECT_EQ(h->batches_in_flight, 0u);
 }
 
-/* The answer to an append was lost, and the caller was told that its job had not
- * been accepted: the job ran. */
+/* The answer to an append was lost, and the caller was told that its job had
+ * not been accepted: the job ran. */
 TEST_F(HostAppend, WithdrawsNoRecordThatMayBeStored)
 {
 	add_call(10);
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -627,6 +627,17 @@
 				d(ctx, &addr, &r);
 			});
 		};
+		a.wops.start = [](void *port, const worker_addr *w,
+				  const order *o, order_done d, void *ctx) {
+			TwoOwners *t = (TwoOwners *)port;
+			worker_addr addr = *w;
+			task_ref ref = o->ref;
+			t->starts++;
+			t->polls.push_back([=]() {
+				order_reply r = {ORDER_OK, t->now};
+				d(ctx, &addr, &ref, &r);
+			});
+		};
 		a.owner.worker_port = this;
 		b.wops.poll = [](void *port, const worker_addr *w,
 				 const poll_request *, poll_done d, void *ctx) {
@@ -665,6 +676,27 @@
 		buf_finish(&x);
 	}
 
+	void submit(uint64_t id)
+	{
+		char key[JOB_KEY_SIZE];
+		job_step task = {};
+		job_spec spec = {};
+		buf text;
+
+		task.count = 1;
+		task.cpu = 100;
+		spec.id = id;
+		name_set(spec.queue, "q");
+		spec.attempts_max = 1;
+		spec.steps = {&task, 1};
+		buf_init(&text);
+		job_spec_write(&spec, &text);
+		str k = job_key(id, 0, key);
+		store.put(TOPIC_JOBS, std::string(k.data, k.len),
+			  std::string(text.data, text.len));
+		buf_finish(&text);
+	}
+
 	void step(bool a_cut)
 	{
 		store.now = now;
@@ -689,6 +721,7 @@
 	Host a, b;
 	int64_t now = 0;
 	int64_t lease = 0;
+	size_t starts = 0;
 	int64_t b_began = 0;
 	bool b_up = false;
 	std::vector<std::function<void()>> polls;
@@ -735,4 +768,30 @@
 	EXPECT_LT(lease, b_began + 8500);
 }
 
+/* An owner whose cell had been given to another host went on starting tasks for
+ * as long as its membership was certain, beside the next owner. */
+TEST_F(TwoOwners, StartsNothingOnceItHandsOver)
+{
+	a.retains = false;
+	a.owner.parse_worker = worker_entry_parse;
+	store.put("keyed.servers", "w1",
+		  "{\"address\":\"w1:1\",\"service\":\"pool\",\"state\":"
+		  "\"ready\",\"born\":5,\"capacity\":{\"cpu\":1000,"
+		  "\"memMb\":100}}");
+	submit(1);
+	while (now < 3000)
+		step(false);
+	ASSERT_GT(starts, 0u);
+	store.assignee = "b";
+	store.generation++;
+	while (!a.owner.handover_began_ms && now < 4000)
+		step(false);
+	ASSERT_GT(a.owner.handover_began_ms, 0);
+	starts = 0;
+	submit(2);
+	while (now < 6000)
+		step(false);
+	EXPECT_EQ(starts, 0u);
+}
+
 } /* namespace */
