cell: keep the tasks of a client account within its limits

Cause: placement knows the capacity of the workers only.

What can start a task, and what counts against the account meanwhile: - a task with a worker (storing, starting, running, stopping), also on a worker that is silent, until its leases have ended; - a task in doubt after a takeover, until its worker is heard or the leases there have ended, also if its job has ended or an earlier run is reported as done meanwhile; - a run that a worker lists and that no task stands for, until it is gone; - a run of a job that ended while the run was being stopped. The next owner reads it from the progress record, which keeps the steps of such a job. Adopted runs count as they are, also above the limit.

The limits come from the host's present configuration through cell_ops.accounts, in each placement pass and again before a stored start is sent: a limit may be lowered while the intent waits for a slow store. The starts of a gang are taken back together. A limit that is lowered stops no run. An account that is no longer listed keeps its last limits. Before a configuration has been read, no task of an account starts.

A step that waits for its limit is left out before workers are looked at, so it enters no cache of demands that no worker meets and reserves none; the end of a run makes a placement pass due. Two metrics, and one log line for an account each 5 s, 8 lines a pass.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 /* The host calls cell_tick() after each round of events. Loops over all workers
@@ -95,6 +96,7 @@
 	c->accounted_ms = now_ms;
 	c->wall_ms = wall_ms;
 	index_init(&c->worker_ids);
+	quota_table_init(&c->quotas);
 	effect_model_init(&c->effect_model);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
@@ -105,6 +107,7 @@
 	for (e = view->jobs; e; e = e->next)
 		if (e->spec && !job_state_is_terminal(e->state))
 			cell_job_add(c, e, true);
+	cell_progress_hold_runs(c);
 	return c;
 }
 
@@ -116,8 +119,10 @@
 		struct cell_worker *w = c->workers;
 
 		c->workers = w->next;
+		cell_quota_release_orphans(c, w);
 		free(w);
 	}
+	quota_table_finish(&c->quotas);
 	index_finish(&c->worker_ids);
 	effect_model_finish(&c->effect_model);
 	buf_finish(&c->pending_records);
@@ -352,7 +357,7 @@
 		next = j->next;
 		if (j->spec->repeat && !job_state_is_terminal(j->state))
 			cell_job_open_due(c, j);
-		if (job_state_is_terminal(j->state) && !j->placed &&
+		if (job_state_is_terminal(j->state) && !j->placed && !j->held &&
 		    !j->dirty && !j->storing)
 			cell_job_free(c, j);
 	}
@@ -382,6 +387,7 @@
 	if (now_ms >= c->sweep_due_ms && !c->pending_records.len) {
 		c->sweep_due_ms = now_ms + SWEEP_PERIOD_MS;
 		drop_terminal_jobs(c);
+		quota_table_drop_unused(&c->quotas);
 	}
 	if (now_ms >= c->effect_model_due_ms && !c->batch_open) {
 		c->effect_model_due_ms = now_ms + EFFECT_MODEL_PERIOD_MS;
@@ -408,6 +414,7 @@
 {
 	const struct cell_worker *w;
 	const struct cell_job *j;
+	const struct quota *q;
 
 	*out = c->counts;
 	out->epoch = c->epoch;
@@ -421,5 +428,9 @@
 	for (j = c->jobs; j; j = j->next) {
 		out->waiting += j->waiting;
 		out->placed += j->placed;
+		if (j->quota && j->quota->is_blocked)
+			out->waiting_quota += j->waiting;
 	}
+	for (q = c->quotas.first; q; q = q->next)
+		out->accounts_blocked += q->is_blocked;
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -1,6 +1,7 @@
 #ifndef CELL_CELL_H
 #define CELL_CELL_H
 
+#include "cell/account_table.h"
 #include "cell/job_view.h"
 #include "ports/cluster.h"
 
@@ -71,6 +72,8 @@
  * @now: boot time, milliseconds
  * @zone_open: whether tasks may start in a zone
  * @queue_service: service whose pool runs a queue, or NULL if it is not known
+ * @accounts: the client accounts of the present configuration, or NULL before
+ *	one has been read
  * @fenced: a worker has seen a higher epoch; the host must stop the cell, but
  *	not from within this call
  */
@@ -78,6 +81,7 @@
 	int64_t (*now)(void *ctx);
 	bool (*zone_open)(void *ctx, const char *zone);
 	const char *(*queue_service)(void *ctx, const char *queue);
+	const struct account_table *(*accounts)(void *ctx);
 	void (*fenced)(void *ctx);
 };
 
@@ -174,6 +178,8 @@
  * @unanswered: starts without a reply
  * @paces: changes of pace sent
  * @examined: workers that placement has examined for a task or a step
+ * @accounts_blocked: client accounts of which a task waits for a limit
+ * @waiting_quota: their tasks without a worker that are not done
  * @moves: best-effort tasks stopped so that they resume on another worker
  */
 struct cell_counts {
@@ -185,6 +191,8 @@
 	uint32_t placed;
 	uint32_t in_doubt;
 	uint32_t unheard;
+	uint32_t accounts_blocked;
+	uint32_t waiting_quota;
 	uint64_t starts;
 	uint64_t ends_done;
 	uint64_t ends_failed;
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 static bool is_gang_unplaced(const struct cell_step *st)
@@ -96,6 +97,8 @@
 		if (c->now_ms < st->tasks[i].retry_at_ms ||
 		    cell_task_is_in_doubt(c, &st->tasks[i]))
 			return;
+	if (!cell_quota_fits(c, st, st->spec->count))
+		return;
 	chosen = xcalloc(st->spec->count, sizeof(struct cell_worker *));
 	if (step_has_flag(st, STEP_SAME_RACK))
 		found = gang_choose_rack(c, st, service, chosen);
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_quota.h"
+#include "cell/cell_recovery.h"
 
 /* The part of a run number that failed_runs holds. */
 #define RUN_LOW_MASK 0xffff
@@ -19,6 +21,7 @@
 	uint32_t k;
 	size_t s;
 
+	cell_quota_remove_job(c, j);
 	for (k = 0; k < j->count; k++) {
 		struct cell_occurrence *o = &j->occurrences[k];
 
@@ -116,6 +119,7 @@
 	c->jobs = j;
 	e->cell_job = j;
 	c->counts.jobs++;
+	cell_quota_add_job(c, j);
 	if (recovered)
 		cell_progress_recover(c, j);
 	cell_job_open_due(c, j);
@@ -209,6 +213,9 @@
 
 	t->state = TASK_DONE;
 	st->done++;
+	/* Done by an earlier run, it may have a later one that is in doubt. */
+	if (!cell_task_is_in_doubt(c, t))
+		cell_quota_release(c, t);
 	cell_job_mark_dirty(c, j);
 	c->place_due = true;
 	if (st->done < st->spec->count)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -1,6 +1,7 @@
 #include "cell/cell_types.h"
 
 #include "cell/cell_crash.h"
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 /* A job without a placed task for this long is starved if less than this share
@@ -85,6 +86,8 @@
 	struct cell_worker *w;
 	uint32_t i;
 
+	if (!cell_quota_fits(c, st, 1))
+		return;
 	for (i = 0; i < st->spec->count; i++) {
 		if (!is_placeable(c, &st->tasks[i]))
 			continue;
@@ -111,6 +114,8 @@
 
 		if (!t->crashes || !is_placeable(c, t))
 			continue;
+		if (!cell_quota_fits(c, st, 1))
+			return;
 		w = cell_choose_worker(c, t, service, NULL, false);
 		if (!w)
 			return;
@@ -143,6 +148,8 @@
 
 		if (t->crashes || !is_placeable(c, t))
 			continue;
+		if (!cell_quota_fits(c, st, 1))
+			break;
 		if (!is_filled)
 			cell_candidates_fill(c, t, service, since_version);
 		is_filled = true;
@@ -174,6 +181,8 @@
 	}
 	c->place_due = false;
 	n = cell_queue_fill(c);
+	cell_quota_begin_pass(c);
 	for (i = 0; i < n; i++)
 		place_step(c, c->queue[i].step, &p);
+	cell_quota_end_pass(c);
 }
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -1,8 +1,10 @@
 #include "cell/cell_types.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 /* Each epoch numbers the runs of a task from its own base. An epoch has
@@ -193,6 +195,8 @@
 				t->doubt_ref = worker_ref_read(&workers);
 			if (t->ordered && !c->former_named_workers)
 				t->doubt_ref = WORKER_REF_UNKNOWN;
+			if (cell_task_is_in_doubt(c, t))
+				cell_quota_hold(t);
 			continue;
 		}
 		t->state = TASK_DONE;
@@ -224,6 +228,66 @@
 	arena_finish(&a);
 }
 
+static void step_hold_runs(struct cell *c, const struct job_spec *spec,
+			   const struct step_progress *p,
+			   struct cell_worker *const *by_ref)
+{
+	struct str workers = p->workers;
+	struct task_ref ref = {spec->id, p->occurrence, p->step, 0, 0};
+	uint32_t i;
+
+	if (p->all_done || p->step >= spec->steps.count)
+		return;
+	for (i = 0; i < job_spec_step(spec, p->step)->count; i++) {
+		uint16_t r;
+
+		if (!has_bit(p->ordered, i) || has_bit(p->done, i))
+			continue;
+		r = worker_ref_read(&workers);
+		if (r != WORKER_REF_UNKNOWN && by_ref[r])
+			cell_quota_hold_orphan(c, by_ref[r], &ref);
+	}
+}
+
+static void entry_hold_runs(struct cell *c, const struct job_entry *e,
+			    struct cell_worker *const *by_ref)
+{
+	struct str text = {e->progress.data, e->progress.len};
+	struct job_progress p = {0};
+	struct arena a;
+	size_t i;
+
+	arena_init(&a);
+	if (job_progress_read(text, &p, &a)) {
+		log_line(LOG_ERROR, "progress record cannot be decoded",
+			 "job=%016" PRIx64, e->id);
+		p.steps.count = 0;
+	}
+	for (i = 0; i < p.steps.count; i++)
+		step_hold_runs(c, e->spec,
+			       (struct step_progress *)p.steps.items + i,
+			       by_ref);
+	arena_finish(&a);
+}
+
+void cell_progress_hold_runs(struct cell *c)
+{
+	struct cell_worker **by_ref, *w;
+	const struct job_entry *e;
+
+	if (!c->unheard)
+		return;
+	by_ref = xcalloc(WORKER_REF_COUNT, sizeof(struct cell_worker *));
+	for (w = c->workers; w; w = w->next)
+		if (w->unheard)
+			by_ref[cell_worker_ref(w)] = w;
+	for (e = c->view->jobs; e; e = e->next)
+		if (e->spec && e->spec->account[0] && e->progress.len &&
+		    job_state_is_terminal(e->state))
+			entry_hold_runs(c, e, by_ref);
+	free(by_ref);
+}
+
 static void progress_of_step(const struct cell_step *st, struct arena *a,
 			     size_t *checkpoints_left,
 			     struct step_progress *out)
@@ -287,7 +351,10 @@
 	buf_init(&b);
 	rows = arena_alloc(&a, n * j->count * sizeof(*rows));
 	p.steps.items = rows;
-	for (k = 0; !job_state_is_terminal(j->state) && k < j->count; k++)
+	/* The next owner counts the runs that are being stopped, see
+	 * cell_progress_hold_runs(). */
+	for (k = 0;
+	     (!job_state_is_terminal(j->state) || j->held) && k < j->count; k++)
 		for (s = 0; j->occurrences[k].open && s < n; s++)
 			progress_of_step(&j->occurrences[k].steps[s], &a,
 					 &checkpoints_max,
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -4,6 +4,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_quota.h"
 
 /* Least time between two passes over the tasks in doubt. */
 #define DOUBTS_PERIOD_MS 50
@@ -93,17 +94,26 @@
 	return n;
 }
 
+static bool may_have_doubts(const struct cell_step *st)
+{
+	return st->waiting || st->job->held;
+}
+
 static void step_end_doubts(struct cell *c, struct cell_step *st)
 {
 	uint32_t i;
 
-	for (i = 0; st->waiting && i < st->spec->count; i++) {
+	for (i = 0; may_have_doubts(st) && i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
 
 		if (!t->doubt_ref || cell_task_is_in_doubt(c, t))
 			continue;
 		t->doubt_ref = WORKER_REF_NONE;
-		cell_job_mark_dirty(c, st->job);
+		if (!t->worker)
+			cell_quota_release(c, t);
+		if (t->state == TASK_WAITING &&
+		    !job_state_is_terminal(st->job->state))
+			cell_job_mark_dirty(c, st->job);
 	}
 }
 
@@ -118,9 +128,7 @@
 	c->doubts_ended = false;
 	c->doubts_due_ms = c->now_ms + DOUBTS_PERIOD_MS;
 	for (j = c->jobs; j; j = j->next)
-		for (k = 0; j->waiting && !job_state_is_terminal(j->state) &&
-			    k < j->count;
-		     k++)
+		for (k = 0; (j->waiting || j->held) && k < j->count; k++)
 			for (s = 0; j->occurrences[k].open && s < j->steps; s++)
 				step_end_doubts(c, &j->occurrences[k].steps[s]);
 }
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -5,6 +5,7 @@
 #include "base/logger.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 /* Back-off from a worker that did not reply to a start. */
@@ -55,6 +56,7 @@
 	t->pace_sent = PACE_FULL;
 	t->pace_in_flight = false;
 	task_add_usage(t, 1);
+	cell_quota_hold(t);
 	cell_crash_attach(c, t);
 	if (w->poll_due_ms > c->now_ms && w->last_end == w->acked_end)
 		w->poll_due_ms = c->now_ms;
@@ -67,6 +69,7 @@
 	if (!job_state_is_terminal(t->step->job->state))
 		cell_job_mark_dirty(c, t->step->job);
 	task_add_usage(t, -1);
+	cell_quota_release(c, t);
 	cell_crash_detach(c, t);
 	if (t->prev)
 		t->prev->next = t->next;
@@ -244,11 +247,28 @@
 		intent_push(c, t);
 }
 
+/* Takes a start back before it is sent; the starts of a gang are taken back
+ * together. */
+static void withdraw_start(struct cell *c, struct cell_task *t)
+{
+	struct cell_step *st = t->step;
+	uint32_t i;
+
+	if (!step_has_flag(st, STEP_GANG)) {
+		task_detach(c, t);
+		return;
+	}
+	for (i = 0; i < st->spec->count; i++)
+		if (st->tasks[i].state == TASK_STORING)
+			task_detach(c, &st->tasks[i]);
+}
+
 void cell_start_stored(struct cell *c)
 {
 	struct cell_task *t = c->intents, *next;
 
 	c->intents = NULL;
+	cell_quota_refresh(c);
 	for (; t; t = next) {
 		next = t->next_intent;
 		t->in_intents = false;
@@ -260,6 +280,10 @@
 		}
 		if (t->state != TASK_STORING)
 			continue;
+		if (!cell_quota_may_start(t)) {
+			withdraw_start(c, t);
+			continue;
+		}
 		if (has_authority(c) && !t->worker->missed_polls &&
 		    t->worker->stored && !t->worker->lease_frozen &&
 		    !t->worker->entry.draining &&
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -3,6 +3,7 @@
 
 #include "cell/cell.h"
 #include "cell/effect_model.h"
+#include "cell/quota.h"
 
 /*
  * In identifiers, "serving" stands for latency-critical: such tasks have a
@@ -92,6 +93,7 @@
  * @crashes: workers that crashed in a row soon after they started it
  * @settled: the worker has reported the run long enough after its start
  * @on_trial: counted in @trials of its worker
+ * @in_quota: counted against the limits of its account
  * @started_clock: worker's clock when it confirmed or first reported the run; 0
  *	before
  */
@@ -113,6 +115,7 @@
 	bool storing_intent;
 	bool settled;
 	bool on_trial;
+	bool in_quota;
 	uint8_t crashes;
 	uint8_t pace;
 	uint8_t pace_sent;
@@ -207,6 +210,8 @@
  * @recovered: accepted under an earlier epoch: workers may run tasks of it that
  *	this owner does not know of yet
  * @placed: tasks that have a worker
+ * @held: tasks with @in_quota
+ * @quota: its client account; NULL for none
  * @dirty: progress waits to be stored; the job is in the list @dirty or @round
  *	of the cell
  * @storing: progress is part of the batch that is being stored
@@ -226,12 +231,14 @@
 	uint32_t occurrences_done;
 	uint32_t waiting;
 	uint32_t placed;
+	uint32_t held;
 	uint32_t state;
 	bool recovered;
 	bool dirty;
 	bool storing;
 	int64_t deadline_ms;
 	int64_t idle_since_ms;
+	struct quota *quota;
 	uint32_t spent_ms[TIME_KINDS];
 	uint32_t runs_lost;
 	uint32_t runs_failed;
@@ -259,6 +266,16 @@
 	double available;
 };
 
+/**
+ * struct cell_orphan - a listed run that counts against an account though no
+ * task stands for it
+ */
+struct cell_orphan {
+	struct quota *quota;
+	struct demand demand;
+	struct cell_orphan *next;
+};
+
 /**
  * struct cell_worker - one worker
  *
@@ -303,6 +320,7 @@
  *	thousandths of a core; @cpu_serving is the part of latency-critical
  *	tasks, @cpu_best_effort what best-effort tasks declare
  * @first_task: list of the tasks there, @task_count of them
+ * @orphans: runs there that no task stands for, as of the last poll reply
  * @headroom: headroom of the latency-critical steps there, @headroom_count of
  *	them; recomputed when @headroom_stale is set
  * @paced_ms: when paces were ordered last
@@ -366,6 +384,7 @@
 	uint64_t round_end;
 	uint64_t storing_end;
 	uint64_t acked_end;
+	struct cell_orphan *orphans;
 	bool headroom_stale;
 	struct serving_headroom headroom[SERVING_STEPS_MAX];
 	size_t headroom_count;
@@ -447,6 +466,9 @@
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
+ * @quotas: client accounts of the jobs
+ * @has_accounts: the configuration has been read; no task of a client account
+ *	is started before
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
  * @candidates: heap of @candidate_count workers, cheapest first
@@ -492,6 +514,8 @@
 	size_t no_fit_next;
 	struct cell_job *jobs;
 	struct effect_model effect_model;
+	struct quota_table quotas;
+	bool has_accounts;
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
@@ -605,6 +629,14 @@
  */
 void cell_progress_recover(struct cell *c, struct cell_job *j);
 
+/**
+ * cell_progress_hold_runs() - count the runs of ended jobs that a former owner
+ * was stopping against the limits of their accounts
+ *
+ * They count until their worker is heard, or its leases have ended.
+ */
+void cell_progress_hold_runs(struct cell *c);
+
 /**
  * cell_progress_write() - append a job's progress to a batch
  */
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -6,6 +6,7 @@
 #include "base/logger.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
@@ -85,6 +86,7 @@
 {
 	cell_crash_charge(c, w);
 	mark_all_runs_lost(c, w);
+	cell_quota_release_orphans(c, w);
 }
 
 /* An order that was sent to the previous process may yet reach the new one,
@@ -118,6 +120,7 @@
 static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born)
 {
 	end_runs_of_previous_process(c, w);
+	cell_quota_release_orphans(c, w);
 	if (w->first_task)
 		cell_recovery_expect(c, w, 0);
 	log_line(LOG_INFO, "worker restarted",
@@ -284,6 +287,7 @@
 		t->reported_ms = reply->sent_ms;
 		return;
 	}
+	cell_quota_hold_orphan(c, w, &r->ref);
 	cell_stop_orphan(c, w, &r->ref);
 }
 
@@ -382,6 +386,7 @@
 	/* The former owner may have renewed the lease up to now. */
 	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
 		w->lease_end_ms = r->clock + c->opt.lease_ms;
+	cell_quota_release_orphans(c, w);
 	for (i = 0; i < r->running_count; i++)
 		apply_running(c, w, &r->running[i], r);
 	for (i = 0; i < r->ended_count; i++)
@@ -397,7 +402,7 @@
 	cell_pace_worker(c, w);
 	cell_worker_mark_changed(c, w);
 	w->poll_due_ms = c->now_ms;
-	if (w->last_end != w->acked_end)
+	if (w->last_end != w->acked_end || w->orphans)
 		w->poll_due_ms += POLL_STALLED_MS;
 	else if (!w->task_count)
 		w->poll_due_ms += POLL_IDLE_MS;
@@ -470,6 +475,7 @@
 		cell_record_add(c, str_of(key), none);
 	*at = w->next;
 	cell_recovery_resolve(c, w);
+	cell_quota_release_orphans(c, w);
 	changed_list_remove(c, w);
 	index_remove(&c->worker_ids, w->id);
 	free(w);
@@ -503,6 +509,8 @@
 			cell_crash_charge(c, w);
 		mark_all_runs_lost(c, w);
 	}
+	if (w->orphans && cell_lease_is_expired(c, w))
+		cell_quota_release_orphans(c, w);
 	cell_lease_tick(c, w);
 	if (stops_due)
 		stop_due_tasks(c, w);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -99,6 +99,13 @@
 	return q ? q->service : NULL;
 }
 
+static const struct account_table *client_accounts(void *ctx)
+{
+	struct host *h = ctx;
+
+	return h->queues.version ? &h->queues.accounts : NULL;
+}
+
 static void on_cell_fenced(void *ctx)
 {
 	struct host *h = ctx;
@@ -372,6 +379,7 @@
 	h->cell_ops.now = cell_now;
 	h->cell_ops.zone_open = is_zone_open;
 	h->cell_ops.queue_service = queue_service;
+	h->cell_ops.accounts = client_accounts;
 	h->cell_ops.fenced = on_cell_fenced;
 	o->store = &platform_store_ops;
 	o->port = &h->platform;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -46,6 +46,8 @@
 	bool sends_replies = true;
 	/* its process has ended: connections are refused */
 	bool refuses = false;
+	/* confirms stops, but its runs go on */
+	bool ignores_stops = false;
 	/* another worker listens at its address */
 	bool replaced = false;
 	std::vector<Row> running;
@@ -89,6 +91,12 @@
 		ops.queue_service = [](void *, const char *) {
 			return (const char *)"pool";
 		};
+		ops.accounts = [](void *ctx) {
+			CellWorld *w = (CellWorld *)ctx;
+			return w->config_read
+				       ? (const account_table *)&w->accounts
+				       : nullptr;
+		};
 		ops.fenced = [](void *ctx) {
 			((CellWorld *)ctx)->fenced = true;
 		};
@@ -130,6 +138,7 @@
 	{
 		stop();
 		job_view_finish(&view);
+		account_table_finish(&accounts);
 	}
 
 	void take_over(uint64_t epoch)
@@ -248,6 +257,7 @@
 		s.id = id;
 		name_set(s.queue, "q");
 		name_set(s.service, "pool");
+		name_set(s.account, account_name.c_str());
 		s.attempts_max = attempts;
 		s.priority = priority;
 		s.stretch_milli = stretch_milli;
@@ -414,7 +424,36 @@
 			execute(w, call);
 	}
 
+	struct Limit {
+		std::string name;
+		uint64_t cpu = 0;
+		uint64_t memory_mb = 0;
+		uint64_t accelerators = 0;
+		uint32_t weight = 1;
+	};
+
+	/* Publishes a configuration with these client accounts. */
+	void set_accounts(const std::vector<Limit> &all)
+	{
+		account_table_finish(&accounts);
+		account_table_init(&accounts, all.size());
+		for (size_t i = 0; i < all.size(); i++) {
+			account *a = &accounts.accounts[i];
+
+			name_set(a->name, all[i].name.c_str());
+			a->cpu_max = all[i].cpu;
+			a->memory_max_mb = all[i].memory_mb;
+			a->accelerators_max = all[i].accelerators;
+			a->weight = all[i].weight;
+			account_table_add_name(&accounts, i);
+		}
+	}
+
 	cell *c = nullptr;
+	account_table accounts = {};
+	bool config_read = true;
+	/* Client account of the jobs submitted next. */
+	std::string account_name;
 	job_view view;
 	int64_t now = 100000;
 	bool authority = true;
@@ -553,7 +592,8 @@
 		} else if (call.kind == Call::STOP) {
 			w.fence = call.sent.fence;
 			note_ended(w, call.sent.ref);
-			for (size_t i = 0; i < w.running.size(); i++)
+			for (size_t i = 0;
+			     !w.ignores_stops && i < w.running.size(); i++)
 				if (is_same_task(w.running[i].ref,
 						 call.sent.ref))
 					end_at(w, i--, RUN_STOPPED);
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -34,6 +34,9 @@
 		};
 		cell.now = [](void *ctx) { return ((Host *)ctx)->now; };
 		cell.zone_open = [](void *, const char *) { return true; };
+		cell.accounts = [](void *) {
+			return (const account_table *)nullptr;
+		};
 		cell.queue_service = [](void *, const char *) {
 			return (const char *)"pool";
 		};
