cell: place the tasks of accounts above their share after the others'

One account sends many times its usual while all is full. Cause: steps are placed by lateness, priority and deadline, whoever sent them, so the jobs of all accounts become late with those of one.

Within a lateness and priority, each placement pass now has two rounds. In the first, an account is served while it stays within its share (weighted max-min over processors and over memory, of what its tasks take and could take up to its limits). The second takes what is left over, the account least above its share first, then by deadline. So no capacity is left free. Bound: an account that holds less than its share, w of the sum of the weights of all accounts with tasks, gets all that others above theirs release, until it has its share; nothing is preempted, so it waits for the ends of their runs.

While tasks find no worker, the capacity that is divided is what the tasks of accounts take; what is free then cannot be used by what waits (interference, labels, fragments), and counting it would make the shares too large. Otherwise what is free counts too.

Tried and left: the second round by deadline alone.

Jobs without an account are in the first round always, so without accounts the order is as before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -128,6 +128,7 @@
 	buf_finish(&c->pending_records);
 	free(c->queue);
 	free(c->candidates);
+	free(c->shares);
 	free(c);
 }
 
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -124,24 +124,34 @@
 	}
 }
 
-static void place_step(struct cell *c, struct cell_step *st, struct pass *p)
+/**
+ * place_step() - place the tasks of a step
+ * @within_share: only as long as its account stays within its share
+ *
+ * Return: false if tasks were left out for that reason.
+ */
+static bool place_step(struct cell *c, struct cell_step *st, struct pass *p,
+		       bool within_share)
 {
 	uint64_t service = service_of(c, st);
 	struct cell_demand demand = cell_step_demand(st, service);
-	bool is_filled = false;
+	bool is_filled = false, is_gang = step_has_flag(st, STEP_GANG);
 	uint64_t since_version;
 	uint32_t i;
 
-	if (step_has_flag(st, STEP_GANG)) {
+	if (within_share &&
+	    cell_quota_is_over_share(st, is_gang ? st->spec->count : 1))
+		return false;
+	if (is_gang) {
 		cell_place_gang(c, st, service);
-		return;
+		return true;
 	}
 	if (is_starved(c, st, service, p))
 		place_starved(c, st, service);
 	place_suspects(c, st, service);
 	since_version = cell_step_no_fit_version(c, st, &demand);
 	if (since_version == c->version)
-		return;
+		return true;
 	for (i = 0; i < st->spec->count && st->waiting; i++) {
 		struct cell_task *t = &st->tasks[i];
 		struct cell_worker *w;
@@ -150,6 +160,8 @@
 			continue;
 		if (!cell_quota_fits(c, st, 1))
 			break;
+		if (within_share && cell_quota_is_over_share(st, 1))
+			return false;
 		if (!is_filled)
 			cell_candidates_fill(c, t, service, since_version);
 		is_filled = true;
@@ -162,13 +174,44 @@
 		}
 		cell_task_place(c, t, w);
 	}
+	return true;
+}
+
+/* Whether two steps differ at most in their deadlines. */
+static bool is_same_class(const struct cell_queued_step *a,
+			  const struct cell_queued_step *b)
+{
+	return a->lateness == b->lateness && a->priority == b->priority &&
+	       a->long_running == b->long_running;
+}
+
+/*
+ * Places the steps of one class. Tasks that bring an account above its share
+ * come after all tasks of accounts within theirs, and take what these leave.
+ *
+ * Return: the number of steps.
+ */
+static size_t place_class(struct cell *c, struct cell_queued_step *q, size_t n,
+			  struct pass *p)
+{
+	size_t count = 0, deferred = 0, i;
+
+	for (; count < n && is_same_class(&q[0], &q[count]); count++)
+		if (!place_step(c, q[count].step, p, true))
+			q[deferred++] = q[count];
+	for (i = 0; i < deferred; i++)
+		q[i].over_share = cell_quota_share_percent(q[i].step);
+	cell_queue_sort(q, deferred);
+	for (i = 0; i < deferred; i++)
+		place_step(c, q[i].step, p, false);
+	return count;
 }
 
 void cell_place(struct cell *c)
 {
 	struct cell_worker *w;
-	struct pass p;
 	size_t n, i;
+	struct pass p;
 
 	memset(&p, 0, sizeof(p));
 	for (w = c->workers; w; w = w->next) {
@@ -181,8 +224,8 @@
 	}
 	c->place_due = false;
 	n = cell_queue_fill(c);
-	cell_quota_begin_pass(c);
-	for (i = 0; i < n; i++)
-		place_step(c, c->queue[i].step, &p);
+	cell_quota_begin_pass(c, n);
+	for (i = 0; i < n;)
+		i += place_class(c, c->queue + i, n - i, &p);
 	cell_quota_end_pass(c);
 }
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -68,8 +68,11 @@
 	const struct cell_job *j = st->job;
 	bool long_running = step_has_flag(st, STEP_LONG_RUNNING);
 	struct cell_queued_step r = {long_running ? 0 : lateness_of(c, j),
-				     j->spec->priority, long_running,
-				     j->deadline_ms, st};
+				     j->spec->priority,
+				     long_running,
+				     0,
+				     j->deadline_ms,
+				     st};
 
 	if (long_running && cell_is_long_unplaced(c, st)) {
 		r.long_running = 0;
@@ -95,6 +98,8 @@
 		d = compare_u64(a->priority, b->priority);
 	if (!d)
 		d = compare_u64(a->long_running, b->long_running);
+	if (!d)
+		d = compare_u64(a->over_share, b->over_share);
 	if (!d)
 		d = (a->deadline_ms > b->deadline_ms) -
 		    (a->deadline_ms < b->deadline_ms);
@@ -136,6 +141,12 @@
 		j->idle_since_ms = c->now_ms;
 }
 
+void cell_queue_sort(struct cell_queued_step *steps, size_t count)
+{
+	if (count)
+		qsort(steps, count, sizeof(*steps), queued_step_cmp);
+}
+
 size_t cell_queue_fill(struct cell *c)
 {
 	struct cell_job *j;
@@ -146,7 +157,6 @@
 		if (j->waiting && !job_state_is_terminal(j->state))
 			n = collect_job(c, j, n);
 	}
-	if (n)
-		qsort(c->queue, n, sizeof(*c->queue), queued_step_cmp);
+	cell_queue_sort(c->queue, n);
 	return n;
 }
--- a/src/cell/cell_quota.h
+++ b/src/cell/cell_quota.h
@@ -4,7 +4,7 @@
 #include "cell/cell_types.h"
 
 /*
- * Limits of client accounts. A task counts against the limits of its
+ * Limits and shares of client accounts. A task counts against the limits of its
  * account from its placement until its run is known to have ended, and while it
  * is in doubt after a takeover. A run that no task stands for counts while its
  * worker lists it.
@@ -47,9 +47,10 @@
 void cell_quota_refresh(struct cell *c);
 
 /**
- * cell_quota_begin_pass() - refresh the limits for a placement pass
+ * cell_quota_begin_pass() - refresh limits and shares for a placement pass
+ * @queued: number of steps in @c->queue
  */
-void cell_quota_begin_pass(struct cell *c);
+void cell_quota_begin_pass(struct cell *c, size_t queued);
 
 /**
  * cell_quota_end_pass() - log the accounts that have reached a limit
@@ -63,6 +64,18 @@
 bool cell_quota_fits(struct cell *c, const struct cell_step *st,
 		     uint32_t count);
 
+/**
+ * cell_quota_is_over_share() - whether @count tasks of the step bring its
+ * account above its share of workers that cannot run all tasks
+ */
+bool cell_quota_is_over_share(const struct cell_step *st, uint32_t count);
+
+/**
+ * cell_quota_share_percent() - what the account of a step takes, in percent of
+ * its share of the resource of which it takes most
+ */
+uint32_t cell_quota_share_percent(const struct cell_step *st);
+
 /**
  * cell_quota_may_start() - whether a stored start of a task is still within the
  * limits, which may have been lowered since
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -234,6 +234,7 @@
 {
 	struct cell_demand *m = no_fit_find(c, demand);
 
+	c->full_at_ms = c->now_ms;
 	st->no_fit_version = c->version;
 	if (!m || !is_no_larger(demand, m)) {
 		m = &c->no_fit[c->no_fit_next++ % NO_FIT_MAX];
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -3,6 +3,7 @@
 
 #include "cell/cell.h"
 #include "cell/effect_model.h"
+#include "cell/fair_share.h"
 #include "cell/quota.h"
 
 /*
@@ -425,6 +426,8 @@
  *	its end has no value any more
  * @long_running: 1 for steps placed after short work, which frees its capacity
  *	again; 0 for short work and for steps that lacked a task for too long
+ * @over_share: how far its account is above its share, see
+ *	cell_quota_share_percent(); 0 unless the step has been left out for that
  * @deadline_ms: the earliest goes first; for a step that has lacked a task for
  *	too long, the time since when
  */
@@ -432,6 +435,7 @@
 	uint32_t lateness;
 	uint32_t priority;
 	uint32_t long_running;
+	uint32_t over_share;
 	int64_t deadline_ms;
 	struct cell_step *step;
 };
@@ -469,6 +473,8 @@
  * @quotas: client accounts of the jobs
  * @has_accounts: the configuration has been read; no task of a client account
  *	is started before
+ * @full_at_ms: when a task found no worker last; 0 before
+ * @shares: room for @share_cap accounts
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
  * @candidates: heap of @candidate_count workers, cheapest first
@@ -516,6 +522,9 @@
 	struct effect_model effect_model;
 	struct quota_table quotas;
 	bool has_accounts;
+	int64_t full_at_ms;
+	struct fair_share *shares;
+	size_t share_cap;
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
@@ -784,6 +793,11 @@
  */
 size_t cell_queue_fill(struct cell *c);
 
+/**
+ * cell_queue_sort() - sort @count steps, most urgent first
+ */
+void cell_queue_sort(struct cell_queued_step *steps, size_t count);
+
 /**
  * cell_step_is_ready() - whether all steps that this one depends on are done
  */
--- a/src/cell/quota.h
+++ b/src/cell/quota.h
@@ -29,11 +29,15 @@
  * @is_blocked: a task does not start because of a limit, as of the last
  *	placement pass
  * @blocked_ms: boot time of the last log line that says so
+ * @wanted: what its tasks take, and those that could start, up to the limits
+ * @share: its share of the workers while these are full, see fair_share.h
  */
 struct quota {
 	char name[NAME_SIZE];
 	struct demand taken;
 	struct demand max;
+	struct demand wanted;
+	struct demand share;
 	uint32_t weight;
 	uint32_t runs;
 	uint32_t jobs;
--- a/tests/cell_load.h
+++ b/tests/cell_load.h
@@ -121,6 +121,13 @@
 	}
 
       protected:
+	/* Called for each job that has arrived. */
+	virtual void on_submitted(uint64_t id, int64_t deadline_ms)
+	{
+		(void)id;
+		(void)deadline_ms;
+	}
+
 	void on_start(const std::string &worker, const order &sent) override
 	{
 		const job_entry *e = job_view_get(&view, sent.ref.job);
@@ -142,6 +149,33 @@
 			   sent.ref});
 	}
 
+	void arrive(const LoadShape &s, int64_t ms)
+	{
+		int n = std::poisson_distribution<>(s.per_s * (double)ms /
+						    1000)(rng);
+
+		while (n-- > 0)
+			submit_one(s);
+	}
+
+	void end_due()
+	{
+		while (!ends.empty() && ends.top().at <= now) {
+			DueEnd e = ends.top();
+			FakeWorker &w = workers[e.worker];
+
+			ends.pop();
+			for (size_t i = 0; i < w.running.size(); i++)
+				if (w.running[i].ref.job == e.ref.job &&
+				    w.running[i].ref.step == e.ref.step &&
+				    w.running[i].ref.index == e.ref.index &&
+				    w.running[i].ref.run == e.ref.run) {
+					end_at(w, i, RUN_DONE);
+					break;
+				}
+		}
+	}
+
       private:
 	struct DueEnd {
 		int64_t at;
@@ -174,15 +208,6 @@
 								   1.3)(rng));
 	}
 
-	void arrive(const LoadShape &s, int64_t ms)
-	{
-		int n = std::poisson_distribution<>(s.per_s * (double)ms /
-						    1000)(rng);
-
-		while (n-- > 0)
-			submit_one(s);
-	}
-
 	void submit_one(const LoadShape &s)
 	{
 		std::vector<job_step> steps;
@@ -209,24 +234,7 @@
 				now + s.objective_ms +
 					(int64_t)(s.run_ms * s.steps *
 						  s.stretch_milli / 1000)});
-	}
-
-	void end_due()
-	{
-		while (!ends.empty() && ends.top().at <= now) {
-			DueEnd e = ends.top();
-			FakeWorker &w = workers[e.worker];
-
-			ends.pop();
-			for (size_t i = 0; i < w.running.size(); i++)
-				if (w.running[i].ref.job == e.ref.job &&
-				    w.running[i].ref.step == e.ref.step &&
-				    w.running[i].ref.index == e.ref.index &&
-				    w.running[i].ref.run == e.ref.run) {
-					end_at(w, i, RUN_DONE);
-					break;
-				}
-		}
+		on_submitted(id, jobs.back().deadline_ms);
 	}
 
 	std::mt19937 rng;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -377,6 +377,24 @@
 					end_at(w.second, i, how);
 	}
 
+	void end_at(FakeWorker &w, size_t i, run_end how)
+	{
+		End e = {++w.ends, w.running[i].ref, how, ""};
+
+		auto range = running_on.equal_range(task_key(e.ref));
+		for (auto k = range.first; k != range.second; k++)
+			if (k->second.second == e.ref.run) {
+				running_on.erase(k);
+				break;
+			}
+
+		note_ended(w, e.ref);
+		if (how == RUN_STOPPED)
+			e.checkpoint = "saved";
+		w.ended.push_back(e);
+		w.running.erase(w.running.begin() + (long)i);
+	}
+
 	uint32_t state(uint64_t job)
 	{
 		return job_view_get(&view, job)->state;
@@ -537,24 +555,6 @@
 			run = r.run;
 	}
 
-	void end_at(FakeWorker &w, size_t i, run_end how)
-	{
-		End e = {++w.ends, w.running[i].ref, how, ""};
-
-		auto range = running_on.equal_range(task_key(e.ref));
-		for (auto k = range.first; k != range.second; k++)
-			if (k->second.second == e.ref.run) {
-				running_on.erase(k);
-				break;
-			}
-
-		note_ended(w, e.ref);
-		if (how == RUN_STOPPED)
-			e.checkpoint = "saved";
-		w.ended.push_back(e);
-		w.running.erase(w.running.begin() + (long)i);
-	}
-
 	void start(FakeWorker &w, Call &call)
 	{
 		auto range = running_on.equal_range(task_key(call.sent.ref));
