--- a/tests/cell_quota_test.cc
+++ b/tests/cell_quota_test.cc
@@ -333,6 +333,34 @@
 	}
 }
 
+/* A run is done, its worker is cut off before it says so, and the task runs
+ * again elsewhere: the end of the first run, reported late, let the second one
+ * be forgotten though its worker had not been heard. */
+TEST(CellQuota, ATaskThatIsDoneCountsWhileALaterRunIsInDoubt)
+{
+	QuotaWorld w;
+
+	w.limit({{"a", 1000}});
+	w.begin({"w1"});
+	w.submit_for("a", 1, {CellWorld::task_step(1)});
+	w.run(200);
+	ASSERT_EQ(w.runs(1), 1u);
+	w.workers["w1"].reachable = false;
+	w.end(1, RUN_DONE);
+	w.add_worker("w2");
+	w.run(10000);
+	ASSERT_EQ(w.runs(1), 1u);
+	w.workers["w2"].reachable = false;
+	w.take_over_on_a_new_host(2);
+	w.workers["w1"].reachable = true;
+	w.submit_for("a", 2, {CellWorld::task_step(1)});
+	w.run(1000);
+	EXPECT_EQ(w.state(1), (uint32_t)JOB_COMPLETED);
+	EXPECT_EQ(w.runs(2), 0u);
+	w.run(15000);
+	EXPECT_EQ(w.runs(2), 1u);
+}
+
 /* A run that no task stands for is stopped, and counts until it is gone: a
  * worker may take its time, and the owner started another task meanwhile. */
 TEST(CellQuota, RunsThatTheCellHasNotPlacedCount)
--- a/tests/cell_share_test.cc
+++ b/tests/cell_share_test.cc
@@ -179,6 +179,34 @@
 	}
 }
 
+/* Free processors that no waiting task can use made the shares so large that no
+ * account was above its own. */
+TEST(CellShare, CapacityThatNoTaskCanUseIsNotDivided)
+{
+	job_step step = CellWorld::task_step(200);
+	CellWorld::Limit a, b;
+	CellWorld w;
+
+	a.name = "a";
+	b.name = "b";
+	w.set_accounts({a, b});
+	w.begin({"w1", "w2"});
+	name_set(step.worker_label, "a");
+	name_set(w.entries["w2"].labels[0], "b");
+	w.announce("w2");
+	w.account_name = "a";
+	w.submit(1, {step}, 3, 0, 50000);
+	w.run(100);
+	w.account_name = "b";
+	w.submit(2, {step}, 3, 0, 100000);
+	for (int n = 0; n < 8; n++) {
+		w.end_at(w.workers["w1"], 0, RUN_DONE);
+		w.run(100);
+	}
+	EXPECT_EQ(w.runs(1), 8u);
+	EXPECT_EQ(w.runs(2), 8u);
+}
+
 /* What the others do not ask for is not left free. */
 TEST(CellShare, AnAccountTakesWhatTheOthersLeave)
 {
