--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -111,8 +111,7 @@
 		t->doubt_ref = WORKER_REF_NONE;
 		if (!t->worker)
 			cell_quota_release(c, t);
-		if (t->state == TASK_WAITING &&
-		    !job_state_is_terminal(st->job->state))
+		if (!job_state_is_terminal(st->job->state))
 			cell_job_mark_dirty(c, st->job);
 	}
 }
