--- a/src/cell/fair_share.c
+++ b/src/cell/fair_share.c
@@ -18,7 +18,8 @@
 
 	for (i = 0; i < count; i++)
 		weights += (double)all[i].weight;
-	qsort(all, count, sizeof(*all), cmp_demand_by_weight);
+	if (count)
+		qsort(all, count, sizeof(*all), cmp_demand_by_weight);
 	for (i = 0; i < count; i++) {
 		double weight = (double)all[i].weight;
 		double part = left * weight / weights;
