--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -40,6 +40,24 @@
 	{
 	}
 
+	/* Spreads the jobs over @count client accounts without limits. */
+	void use_accounts(size_t count)
+	{
+		std::vector<Limit> all(count);
+
+		for (size_t i = 0; i < count; i++)
+			all[i].name = "account" + std::to_string(i);
+		set_accounts(all);
+		account_count = count;
+	}
+
+	void on_submitted(uint64_t id, int64_t) override
+	{
+		if (account_count)
+			account_name =
+				"account" + std::to_string(id % account_count);
+	}
+
 	void tick() override
 	{
 		struct cell_counts before = counts(), after;
@@ -109,6 +127,7 @@
 		return used * 100 / ((double)workers.size() * SITE_WORKER_CPU);
 	}
 
+	size_t account_count = 0;
 	uint64_t placed = 0;
 	uint64_t examined = 0;
 	uint64_t passes = 0;
@@ -131,6 +150,8 @@
 	double placed = 0, examined = 0, passes = 0, idle = 0;
 
 	l.play(site_serving(workers, state.range(1), FILL_MS), FILL_MS);
+	if (state.range(2))
+		l.use_accounts((size_t)state.range(2));
 	l.play(site_arrivals(workers), WARM_UP_MS);
 	for (auto _ : state) {
 		double per_task, per_worker;
@@ -163,8 +184,8 @@
 	state.counters["in_use_percent"] = in_use / (double)state.iterations();
 }
 BENCHMARK(place)
-	->ArgNames({"workers", "percent"})
-	->ArgsProduct({{65, 890, 6500}, {60, 95, 110}})
+	->ArgNames({"workers", "percent", "accounts"})
+	->ArgsProduct({{65, 890, 6500}, {60, 95, 110}, {0, 20, 1000}})
 	->Iterations(SEGMENTS)
 	->UseManualTime()
 	->Unit(benchmark::kMicrosecond);
