progress: a job that is given up as too large is stored without its runs

What users would see: nothing starts and nothing ends any more. Cause: the record of a job that has ended names the runs of its account that are being stopped; of a job that is given up because its progress is too large for a record, that record was too large again, and the store refused each batch with it. Change: such a record goes without the runs if it does not fit. Ruled out: keeping them in a second record, which nothing would drop.

Result: CellBatch.GivesUpAJobOfAnAccountWhoseProgressIsTooLarge failed (state running, the next job without a run), passes; cell_batch, cell_quota, cell_recovery and cell_crash tests pass.

--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -336,7 +336,8 @@
 }
 
 static void write_record(const struct cell *c, const struct cell_job *j,
-			 size_t checkpoints_max, struct buf *out)
+			 bool has_steps, size_t checkpoints_max,
+			 struct buf *out)
 {
 	struct job_progress p = {c->epoch, j->state, {NULL, 0}};
 	size_t n = j->spec->steps.count, s;
@@ -351,10 +352,7 @@
 	buf_init(&b);
 	rows = arena_alloc(&a, n * j->count * sizeof(*rows));
 	p.steps.items = rows;
-	/* The next owner counts the runs that are being stopped, see
-	 * cell_progress_hold_runs(). */
-	for (k = 0;
-	     (!job_state_is_terminal(j->state) || j->held) && k < j->count; k++)
+	for (k = 0; has_steps && k < j->count; k++)
 		for (s = 0; j->occurrences[k].open && s < n; s++)
 			progress_of_step(&j->occurrences[k].steps[s], &a,
 					 &checkpoints_max,
@@ -367,16 +365,26 @@
 	arena_finish(&a);
 }
 
-/* Checkpoints save work, but what else the record says is needed to run a task
- * in one place only. */
+/*
+ * Checkpoints save work, but what else the record says is needed to run a task
+ * in one place only. Of a job that has ended, the next owner counts the runs
+ * that are being stopped, see cell_progress_hold_runs(); without them it may
+ * exceed the limits of the account until they end.
+ */
 void cell_progress_write(const struct cell *c, const struct cell_job *j,
 			 struct buf *out)
 {
+	bool is_terminal = job_state_is_terminal(j->state);
+	bool has_steps = !is_terminal || j->held;
 	size_t before = out->len;
 
-	write_record(c, j, CHECKPOINTS_STORED_MAX, out);
+	write_record(c, j, has_steps, CHECKPOINTS_STORED_MAX, out);
 	if (cell_record_fits(c, out->len - before))
 		return;
 	out->len = before;
-	write_record(c, j, 0, out);
+	write_record(c, j, has_steps, 0, out);
+	if (cell_record_fits(c, out->len - before) || !is_terminal)
+		return;
+	out->len = before;
+	write_record(c, j, false, 0, out);
 }
--- a/tests/cell_batch_test.cc
+++ b/tests/cell_batch_test.cc
@@ -139,6 +139,34 @@
 	EXPECT_EQ(w.starts.size(), 2u);
 }
 
+/*
+ * The record of a job that ended names the runs of its account that are being
+ * stopped, for the next owner. When the job was given up because its progress
+ * was too large, that record was as large: the store refused it each time, and
+ * the cell stored nothing any more.
+ */
+TEST_F(CellBatch, GivesUpAJobOfAnAccountWhoseProgressIsTooLarge)
+{
+	w.limit(4000, 400);
+	w.set_accounts({{"a"}});
+	w.account_name = "a";
+	w.begin({"w1"});
+	w.submit(7,
+		 {CellWorld::task_step(40, 10), CellWorld::task_step(40, 10)},
+		 200);
+	w.run(500);
+	ASSERT_EQ(w.runs(7), 80u);
+	for (int round = 0; w.state(7) != JOB_FAILED && round < 4; round++) {
+		for (uint32_t i = 0; i < 40; i++)
+			w.end(7, RUN_FAILED, 0, i);
+		w.run(500);
+	}
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_FAILED);
+	w.submit(8, {CellWorld::task_step(2)});
+	w.run(500);
+	EXPECT_EQ(w.runs(8), 2u);
+}
+
 /* Checkpoints must not make the progress of a job too large to be stored. */
 TEST_F(CellBatch, LeavesOutCheckpointsThatDoNotFit)
 {
