queue: work that will miss its objective by its estimates goes last in its priority

Cause: the earliest deadline went first until it had passed. A job whose steps take longer than the time left took the place of one that could end in time, and was late all the same.

Change: of one priority, steps go last whose chain of steps, by the caller's estimates, ends after the objective.

Test: CellPlace.PlacesWorkThatCannotEndInTimeAfterWorkThatCan; fails without the change.

--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -62,6 +62,32 @@
 	       c->now_ms - unplaced_since(st) >= UNPLACED_MAX_MS;
 }
 
+/* Declared run time of the longest chain of steps that begins with @st. */
+static int64_t chain_from(const struct cell_step *st)
+{
+	const struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
+	int64_t chains[JOB_STEPS_MAX], longest;
+	size_t k = st->job->steps, m;
+
+	while (k-- > st->number) {
+		longest = 0;
+		for (m = k + 1; m < st->job->steps; m++)
+			if ((o->steps[m].spec->after >> k & 1) &&
+			    chains[m] > longest)
+				longest = chains[m];
+		chains[k] = longest + o->steps[k].spec->estimate_ms;
+	}
+	return chains[st->number];
+}
+
+/* Estimates may be far off, so they only order work of one priority. */
+static bool will_miss_deadline(const struct cell *c, const struct cell_step *st)
+{
+	return !step_has_flag(st, STEP_LONG_RUNNING) &&
+	       !st->job->spec->repeat &&
+	       c->now_ms + chain_from(st) >= st->job->deadline_ms;
+}
+
 static struct cell_queued_step queue_entry_of(const struct cell *c,
 					      struct cell_step *st)
 {
@@ -69,6 +95,7 @@
 	bool long_running = step_has_flag(st, STEP_LONG_RUNNING);
 	struct cell_queued_step r = {long_running ? 0 : lateness_of(c, j),
 				     j->spec->priority,
+				     will_miss_deadline(c, st),
 				     long_running,
 				     0,
 				     j->deadline_ms,
@@ -96,6 +123,8 @@
 
 	if (!d)
 		d = compare_u64(a->priority, b->priority);
+	if (!d)
+		d = compare_u64(a->misses_deadline, b->misses_deadline);
 	if (!d)
 		d = compare_u64(a->long_running, b->long_running);
 	if (!d)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -424,6 +424,8 @@
  * struct cell_queued_step - a step with tasks to place, and its sort keys
  * @lateness: 0: can still meet its objective, 1: is late, 2: is so late that
  *	its end has no value any more
+ * @misses_deadline: 1 if it cannot meet its objective any more by its
+ *estimates, else 0
  * @long_running: 1 for steps placed after short work, which frees its capacity
  *	again; 0 for short work and for steps that lacked a task for too long
  * @over_share: how far its account is above its share, see
@@ -434,6 +436,7 @@
 struct cell_queued_step {
 	uint32_t lateness;
 	uint32_t priority;
+	uint32_t misses_deadline;
 	uint32_t long_running;
 	uint32_t over_share;
 	int64_t deadline_ms;
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -223,6 +223,33 @@
 	EXPECT_EQ(w.runs(2), 0u);
 }
 
+/* Work with less time left than it takes by its estimates used to go first, as
+ * its deadline is the earliest, and made work late that could end in time. */
+TEST(CellPlace, PlacesWorkThatCannotEndInTimeAfterWorkThatCan)
+{
+	CellWorld w;
+	job_step second = CellWorld::task_step(1);
+
+	second.after = 1;
+	w.take_over(1);
+	w.add_worker("w1", 1000);
+	w.run(100);
+	w.submit(1, {CellWorld::task_step(1)});
+	w.run(100);
+	/* Two seconds of work in a chain of steps, 3,250 ms for it. */
+	w.submit(2, {CellWorld::task_step(1), second});
+	w.run(1700);
+	w.submit(3, {CellWorld::task_step(1)}); /* 1,750 ms for one second */
+	w.run(100);
+	w.end_all(1, RUN_DONE);
+	w.run(200);
+	EXPECT_EQ(w.runs(3), 1u);
+	EXPECT_EQ(w.runs(2), 0u);
+	w.end_all(3, RUN_DONE);
+	w.run(200);
+	EXPECT_EQ(w.runs(2), 1u);
+}
+
 /* After a power failure with few latency-critical tasks left, jobs whose images
  * interfere with them stayed unplaced until the end of the run. */
 TEST(CellPlace, StartsAnInterferingJobWhenHalfOfThePoolIsFree)
