queue: shares of accounts go before estimates of what will miss its objective

A job of an account below its share that has waited until it will miss its objective came after fresh jobs of the account that floods the cell, or did not, depending on whether long-running work stood between the two. Change: within lateness and priority, short work, then shares, then what will miss its objective, then the deadline. Without accounts only short work that will miss changes its place: before long-running work of its priority, not after it.

--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -95,9 +95,9 @@
 	bool long_running = step_has_flag(st, STEP_LONG_RUNNING);
 	struct cell_queued_step r = {long_running ? 0 : lateness_of(c, j),
 				     j->spec->priority,
-				     will_miss_deadline(c, st),
 				     long_running,
 				     0,
+				     will_miss_deadline(c, st),
 				     j->deadline_ms,
 				     st};
 
@@ -123,12 +123,12 @@
 
 	if (!d)
 		d = compare_u64(a->priority, b->priority);
-	if (!d)
-		d = compare_u64(a->misses_deadline, b->misses_deadline);
 	if (!d)
 		d = compare_u64(a->long_running, b->long_running);
 	if (!d)
 		d = compare_u64(a->over_share, b->over_share);
+	if (!d)
+		d = compare_u64(a->misses_deadline, b->misses_deadline);
 	if (!d)
 		d = (a->deadline_ms > b->deadline_ms) -
 		    (a->deadline_ms < b->deadline_ms);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -424,21 +424,21 @@
  * struct cell_queued_step - a step with tasks to place, and its sort keys
  * @lateness: 0: can still meet its objective, 1: is late, 2: is so late that
  *	its end has no value any more
- * @misses_deadline: 1 if it cannot meet its objective any more by its
- *estimates, else 0
  * @long_running: 1 for steps placed after short work, which frees its capacity
  *	again; 0 for short work and for steps that lacked a task for too long
  * @over_share: how far its account is above its share, see
  *	cell_quota_share_percent(); 0 unless the step has been left out for that
+ * @misses_deadline: 1 if it cannot meet its objective any more by its
+ *	estimates, else 0
  * @deadline_ms: the earliest goes first; for a step that has lacked a task for
  *	too long, the time since when
  */
 struct cell_queued_step {
 	uint32_t lateness;
 	uint32_t priority;
-	uint32_t misses_deadline;
 	uint32_t long_running;
 	uint32_t over_share;
+	uint32_t misses_deadline;
 	int64_t deadline_ms;
 	struct cell_step *step;
 };
