--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -147,7 +147,9 @@
 	w.run(100);
 	cell_worker_update(w.c, &old);
 	w.submit(7, {CellWorld::task_step(1)});
-	EXPECT_STREQ(take_call(&w, Call::START).worker.address, "new:1");
+	Call call = take_call(&w, Call::START);
+	EXPECT_STREQ(call.worker.address, "new:1");
+	w.answer(call);
 }
 
 TEST(CellWorker, PausesBetweenPollsWhileEndsAreNotStored)
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -421,6 +421,16 @@
 	std::string log;
 
 	a.owner.parse_worker = worker_entry_parse;
+	a.owner.worker_port = &store;
+	a.wops.poll = [](void *port, const worker_addr *w, const poll_request *,
+			 poll_done d, void *ctx) {
+		worker_addr addr = *w;
+		((FakeStore *)port)->pending.push_back([=]() {
+			poll_reply r = {};
+			r.status = ORDER_UNKNOWN;
+			d(ctx, &addr, &r);
+		});
+	};
 	store.put(topic, "w1", good);
 	store.put(topic, "w2", "{\"address\":");
 	store.put(topic, "w3", good);
