relay: keep workers with the hosts that have connections to them

Workers were spread by a hash over consecutive ranges, one a relay, strongest host first. A relay that left or came back moved the ranges of all behind it: 725 of 900 workers changed hosts in the test, each with all its connections. Until the next check the owner called all workers itself besides, 800 of 800.

A worker is now called through the relay with the highest weighted score, so one that goes changes its own workers only. Of equally strong hosts the active ones stay so. The one that replaces another takes its seat, and with it exactly its workers; the selection is made at once and not at the next check.

--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -1,6 +1,7 @@
 #include "host/relay.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include "adapters/clock.h"
@@ -173,17 +174,93 @@
 	return p;
 }
 
-static void deactivate_peer(struct relay *r, const struct relay_peer *p)
+static uint32_t peer_slots(const struct relay_peer *p)
 {
+	return p->cpu_milli * WORKERS_PER_CORE / MILLI;
+}
+
+static bool is_usable(const struct relay *r, const struct relay_peer *p)
+{
+	return !p->is_draining && p->last_contact_ms &&
+	       r->now_ms - p->last_contact_ms <= CONTACT_TIMEOUT_MS &&
+	       r->now_ms >= p->avoid_until_ms;
+}
+
+/* Activates usable peers from @from up to @end that were active before, or were
+ * not, until the active ones can serve all workers. */
+static void activate_peers(struct relay *r, struct relay_peer *from,
+			   const struct relay_peer *end, bool was_active)
+{
+	struct relay_peer *p;
+
+	for (p = from; p != end && r->slots < r->worker_count &&
+		       r->active_count < RELAY_ACTIVE_MAX;
+	     p = p->next) {
+		if (p->was_active != was_active || !is_usable(r, p))
+			continue;
+		p->is_active = true;
+		r->slots += peer_slots(p);
+		r->active[r->active_count++] = p;
+	}
+}
+
+static bool is_seat_taken(const struct relay *r, const struct relay_peer *by)
+{
+	const struct relay_peer *p;
+
+	for (p = r->peers; p; p = p->next)
+		if (p != by && p->is_active && p->seat == by->seat)
+			return true;
+	return false;
+}
+
+/* Gives a new active peer the seat of an equally strong one that is active no
+ * longer, and with it all of its workers; else a seat of its own. */
+static void take_seat(struct relay *r, struct relay_peer *p)
+{
+	struct relay_peer *gone;
+
+	for (gone = r->peers; gone; gone = gone->next)
+		if (gone->was_active && !gone->is_active &&
+		    gone->cpu_milli == p->cpu_milli)
+			break;
+	if (gone) {
+		gone->was_active = false;
+		p->seat = gone->seat;
+		return;
+	}
+	for (p->seat = p->id; is_seat_taken(r, p); p->seat++)
+		;
+}
+
+/*
+ * Selects the strongest usable peers, until they can serve all workers. Of
+ * equally strong ones, those that are active stay so: they have connections to
+ * their workers.
+ */
+static void select_active(struct relay *r)
+{
+	struct relay_peer *p, *end;
 	size_t i;
 
+	for (p = r->peers; p; p = p->next) {
+		p->was_active = p->is_active;
+		p->is_active = false;
+	}
+	r->active_count = 0;
+	r->slots = 0;
+	if (r->worker_count < RELAY_WORKERS_MIN)
+		return;
+	for (p = r->peers; p; p = end) {
+		for (end = p; end && end->cpu_milli == p->cpu_milli;
+		     end = end->next)
+			;
+		activate_peers(r, p, end, true);
+		activate_peers(r, p, end, false);
+	}
 	for (i = 0; i < r->active_count; i++)
-		if (r->active[i] == p) {
-			/* The next check selects the active peers anew. */
-			r->active_count = 0;
-			r->slots = 0;
-			r->checked_ms = 0;
-		}
+		if (!r->active[i]->was_active)
+			take_seat(r, r->active[i]);
 }
 
 void relay_peer_drain(struct relay *r, const char *name)
@@ -193,7 +270,8 @@
 	if (!p)
 		return;
 	p->is_draining = true;
-	deactivate_peer(r, p);
+	if (p->is_active)
+		select_active(r);
 }
 
 void relay_finish(struct relay *r)
@@ -234,33 +312,6 @@
 	p->last_sent_ms = r->now_ms;
 }
 
-static bool is_usable(const struct relay *r, const struct relay_peer *p)
-{
-	return !p->is_draining && p->last_contact_ms &&
-	       r->now_ms - p->last_contact_ms <= CONTACT_TIMEOUT_MS &&
-	       r->now_ms >= p->avoid_until_ms;
-}
-
-/* Selects the strongest usable peers, until they can serve all workers. */
-static void select_active(struct relay *r)
-{
-	struct relay_peer *p;
-
-	r->active_count = 0;
-	r->slots = 0;
-	if (r->worker_count < RELAY_WORKERS_MIN)
-		return;
-	for (p = r->peers; p && r->slots < r->worker_count &&
-			   r->active_count < RELAY_ACTIVE_MAX;
-	     p = p->next) {
-		if (!is_usable(r, p))
-			continue;
-		r->slots += p->cpu_milli * WORKERS_PER_CORE / MILLI;
-		p->slot_end = r->slots;
-		r->active[r->active_count++] = p;
-	}
-}
-
 static void fail_peer(struct relay *r, struct relay_peer *p)
 {
 	log_line(LOG_WARN, "relayed call timed out; peer is avoided",
@@ -268,7 +319,8 @@
 		 p->last_contact_ms ? r->now_ms - p->last_contact_ms : -1);
 	p->avoid_until_ms = r->now_ms + AVOID_MS;
 	p->last_contact_ms = 0;
-	deactivate_peer(r, p);
+	if (p->is_active)
+		select_active(r);
 	r->net.disconnect(r->net.ctx, p->id);
 	fail_pending_of(r, p);
 }
@@ -318,20 +370,47 @@
 			flush_calls(r, p);
 }
 
+/* Score of one of several seats for a worker: the host on the seat with the
+ * highest score calls it. Each gets a share in proportion to its slots. */
+static double score(uint64_t worker, uint64_t seat, uint32_t slots)
+{
+	uint64_t x = worker ^ seat;
+	double uniform;
+
+	x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9u;
+	x = (x ^ x >> 27) * 0x94d049bb133111ebu;
+	x ^= x >> 31;
+	uniform = ((double)(x >> 11) + 0.5) / (double)(1ULL << 53);
+	return slots / -log(uniform);
+}
+
+/*
+ * Highest random weight: when a seat comes or goes, only its own workers change
+ * hosts, and the next owner of the cell selects mostly the same peers.
+ *
+ * Return: the peer; NULL when the owner calls the worker itself.
+ */
 static struct relay_peer *select_peer(struct relay *r, const char *worker)
 {
-	uint32_t slots = r->slots > r->worker_count ? r->slots
-						    : r->worker_count,
-		 slot;
+	uint64_t id = name_hash(worker);
+	struct relay_peer *best = NULL;
+	double most = 0;
 	size_t i;
 
 	if (!r->active_count || is_suspect_worker(r, worker))
 		return NULL;
-	slot = (uint32_t)(name_hash(worker) % slots);
-	for (i = 0; i < r->active_count; i++)
-		if (slot < r->active[i]->slot_end)
-			return r->active[i];
-	return NULL;
+	if (r->worker_count > r->slots)
+		most = score(id, 0, r->worker_count - r->slots);
+	for (i = 0; i < r->active_count; i++) {
+		double s =
+			score(id, r->active[i]->seat, peer_slots(r->active[i]));
+
+		if (s <= most)
+			continue;
+		most = s;
+		best = r->active[i];
+	}
+	return best;
 }
 
 static struct relay_call *call_add(struct relay *r, struct relay_peer *peer,
--- a/src/host/relay.h
+++ b/src/host/relay.h
@@ -32,8 +32,10 @@
  * @unanswered_pings: pings sent since the last contact
  * @is_draining: the peer leaves the deployment and gets no new calls
  * @avoid_until_ms: the peer gets no calls and no pings before this time
- * @slot_end: number of workers that the active peers up to and including this
- *	one can serve
+ * @is_active: it gets calls
+ * @was_active: it got calls until the check that is being made
+ * @seat: decides of an active peer which workers it calls; passed on to the one
+ *	that replaces it
  * @memory: holds the texts of @calls
  * @calls: calls of the next batch, @count of them
  */
@@ -47,7 +49,9 @@
 	uint32_t unanswered_pings;
 	bool is_draining;
 	int64_t avoid_until_ms;
-	uint32_t slot_end;
+	bool is_active;
+	bool was_active;
+	uint64_t seat;
 	struct arena memory;
 	struct relay_call *calls;
 	size_t count;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -185,6 +185,45 @@
 		relay_worker_ops.start(&r, &w, &o, record_order, this);
 	}
 
+	/* Id of the host through which each worker is called. */
+	std::map<std::string, uint64_t> hosts_of_workers(size_t count)
+	{
+		std::map<std::string, uint64_t> m;
+
+		for (size_t i = 0; i < count; i++) {
+			std::string worker = "i-" + std::to_string(i);
+
+			sender = 0;
+			start(worker);
+			relay_tick(&r, now);
+			m[worker] = sender;
+			if (!relayed.calls.empty())
+				relayed.answer(ORDER_OK);
+		}
+		run(20);
+		return m;
+	}
+
+	static size_t count_moved(const std::map<std::string, uint64_t> &before,
+				  const std::map<std::string, uint64_t> &after)
+	{
+		size_t n = 0;
+
+		for (auto &w : before)
+			n += after.at(w.first) != w.second;
+		return n;
+	}
+
+	/* A deployment of 900 workers, for which 9 of the hosts are needed. */
+	void add_large_deployment()
+	{
+		for (int i = 0; i < 12; i++)
+			add_host("h" + std::to_string(i), 500);
+		r.worker_count = 900;
+		activate_peers();
+		ASSERT_EQ(r.active_count, 9u);
+	}
+
 	relay r;
 	Workers direct;
 	Workers relayed;
@@ -342,6 +381,69 @@
 	EXPECT_STREQ(r.active[1]->name, "strong");
 }
 
+/* A worker that is called through another host than before gets new
+ * connections. One host that left moved most workers, as the shares of those
+ * behind it moved up. */
+TEST_F(Relay, KeepsTheHostsOfMostWorkersWhenOneLeaves)
+{
+	add_large_deployment();
+	auto before = hosts_of_workers(900);
+	relay_peer_drain(&r, r.active[2]->name);
+	run(100);
+	ASSERT_EQ(r.active_count, 9u);
+	EXPECT_LE(count_moved(before, hosts_of_workers(900)), 130u);
+	EXPECT_TRUE(direct.calls.empty());
+}
+
+TEST_F(Relay, KeepsTheHostsOfAllWorkersWhenOneComesBack)
+{
+	add_large_deployment();
+	std::string name = r.active[2]->name;
+	relay_peer_drain(&r, name.c_str());
+	run(100);
+	auto before = hosts_of_workers(900);
+	relay_peer_set(&r, name.c_str(), "10.0.0.1:2", 500);
+	run(700);
+	EXPECT_EQ(count_moved(before, hosts_of_workers(900)), 0u);
+}
+
+/* While one host had failed and no other one was selected yet, the owner called
+ * all workers itself, on new connections. */
+TEST_F(Relay, CallsNoWorkerOfTheOtherHostsDirectlyWhenOneFails)
+{
+	add_large_deployment();
+	auto before = hosts_of_workers(900);
+	uint64_t gone = r.active[2]->id;
+	relay_peer_drain(&r, r.active[2]->name);
+	for (auto &w : before)
+		if (w.second != gone)
+			start(w.first);
+	EXPECT_LE(direct.calls.size(), 150u);
+	run(20);
+	while (!relayed.calls.empty())
+		relayed.answer(ORDER_OK);
+}
+
+TEST_F(Relay, SpreadsWorkersByTheProcessorsOfTheHosts)
+{
+	std::map<uint64_t, size_t> share;
+
+	for (int i = 0; i < 4; i++)
+		add_host("h" + std::to_string(i), 500);
+	add_host("strong", 2000);
+	r.worker_count = 800;
+	activate_peers();
+	for (auto &w : hosts_of_workers(800))
+		share[w.second]++;
+	ASSERT_EQ(share.size(), 5u);
+	for (auto &s : share) {
+		size_t fair = s.first == name_hash("strong") ? 400 : 100;
+
+		EXPECT_GT(s.second, fair * 3 / 4);
+		EXPECT_LT(s.second, fair * 5 / 4);
+	}
+}
+
 /*
  * The owner took the end of a run from another host as it came, and read the
  * name of the end behind a table of six.
