loop: two calls to one worker at a time

Calls of one lane, here the address of a worker, are now in flight two at a time, a poll and an order; the others wait their turn in the loop. The time-out counts from the call and not from its turn, so that a relay answers in time; a call that runs out of time as it waits was not sent, and says so. The store keeps its six, of which it needs more than two.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -18,6 +18,13 @@
 #define KEEPALIVE_IDLE_S 2L
 #define KEEPALIVE_PERIOD_S 1L
 
+/* Calls that share a limit; those that wait for others, first come first. */
+struct loop_lane {
+	uint32_t in_flight;
+	struct loop_call *waiting;
+	struct loop_call **waiting_tail;
+};
+
 struct loop_call {
 	CURL *easy;
 	struct curl_slist *headers;
@@ -30,6 +37,9 @@
 	int64_t sent_ms;
 	int64_t due_ms;
 	bool in_flight;
+	bool sent;
+	uint64_t lane;
+	struct loop_call *next_waiting;
 	struct loop_call *next;
 	struct loop_call *prev;
 };
@@ -143,6 +153,7 @@
 	l->expiry_due_ms = INT64_MAX;
 	l->posts_tail = &l->posts;
 	lock_init(&l->lock);
+	index_init(&l->lanes);
 	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	l->event_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (l->epoll_fd < 0 || l->event_fd < 0)
@@ -180,8 +191,10 @@
 
 	for (; c; c = next) {
 		next = c->next;
-		if (c->in_flight)
+		if (c->sent)
 			curl_multi_remove_handle(l->multi, c->easy);
+		if (c->in_flight && c->lane)
+			free(index_remove(&l->lanes, c->lane));
 		call_free(c);
 	}
 }
@@ -192,6 +205,7 @@
 	free_calls(l, l->in_flight);
 	if (l->multi)
 		curl_multi_cleanup(l->multi);
+	index_finish(&l->lanes);
 	free(l->fds);
 	close(l->event_fd);
 	close(l->epoll_fd);
@@ -261,6 +275,62 @@
 		c->next->prev = c->prev;
 }
 
+static void call_send(struct loop *l, struct loop_call *c)
+{
+	c->sent = true;
+	curl_multi_add_handle(l->multi, c->easy);
+}
+
+static void lane_enter(struct loop *l, struct loop_call *c)
+{
+	struct loop_lane *lane = index_get(&l->lanes, c->lane);
+
+	if (!lane) {
+		lane = xcalloc(1, sizeof(*lane));
+		lane->waiting_tail = &lane->waiting;
+		index_put(&l->lanes, c->lane, lane);
+	}
+	if (lane->in_flight < LOOP_LANE_MAX) {
+		lane->in_flight++;
+		call_send(l, c);
+		return;
+	}
+	c->next_waiting = NULL;
+	*lane->waiting_tail = c;
+	lane->waiting_tail = &c->next_waiting;
+}
+
+static void lane_remove_waiting(struct loop_lane *lane, struct loop_call *c)
+{
+	struct loop_call **at = &lane->waiting;
+
+	while (*at != c)
+		at = &(*at)->next_waiting;
+	*at = c->next_waiting;
+	if (!*at)
+		lane->waiting_tail = at;
+}
+
+/* Takes a call that has ended out of its lane; the next one takes its turn. */
+static void lane_leave(struct loop *l, struct loop_call *c)
+{
+	struct loop_lane *lane = index_get(&l->lanes, c->lane);
+	struct loop_call *next;
+
+	if (!c->sent) {
+		lane_remove_waiting(lane, c);
+		return;
+	}
+	next = lane->waiting;
+	if (next) {
+		lane_remove_waiting(lane, next);
+		call_send(l, next);
+	} else if (!--lane->in_flight) {
+		index_remove(&l->lanes, c->lane);
+		free(lane);
+	}
+}
+
 void loop_fetch(struct loop *l, const struct fetch *f, fetch_done done,
 		void *ctx)
 {
@@ -298,7 +368,12 @@
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 	curl_easy_setopt(c->easy, CURLOPT_URL, c->url.data);
 	l->fetches++;
-	curl_multi_add_handle(l->multi, c->easy);
+	c->lane = f->lane;
+	c->sent = false;
+	if (c->lane)
+		lane_enter(l, c);
+	else
+		call_send(l, c);
 }
 
 static void call_finish(struct loop *l, struct loop_call *c, CURLcode result)
@@ -308,12 +383,15 @@
 	long sent = 0, error = 0;
 
 	call_unlink(l, c);
-	curl_multi_remove_handle(l->multi, c->easy);
+	if (c->sent)
+		curl_multi_remove_handle(l->multi, c->easy);
 	f.sent_ms = c->sent_ms;
 	if (result == CURLE_OK) {
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &f.status);
 		f.body.data = c->reply.data;
 		f.body.len = c->reply.len;
+	} else if (!c->sent) {
+		f.not_sent = true;
 	} else {
 		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 		f.not_sent = !sent;
@@ -321,6 +399,9 @@
 		f.refused = result == CURLE_COULDNT_CONNECT &&
 			    error == ECONNREFUSED;
 	}
+	if (c->lane)
+		lane_leave(l, c);
+	c->sent = false;
 	before = activity_enter(&l->activity, c->activity);
 	c->done(c->ctx, &f);
 	activity_enter(&l->activity, before);
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -6,6 +6,7 @@
 
 #include "base/activity.h"
 #include "base/buf.h"
+#include "base/index.h"
 #include "base/lock.h"
 
 #ifdef __cplusplus
@@ -14,6 +15,8 @@
 
 /* Connections to one address at a time; further requests wait for one. */
 #define LOOP_HOST_CONNECTIONS 6
+/* Requests of one lane in flight at a time. */
+#define LOOP_LANE_MAX 2
 /* Default of loop.connect_ms. */
 #define LOOP_CONNECT_MS 700
 /* Largest content of a reply, in bytes; a request with more of it fails. */
@@ -28,6 +31,8 @@
  * @header: an additional header line, or NULL
  * @timeout_ms: time after which the request fails unless its reply has arrived
  * @activity: what the time of the callback belongs to
+ * @lane: requests of one lane, such as those to one address, are in flight
+ *	LOOP_LANE_MAX at a time, and the others wait for them; 0 for none
  */
 struct fetch {
 	const char *url;
@@ -37,6 +42,7 @@
 	const char *header;
 	long timeout_ms;
 	enum activity activity;
+	uint64_t lane;
 };
 
 /**
@@ -86,6 +92,7 @@
  * @fds: state of the connections, by file descriptor
  * @idle: finished calls, kept for reuse
  * @in_flight: calls without an outcome
+ * @lanes: lanes with calls in flight, by struct fetch.lane
  * @expiry_due_ms: boot time before which no call in flight expires
  * @posts: mailbox of values that loop_post() received
  * @fetches: requests started so far
@@ -101,6 +108,7 @@
 	size_t fd_count;
 	struct loop_call *idle;
 	struct loop_call *in_flight;
+	struct index lanes;
 	int64_t expiry_due_ms;
 	struct lock lock; /* LOCK_NET: guards the mailbox */
 	struct loop_post_item *posts;
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -182,6 +183,77 @@
 	close(fd);
 }
 
+/*
+ * Each call of a burst to one worker opened a connection of its own, six at
+ * most, and the worker closed them again while they were idle.
+ */
+TEST_F(Loop, OpensFewConnectionsForTheCallsOfALane)
+{
+	sockaddr_in sin = {};
+	socklen_t len = sizeof(sin);
+	int connections = 0;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (sockaddr *)&sin, len);
+	listen(fd, 20);
+	getsockname(fd, (sockaddr *)&sin, &len);
+	std::string url =
+		"http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) +
+		"/x";
+	Results a = {&l, 12, {}, {}, ""};
+	struct fetch f = {};
+
+	f.url = url.c_str();
+	f.lane = 7;
+	for (int i = 0; i < 12; i++) {
+		f.timeout_ms = i < LOOP_LANE_MAX ? 400 : 200;
+		loop_fetch(&l, &f, on_result, &a);
+	}
+	loop_run(&l);
+	for (int c; (c = accept(fd, nullptr, nullptr)) >= 0; close(c))
+		connections++;
+	EXPECT_EQ(connections, LOOP_LANE_MAX);
+	/* All fail in time, and those that waited were not sent. */
+	EXPECT_EQ(std::count(a.not_sent.begin(), a.not_sent.end(), true),
+		  12 - LOOP_LANE_MAX);
+	close(fd);
+}
+
+TEST_F(Loop, MakesTheCallsOfALaneInTurn)
+{
+	std::string url =
+		"http://127.0.0.1:" + std::to_string(server.port) + "/x";
+
+	for (int round = 0; round < 3; round++) {
+		Results a = {&l, 10, {}, {}, ""};
+		struct fetch f = {};
+
+		f.url = url.c_str();
+		f.timeout_ms = 4000;
+		f.lane = 7;
+		for (int i = 0; i < 10; i++)
+			loop_fetch(&l, &f, on_result, &a);
+		l.stopping = false;
+		loop_run(&l);
+		EXPECT_EQ(a.statuses, std::vector<long>(10, 200));
+		EXPECT_EQ(index_count(&l.lanes), 0u);
+	}
+}
+
+TEST_F(Loop, EndsWithCallsThatWaitInALane)
+{
+	struct fetch f = {};
+	Results a = {&l, 10, {}, {}, ""};
+
+	f.url = "http://127.0.0.1:1/x";
+	f.timeout_ms = 4000;
+	f.lane = 7;
+	for (int i = 0; i < 10; i++)
+		loop_fetch(&l, &f, on_result, &a);
+}
+
 /*
  * A request that arrives after the last iteration of the event loop has to be
  * answered before the server stops: libmicrohttpd aborts the process on a
