host_append: the key counts as part of a record

Cause: the record of a call was compared with the store's largest record by its value alone, without the key of up to 18 bytes and its length. A submission in that window made the store refuse the whole append, with the records of other callers, or, relayed to the owner, the owner's batch until the records of other hosts are taken out of it.

Change: store_record_fits() in ports/cluster decides, for the cell too.

Test: HostAppend.CountsTheKeyAsPartOfTheRecord (before: 1 record above the limit sent and stored).

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -26,16 +26,10 @@
  * owner. */
 #define EFFECT_MODEL_PERIOD_MS 2000
 
-/* Bytes of the frame that the store does not count as part of a record. */
-#define RECORD_FRAME_BYTES 4
-
 bool cell_record_fits(const struct cell *c, size_t framed_bytes)
 {
-	const struct cell_options *o = &c->opt;
-
-	return (!o->record_max_bytes ||
-		framed_bytes - RECORD_FRAME_BYTES <= o->record_max_bytes) &&
-	       (!o->append_max_bytes || framed_bytes <= o->append_max_bytes);
+	return store_record_fits(framed_bytes, c->opt.record_max_bytes,
+				 c->opt.append_max_bytes);
 }
 
 void cell_record_add(struct cell *c, struct str key, struct str value)
--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -207,7 +207,8 @@
 	store_record_add(&b->frames,
 			 job_key(c->id, c->kind == CALL_CANCEL ? 'c' : 0, key),
 			 value);
-	if (o->record_max_bytes && value.len > o->record_max_bytes) {
+	if (!store_record_fits(b->frames.len - before, o->record_max_bytes,
+			       o->append_max_bytes)) {
 		b->frames.len = before;
 		return -EFBIG;
 	}
--- a/src/ports/cluster.c
+++ b/src/ports/cluster.c
@@ -4,6 +4,9 @@
 #include <errno.h>
 #include <string.h>
 
+/* Bytes of the frame that the store does not count as part of a record. */
+#define RECORD_FRAME_BYTES 4
+
 void store_record_add(struct buf *out, struct str key, struct str value)
 {
 	uint32_t len = htonl((uint32_t)(1 + key.len + value.len));
@@ -15,6 +18,14 @@
 	buf_add(out, value.data, value.len);
 }
 
+bool store_record_fits(size_t framed_bytes, size_t record_max,
+		       size_t append_max)
+{
+	return (!record_max ||
+		framed_bytes - RECORD_FRAME_BYTES <= record_max) &&
+	       (!append_max || framed_bytes <= append_max);
+}
+
 int store_record_take(struct str *rest, struct store_record *out)
 {
 	uint32_t len;
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -108,6 +108,15 @@
 /* Bytes that store_record_add() adds before the key: two lengths. */
 #define STORE_RECORD_HEADER 5
 
+/**
+ * store_record_fits() - whether the store accepts a record
+ * @framed_bytes: length as store_record_add() frames it
+ * @record_max: largest record, without the length before it; 0 for no limit
+ * @append_max: largest append, with the framing; 0 for no limit
+ */
+bool store_record_fits(size_t framed_bytes, size_t record_max,
+		       size_t append_max);
+
 /**
  * store_records_fitting() - length of the whole records at the start of
  * @records that take at most @max bytes together
--- a/tests/host_append_test.cc
+++ b/tests/host_append_test.cc
@@ -90,6 +90,20 @@
 	EXPECT_EQ(h->batches_in_flight, 0u);
 }
 
+/* The key counts as part of the record: one whose value alone was as long as a
+ * record may be made the store refuse those beside it. */
+TEST_F(HostAppend, CountsTheKeyAsPartOfTheRecord)
+{
+	const size_t key_bytes = 1 + 16;
+
+	add_call(1000 - key_bytes);
+	add_call(1000 - key_bytes + 1);
+	add_call(1000);
+	run();
+	EXPECT_EQ(store.topics[TOPIC_JOBS].size(), 1u);
+	EXPECT_EQ(h->append_queue, nullptr);
+}
+
 /* The answer to an append was lost, and the caller was told that its job had
  * not been accepted: the job ran. */
 TEST_F(HostAppend, WithdrawsNoRecordThatMayBeStored)
