worker: a run that a new owner adopts keeps what its first report says

Cause: of the first report of a run, a new owner used the name only. Progress, measurement and checkpoint were known from the second report on, up to a second later. A task whose worker crashed in between began from zero, and interference on the worker was seen a report later.

Test: CellRecovery.KnowsTheCheckpointOfARunOnceItIsReported (before: started without the checkpoint). cell_worker_test, cell_recovery_test with CellRecoveryModel.RunsNoTaskTwice and cell_place_test as before.

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -264,31 +264,39 @@
 	return w->cpu_serving && w->cpu_best_effort;
 }
 
+/* Return: whether a run that a worker reports is the task's, or becomes it. */
+static bool is_run_of(struct cell *c, struct cell_task *t,
+		      struct cell_worker *w, const struct task_ref *ref,
+		      uint64_t clock)
+{
+	if (t && t->worker == w && t->run == ref->run)
+		return true;
+	if (!t || t->state != TASK_WAITING || !t->step->job->recovered ||
+	    job_state_is_terminal(t->step->job->state))
+		return false;
+	cell_task_adopt(c, t, w, ref->run);
+	cell_crash_started(t, clock);
+	return true;
+}
+
 static void apply_running(struct cell *c, struct cell_worker *w,
 			  const struct run_row *r,
 			  const struct poll_reply *reply)
 {
 	struct cell_task *t = cell_task_find(c, &r->ref);
 
-	if (t && t->worker == w && t->run == r->ref.run) {
-		t->reported_ms = reply->sent_ms;
-		t->percent = (uint8_t)r->progress_percent;
-		t->measure = r->measure;
-		if (r->checkpoint[0])
-			name_set(t->checkpoint, r->checkpoint);
-		cell_task_confirm(c, t);
-		cell_crash_reported(c, t, reply->clock);
-		return;
-	}
-	if (t && t->state == TASK_WAITING && t->step->job->recovered &&
-	    !job_state_is_terminal(t->step->job->state)) {
-		cell_task_adopt(c, t, w, r->ref.run);
-		cell_crash_started(t, reply->clock);
-		t->reported_ms = reply->sent_ms;
+	if (!is_run_of(c, t, w, &r->ref, reply->clock)) {
+		cell_quota_hold_orphan(c, w, &r->ref);
+		cell_stop_orphan(c, w, &r->ref);
 		return;
 	}
-	cell_quota_hold_orphan(c, w, &r->ref);
-	cell_stop_orphan(c, w, &r->ref);
+	t->reported_ms = reply->sent_ms;
+	t->percent = (uint8_t)r->progress_percent;
+	t->measure = r->measure;
+	if (r->checkpoint[0])
+		name_set(t->checkpoint, r->checkpoint);
+	cell_task_confirm(c, t);
+	cell_crash_reported(c, t, reply->clock);
 }
 
 static void log_unfinished_end(const struct cell_worker *w,
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -583,6 +583,25 @@
 	buf_finish(&b);
 }
 
+/* A new owner used nothing but the name of a run in the first report that it
+ * got of it: a task whose worker crashed before the second began from zero. */
+TEST_F(CellRecovery, KnowsTheCheckpointOfARunOnceItIsReported)
+{
+	start_on_w1(CellWorld::task_step(1));
+	w.find(7)->checkpoint = "later";
+	w.take_over_on_a_new_host(2);
+	while (!w.counts().placed)
+		w.run(5);
+	w.workers["w1"].running.clear();
+	w.workers["w1"].born++;
+	w.entries["w1"].born++;
+	w.announce("w1");
+	w.checkpoints.clear();
+	w.run(3000);
+	ASSERT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.checkpoints[0], "later");
+}
+
 /* Bytes that name no task, or are cut off, are skipped. */
 TEST_F(CellRecovery, SkipsCheckpointsThatNameNoTask)
 {
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -28,6 +28,7 @@
 	task_ref ref;
 	uint32_t percent = 0;
 	uint32_t measure = 0;
+	std::string checkpoint;
 };
 
 struct End {
@@ -641,6 +642,8 @@
 			row.ref = r.ref;
 			row.progress_percent = r.percent;
 			row.measure = r.measure;
+			snprintf(row.checkpoint, sizeof(row.checkpoint), "%s",
+				 r.checkpoint.c_str());
 			rows.push_back(row);
 		}
 		for (auto &e : w.ended) {
