pace: a new owner allows no time anew beside a task that is over its target

Cause: the time over the target, and the time without a measurement that shows the task under it, began at 0 under a new owner. With those under the former one and the change itself, best-effort tasks worked on for longer than the bound. All partitions are reassigned at times without any disruption.

Change: a task that a new owner adopts counts as over its target for the bound; the first measurement that shows it under the target ends that. Cost: a pause of the tasks beside it until then.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -390,6 +390,9 @@
 	t->ordered = true;
 	t->run = run;
 	t->pace_sent = PACE_UNKNOWN;
+	/* It may have been over its target for long under the former owner. */
+	t->over_since_ms = c->now_ms - c->opt.violation_ms;
+	t->unproven_since_ms = t->over_since_ms;
 	mark_running(c, t);
 }
 
--- a/tests/cell_pace_test.cc
+++ b/tests/cell_pace_test.cc
@@ -199,3 +199,29 @@
 	EXPECT_EQ(w.first_order, FirstOrder::ARRIVES);
 	EXPECT_LT(w.longest_ms, 4000);
 }
+
+/* A new owner does not know since when a task has been over its target: it
+ * allowed the tasks beside it the whole time anew. */
+TEST(CellPace, PausesWithinTheBoundAcrossAChangeOfTheOwner)
+{
+	const int64_t gap_ms = 700;
+	Neighbours w(0.05);
+
+	w.run(20000);
+	ASSERT_EQ(w.pace(), 100);
+	while (w.base > 1.035) {
+		w.base -= 0.02;
+		w.run(100);
+	}
+	w.base = 1.035;
+	w.longest_ms = 0;
+	while (w.over_ms < 1500)
+		w.run(5);
+	ASSERT_EQ(w.pace(), 100);
+	w.stop();
+	w.now += gap_ms;
+	w.over_ms += gap_ms;
+	w.take_over_on_a_new_host(2);
+	w.run(10000);
+	EXPECT_LT(w.longest_ms, 4000);
+}
