host_operators: an older configuration does not make the one in force current

Cause: any configuration that can be decoded ended the doubt that an undecodable one had raised, also one older than that in force, which is not applied. With strict revocation a key that the undecodable one withdrew was served again.

Test: HostOperators.AnOlderConfigurationDoesNotMakeTheOneInForceCurrent (before: age 0). host_call_test as before.

--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -20,7 +20,8 @@
 			h->config_until_ms = h->operator_follower.caught_up_ms;
 		return;
 	}
-	h->config_until_ms = 0;
+	if (t.version >= h->queues.version)
+		h->config_until_ms = 0;
 	if (t.version <= h->queues.version) {
 		queue_table_finish(&t);
 		return;
--- a/tests/host_operators_test.cc
+++ b/tests/host_operators_test.cc
@@ -95,6 +95,21 @@
 	EXPECT_EQ(h->queues.version, 5u);
 }
 
+/* A configuration that cannot be decoded may have withdrawn a key. An older one
+ * that was read a second time made the one in force count as the newest. */
+TEST_F(HostOperators, AnOlderConfigurationDoesNotMakeTheOneInForceCurrent)
+{
+	h->operator_follower.caught_up_ms = 1000;
+	h->now_ms = 2000;
+	apply(KEY_CONFIG, config(5), 1);
+	apply(KEY_CONFIG, "{", 2);
+	h->operator_follower.caught_up_ms = 2000;
+	apply(KEY_CONFIG, config(4), 3);
+	EXPECT_EQ(host_config_age_ms(h.get()), 1000);
+	apply(KEY_CONFIG, config(5), 4);
+	EXPECT_EQ(host_config_age_ms(h.get()), 0);
+}
+
 /* A zone's evacuation was withdrawn by a record that was trimmed before this
  * host read it: the listing no longer holds the zone. */
 TEST_F(HostOperators, OpensAZoneThatTheListingDoesNotHold)
