cell: a batch walks the workers once, and not at all without a record

Cause: taking a batch walked all workers three times, also when there was nothing to store, which is asked for after each round of events.

Change: one walk; none while no record, job, intent or end waits.

Tests: CellBatch.AcknowledgesAnEndThatLeavesNothingToStore (passed before; fails if ends are not counted as something to store). As before: cell_batch_test, cell_recovery_test with CellRecoveryModel.RunsNoTaskTwice, cell_worker_test, cell_place_test, cell_pace_test, owner_test.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -211,17 +211,18 @@
  * Progress is stored in rounds: all jobs that are dirty when a round begins are
  * stored before any that become dirty later, so that none of them waits for
  * ever, and the ends that workers had reported by then can be acknowledged.
+ *
+ * Return: true when a round has begun.
  */
-static void take_round(struct cell *c, struct buf *out)
+static bool take_round(struct cell *c, struct buf *out)
 {
-	struct cell_worker *w;
+	bool begins = !c->round;
 	struct cell_job *j;
 
-	if (!c->round) {
+	if (begins) {
 		c->round = c->dirty;
 		c->dirty = NULL;
-		for (w = c->workers; w; w = w->next)
-			w->round_end = w->last_end;
+		c->has_new_ends = false;
 	}
 	while (c->round && take_progress(c, c->round, out)) {
 		j = c->round;
@@ -229,8 +230,7 @@
 		j->dirty = false;
 		j->storing = true;
 	}
-	for (w = c->workers; !c->round && w; w = w->next)
-		w->storing_end = w->round_end;
+	return begins;
 }
 
 /* While the last record of a worker waits for a later batch, the store may say
@@ -245,21 +245,33 @@
 		w->stored = false;
 }
 
+static bool has_nothing_to_store(const struct cell *c)
+{
+	return !c->pending_records.len && !c->round && !c->dirty &&
+	       !c->intents && !c->has_new_ends;
+}
+
 bool cell_take_batch(struct cell *c, struct buf *out)
 {
 	struct cell_worker *w;
 	struct cell_task *t;
+	bool round_begins;
 
-	if (c->batch_open)
+	if (c->batch_open || (!out->len && has_nothing_to_store(c)))
 		return false;
 	take_pending_records(c, out);
-	take_round(c, out);
+	round_begins = take_round(c, out);
 	for (t = c->intents; t; t = t->next_intent) {
 		t->storing_intent = !t->step->job->dirty;
 		t->storing_worker = t->worker ? t->worker->id : 0;
 	}
-	for (w = c->workers; w; w = w->next)
+	for (w = c->workers; w; w = w->next) {
+		if (round_begins)
+			w->round_end = w->last_end;
+		if (!c->round)
+			w->storing_end = w->round_end;
 		note_worker_record(c, w);
+	}
 	c->batch_open = true;
 	if (out->len)
 		return true;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -464,6 +464,8 @@
  *	tasks in doubt
  * @stopped: cell_stop() was called; memory is freed after the last call
  * @batch_open: a batch has been taken and is not stored yet
+ * @has_new_ends: a worker has reported an end since the last round of progress
+ *	began
  * @place_due: something changed that a placement pass may make use of
  * @round: jobs with progress to store before that of those in @dirty; more than
  *	one batch may be needed for all of them
@@ -501,6 +503,7 @@
 	bool doubts_ended;
 	bool stopped;
 	bool batch_open;
+	bool has_new_ends;
 	bool place_due;
 	uint32_t calls;
 	uint32_t trials;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -328,6 +328,7 @@
 	if (e->number <= w->last_end)
 		return;
 	w->last_end = e->number;
+	c->has_new_ends = true;
 	if (!t)
 		return;
 	log_unfinished_end(w, t, e);
--- a/tests/cell_batch_test.cc
+++ b/tests/cell_batch_test.cc
@@ -42,6 +42,13 @@
 		EXPECT_TRUE(newest.count(WORKER_KEY_PREFIX + worker)) << worker;
 	}
 
+	void reply_to_poll(Call &call, const poll_reply &h) override
+	{
+		if (h.ended_count && !end_heard_ms)
+			end_heard_ms = now;
+		CellWorld::reply_to_poll(call, h);
+	}
+
 	bool is_refused(const buf &b)
 	{
 		str rest = {b.data, b.len};
@@ -71,6 +78,7 @@
 	size_t record_max = SIZE_MAX;
 	size_t largest = 0;
 	size_t batches = 0;
+	int64_t end_heard_ms = 0;
 };
 
 class CellBatch : public testing::Test
@@ -119,6 +127,24 @@
 	buf_finish(&b);
 }
 
+/* The end of a run of a dropped job makes no record, so that there is nothing to
+ * store: the worker lists it in every reply until it is acknowledged. */
+TEST_F(CellBatch, AcknowledgesAnEndThatLeavesNothingToStore)
+{
+	task_ref unknown = {};
+
+	w.begin({"w1"});
+	w.run(3000);
+	unknown.job = 99;
+	unknown.run = 1;
+	w.workers["w1"].ends = 1;
+	w.workers["w1"].ended.push_back({1, unknown, RUN_DONE, ""});
+	while (!w.end_heard_ms)
+		w.run(5);
+	w.run(20);
+	EXPECT_TRUE(w.workers["w1"].ended.empty());
+}
+
 /* A job of an earlier release may have more progress than one record can hold:
  * its tasks cannot be started safely, but all others must be. */
 TEST_F(CellBatch, GivesUpAJobWhoseProgressIsTooLargeAndNoOther)
