--- a/tests/cell_batch_test.cc
+++ b/tests/cell_batch_test.cc
@@ -127,8 +127,8 @@
 	buf_finish(&b);
 }
 
-/* The end of a run of a dropped job makes no record, so that there is nothing to
- * store: the worker lists it in every reply until it is acknowledged. */
+/* The end of a run of a dropped job makes no record, so that there is nothing
+ * to store: the worker lists it in every reply until it is acknowledged. */
 TEST_F(CellBatch, AcknowledgesAnEndThatLeavesNothingToStore)
 {
 	task_ref unknown = {};
