worker: the poll after a missed one is answered at once

Cause: it was a long poll, as all of a worker with tasks: for up to a second a worker that was back got no new task, as a poll was missed, and its lease was not extended, as that poll does not extend it.

Test: CellWorker.IsUsedAgainSoonAfterAMissedPoll (before: no start within 400 ms).

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -464,7 +464,9 @@
 	if (!w->missed_polls && w->stored && !w->lease_frozen)
 		h.lease_deadline_ms = cell_lease_extend(c, w);
 	h.ack = w->acked_end;
-	if (w->confirmed && w->task_count && w->last_end == w->acked_end)
+	/* After a missed poll, tasks and leases wait for the reply. */
+	if (w->confirmed && w->task_count && !w->missed_polls &&
+	    w->last_end == w->acked_end)
 		h.wait_ms = w->trials || has_mixed_load(w)
 				    ? POLL_SAMPLE_MS
 				    : c->opt.poll_wait_ms;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -165,3 +165,22 @@
 	w.run(2000);
 	EXPECT_LE(w.polls, 6u);
 }
+
+/* The poll after a missed one waited for an end, as always: for that second the
+ * worker got no new task, and its lease was not extended. */
+TEST(CellWorker, IsUsedAgainSoonAfterAMissedPoll)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(3000);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.workers["w1"].refuses = true;
+	w.run(50);
+	w.workers["w1"].refuses = false;
+	w.submit(8, {CellWorld::task_step(1)});
+	w.run(400);
+	EXPECT_EQ(w.runs(8), 1u);
+}
