lease: a worker is silent after 2.5 s again, not after two missed polls

What users would see: a worker that was only hard to reach for a third of a second loses its running work. Cause: stored the silence of a worker after two missed polls, 0.3 s where connections are refused. Change: the former condition. Ruled out: a later end in the stored record, so that a worker that is back may be renewed up to it: the next owner would have to wait that much longer.

--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -7,9 +7,6 @@
 /* Period at which the record of a silent worker is written again: a host that
  * starts counts the time left in it from its own reading. */
 #define FROZEN_RECORD_MS 1000
-/* Missed polls in a row from which on a worker counts as silent before
- * WORKER_REACHABLE_MS have passed: one may be due to the path to it. */
-#define SILENT_POLLS 2
 
 int64_t cell_lease_extend(struct cell *c, struct cell_worker *w)
 {
@@ -98,8 +95,7 @@
 	if (!w->recorded || !w->missed_polls ||
 	    !(w->unheard || w->first_task) ||
 	    c->now_ms >= c->authority_until_ms ||
-	    (w->missed_polls < SILENT_POLLS &&
-	     c->now_ms - w->answered_ms < WORKER_REACHABLE_MS))
+	    c->now_ms - w->answered_ms < WORKER_REACHABLE_MS)
 		return false;
 	return !w->lease_frozen || c->now_ms - w->frozen_ms >= FROZEN_RECORD_MS;
 }
