host_append: a record that can never be stored is refused without Retry-After

What callers see: 503 and a time to come back for a job that is too large for a record of the store, each time they send it. Found by the review. Cause: it was refused like one that waited too long. Change: 413, as for a body that is too large. Result: HostCall.RefusesAJobThatIsTooLargeToStoreForGood failed (503), passes.

--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -225,7 +225,7 @@
 		 c->record.len, h->owner.options.record_max_bytes);
 	c->append_pending = false;
 	if (c->request)
-		call_refuse(h, c);
+		call_answer(h, c, 413, 0, "{}");
 }
 
 /* Takes calls from the queue until the batch is full. */
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -294,6 +294,17 @@
 	EXPECT_EQ(status("DELETE", path("q"), ""), 200);
 }
 
+/* A job that can never be stored was refused with a time to come back: its
+ * caller sent it again and again. */
+TEST_F(HostCall, RefusesAJobThatIsTooLargeToStoreForGood)
+{
+	publish(config(1, ""));
+	h.owner.options.record_max_bytes = 10;
+	Reply r = call("POST", path("q"), "", JOB);
+	EXPECT_EQ(r.status, 413);
+	EXPECT_EQ(r.text.find("Retry-After"), std::string::npos);
+}
+
 /* A caller whose request cannot be served at all learns that first. */
 TEST_F(HostCall, ChecksTheKeyAfterConfigurationSizeAndRoute)
 {
