cell: a header for each module; cell_types.h holds the types

A reader of cell_types.h (926 lines) met the functions of eleven modules below the types, and each of the modules included all of them. Each module has its own header now, as cell_crash and cell_lease have; cell_types.h (589 lines) keeps the types and the functions of cell.c. Nothing but declarations and includes moves.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -4,8 +4,14 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_account.h"
+#include "cell/cell_job.h"
+#include "cell/cell_place.h"
+#include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_task.h"
+#include "cell/cell_worker.h"
 
 /* The host calls cell_tick() after each round of events. Loops over all workers
  * and jobs run at most once in TICK_MIN_MS; the next call is asked for within
--- a/src/cell/cell_account.c
+++ b/src/cell/cell_account.c
@@ -1,7 +1,8 @@
-#include "cell/cell_types.h"
+#include "cell/cell_account.h"
 
 #include <stdio.h>
 
+#include "cell/cell_queue.h"
 #include "cell/cell_recovery.h"
 
 /* Least time between two updates of the time sums of all jobs. */
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -1,4 +1,4 @@
-#include "cell/cell_types.h"
+#include "cell/cell_cost.h"
 
 #include <errno.h>
 
--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_job.h"
 
 /* A run that its worker reports this long after its start has not crashed it.
  */
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -1,9 +1,12 @@
-#include "cell/cell_types.h"
+#include "cell/cell_gang.h"
 
 #include <stdlib.h>
 
+#include "cell/cell_cost.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_room.h"
+#include "cell/cell_task.h"
 
 static bool is_gang_unplaced(const struct cell_step *st)
 {
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -1,11 +1,14 @@
-#include "cell/cell_types.h"
+#include "cell/cell_job.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_account.h"
+#include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_task.h"
 
 /* The part of a run number that failed_runs holds. */
 #define RUN_LOW_MASK 0xffff
--- a/src/cell/cell_pace.c
+++ b/src/cell/cell_pace.c
@@ -1,8 +1,9 @@
-#include "cell/cell_types.h"
+#include "cell/cell_pace.h"
 
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_task.h"
 
 /* A long-running task reports this progress while it is ready for requests. */
 #define SERVING_PERCENT 100
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -1,8 +1,13 @@
-#include "cell/cell_types.h"
+#include "cell/cell_place.h"
 
 #include "cell/cell_crash.h"
+#include "cell/cell_gang.h"
+#include "cell/cell_queue.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_room.h"
+#include "cell/cell_task.h"
+#include "cell/cell_worker.h"
 
 /* A job without a placed task for this long is starved if less than this share
  * of its pool is in use. The platform counts such a job as lost after 3 s with
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -1,9 +1,10 @@
-#include "cell/cell_types.h"
+#include "cell/cell_progress.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_job.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -1,4 +1,4 @@
-#include "cell/cell_types.h"
+#include "cell/cell_queue.h"
 
 #include <stdlib.h>
 
--- /dev/null
+++ b/src/cell/cell_queue.h
@@ -0,0 +1,29 @@
+#ifndef CELL_CELL_QUEUE_H
+#define CELL_CELL_QUEUE_H
+
+#include "cell/cell_types.h"
+
+/**
+ * cell_queue_fill() - collect the steps with tasks to place, most urgent first
+ *
+ * Return: the number of steps in @c->queue.
+ */
+size_t cell_queue_fill(struct cell *c);
+
+/**
+ * cell_queue_sort() - sort @count steps, most urgent first
+ */
+void cell_queue_sort(struct cell_queued_step *steps, size_t count);
+
+/**
+ * cell_step_is_ready() - whether all steps that this one depends on are done
+ */
+bool cell_step_is_ready(const struct cell_step *st);
+
+/**
+ * cell_is_long_unplaced() - whether a task of a long-running step has been
+ * without a worker for too long
+ */
+bool cell_is_long_unplaced(const struct cell *c, const struct cell_step *st);
+
+#endif
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_job.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_quota.h"
 
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -1,6 +1,8 @@
-#include "cell/cell_types.h"
+#include "cell/cell_room.h"
 
+#include "cell/cell_cost.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_queue.h"
 
 /* A reservation expires after this time; another worker may be chosen then. */
 #define RESERVE_MS 1500
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -1,12 +1,14 @@
-#include "cell/cell_types.h"
+#include "cell/cell_task.h"
 
 #include <inttypes.h>
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_job.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_worker.h"
 
 /* Back-off from a worker that did not reply to a start. */
 #define UNANSWERED_BACKOFF_MS 2000
--- /dev/null
+++ b/src/cell/cell_task.h
@@ -0,0 +1,59 @@
+#ifndef CELL_CELL_TASK_H
+#define CELL_CELL_TASK_H
+
+#include "cell/cell_types.h"
+
+/**
+ * cell_task_place() - assign a task to a worker and start it there
+ *
+ * The start waits until the intent to start the task is stored.
+ */
+void cell_task_place(struct cell *c, struct cell_task *t,
+		     struct cell_worker *w);
+
+/**
+ * cell_start_stored() - start the tasks whose intent has just been stored
+ */
+void cell_start_stored(struct cell *c);
+
+/**
+ * cell_task_stop() - stop a task; a task without a worker is left as it is
+ *
+ * A stop that is not confirmed is sent again after STOP_RETRY_MS.
+ */
+void cell_task_stop(struct cell *c, struct cell_task *t);
+
+/**
+ * cell_task_end_run() - detach a task from its worker and apply the run's end
+ */
+void cell_task_end_run(struct cell *c, struct cell_task *t, enum run_end how,
+		       const char *checkpoint);
+
+/**
+ * cell_task_mark_lost() - end a run whose end its worker did not report
+ */
+void cell_task_mark_lost(struct cell *c, struct cell_task *t);
+
+/**
+ * cell_task_confirm() - note that the worker has started the current run
+ */
+void cell_task_confirm(struct cell *c, struct cell_task *t);
+
+/**
+ * cell_task_adopt() - take over a run that a former owner started on @w
+ */
+void cell_task_adopt(struct cell *c, struct cell_task *t, struct cell_worker *w,
+		     uint32_t run);
+
+/**
+ * cell_stop_orphan() - stop a run that is not the current run of any task
+ */
+void cell_stop_orphan(struct cell *c, struct cell_worker *w,
+		      const struct task_ref *ref);
+
+/**
+ * cell_task_set_pace() - throttle a running task to @percent of its full speed
+ */
+void cell_task_set_pace(struct cell *c, struct cell_task *t, uint8_t percent);
+
+#endif
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -1,13 +1,16 @@
-#include "cell/cell_types.h"
+#include "cell/cell_worker.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_job.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_pace.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_task.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
  * tasks: the tail latency that it reports covers half a second. Also for a
--- /dev/null
+++ b/src/cell/cell_worker.h
@@ -0,0 +1,42 @@
+#ifndef CELL_CELL_WORKER_H
+#define CELL_CELL_WORKER_H
+
+#include "cell/cell_types.h"
+
+/**
+ * cell_worker_find() - look up a worker by its id
+ *
+ * Return: the worker, or NULL.
+ */
+struct cell_worker *cell_worker_find(const struct cell *c, const char *id);
+
+/**
+ * cell_workers_tick() - poll workers, retry stops, expire leases
+ */
+void cell_workers_tick(struct cell *c);
+
+/**
+ * cell_worker_crashed() - end the runs of a worker whose process has been
+ * replaced
+ */
+void cell_worker_crashed(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_worker_back_off() - give a worker no new tasks for a pause that doubles
+ * with each call
+ */
+void cell_worker_back_off(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_worker_mark_changed() - note that a worker may now accept a task that it
+ * did not accept before
+ */
+void cell_worker_mark_changed(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_worker_recover() - add a worker that a former owner has recorded
+ */
+struct cell_worker *cell_worker_recover(struct cell *c,
+					const struct known_worker *k);
+
+#endif
