cell_worker: the log of a restart tells who knew first, and of runs that were never listed

Cause: "worker restarted" gave the number of tasks that were left, always 0 for confirmed ones, and not whether the registry or a poll told of the new process; the lines "run marked lost" are limited in number. The hypotheses of the incident could not be told apart from the owner's log alone. Change: source=, runs=, unlisted= and confirmed= (of the unlisted ones) before they end, kept= after. No decision changes.

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -101,6 +101,23 @@
 	       (t->state == TASK_STOPPING && !t->confirmed_ms);
 }
 
+/* Runs that the worker has not listed. Those whose start is confirmed are
+ * @confirmed of them. */
+static uint32_t count_unlisted(const struct cell_worker *w, uint32_t *confirmed)
+{
+	const struct cell_task *t;
+	uint32_t n = 0;
+
+	*confirmed = 0;
+	for (t = w->first_task; t; t = t->next) {
+		if (t->state == TASK_STORING || t->reported_ms)
+			continue;
+		n++;
+		*confirmed += t->confirmed_ms != 0;
+	}
+	return n;
+}
+
 static void end_runs_of_previous_process(struct cell *c, struct cell_worker *w)
 {
 	struct cell_task *t, *next;
@@ -120,15 +137,21 @@
 
 /* The worker process has restarted: no run of the previous process is left, and
  * its clock, leases and numbering of ends are void. */
-static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born)
+static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born,
+			 const char *source)
 {
+	uint32_t runs = w->task_count, confirmed;
+	uint32_t unlisted = count_unlisted(w, &confirmed);
+
 	end_runs_of_previous_process(c, w);
 	cell_quota_release_orphans(c, w);
 	if (w->first_task)
 		cell_recovery_expect(c, w, 0);
 	log_line(LOG_INFO, "worker restarted",
-		 "worker=%s born=%" PRIu64 " before=%" PRIu64 " tasks=%u",
-		 w->entry.addr.id, born, w->entry.born, w->task_count);
+		 "worker=%s born=%" PRIu64 " before=%" PRIu64 " source=%s "
+		 "runs=%u unlisted=%u confirmed=%u kept=%u",
+		 w->entry.addr.id, born, w->entry.born, source, runs, unlisted,
+		 confirmed, w->task_count);
 	w->entry.born = born;
 	w->clock = 0;
 	w->clock_received_ms = 0;
@@ -200,7 +223,7 @@
 		return;
 	old = *w;
 	if (e->born > w->entry.born) {
-		worker_reset(c, w, e->born);
+		worker_reset(c, w, e->born, "registry");
 		w->poll_due_ms = c->now_ms;
 	}
 	w->entry = *e;
@@ -388,7 +411,7 @@
 	if (r->born && r->born < w->entry.born)
 		return;
 	if (r->born > w->entry.born)
-		worker_reset(c, w, r->born);
+		worker_reset(c, w, r->born, "poll");
 	w->clock = r->clock;
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
