known red: a task runs twice beside a worker that restarts under its id

Cause: the new process of a worker confirms a start before the owner knows of that process; the owner then ends the run as one of the former process, and starts the task elsewhere. A third test passes and guards the other side: a run that only the former process confirmed is started again. Ruled out: a removed or older entry of the registry ends no run (a newer process is the only path from it to the end of a run), and the times of confirmation and of polls are both read from the clock (cell_call_end), so an older listing proves nothing.

--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -184,3 +184,98 @@
 	w.run(400);
 	EXPECT_EQ(w.runs(8), 1u);
 }
+
+/* Replaces the process of a worker. Polls of the former one get no answer. */
+void restart(CellWorld *w, const std::string &id)
+{
+	FakeWorker &f = w->workers[id];
+	uint64_t born = f.born + 1000;
+
+	f = FakeWorker();
+	f.born = w->entries[id].born = born;
+	f.clock_offset = -w->now;
+	for (size_t i = w->calls.size(); i-- > 0;)
+		if (w->calls[i].kind == Call::POLL &&
+		    w->calls[i].worker.id == id)
+			w->unanswered.push_back(w->take(i));
+}
+
+/*
+ * A worker restarted under its id, and its new process confirmed a start before
+ * the owner knew of it. The owner took the run for one of the former process
+ * and started the task elsewhere.
+ */
+TEST(CellWorker, KeepsARunThatTheNewProcessOfItsWorkerHasConfirmed)
+{
+	for (bool registry_tells_first : {true, false}) {
+		CellWorld w;
+
+		w.long_polls = true;
+		w.begin({"w1"});
+		w.submit(7, {CellWorld::task_step(1)});
+		Call start = take_call(&w, Call::START);
+		restart(&w, "w1");
+		w.answer(start);
+		w.add_worker("w2");
+		w.run(20);
+		if (registry_tells_first)
+			w.announce("w1");
+		w.run(20);
+		w.drop_unanswered();
+		w.run(1500);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+		EXPECT_EQ(w.starts.size(), 1u);
+	}
+}
+
+/* The owner stopped such a run, as the former process was said to leave. A stop
+ * takes some time, and the task was started elsewhere meanwhile. */
+TEST(CellWorker, WaitsForAStopOfARunThatTheNewProcessHasConfirmed)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::serving_step(1, 1000)});
+	Call start = take_call(&w, Call::START);
+	worker_entry former = w.entries["w1"];
+	restart(&w, "w1");
+	w.workers["w1"].ignores_stops = true;
+	w.answer(start);
+	w.add_worker("w2");
+	former.draining = true;
+	former.leaving_ms = 1000;
+	cell_worker_update(w.c, &former);
+	w.run(100);
+	w.announce("w1");
+	w.drop_unanswered();
+	w.run(300);
+	EXPECT_EQ(w.starts.size(), 1u);
+	w.end(7, RUN_STOPPED);
+	w.run(1500);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+}
+
+/* A run that the former process confirmed and the new one does not list is
+ * over. */
+TEST(CellWorker, RestartsARunThatOnlyTheFormerProcessHasConfirmed)
+{
+	for (bool registry_tells_first : {true, false}) {
+		CellWorld w;
+
+		w.long_polls = true;
+		w.begin({"w1"});
+		w.submit(7, {CellWorld::task_step(1)});
+		w.answer_as(take_call(&w, Call::START), ORDER_OK);
+		restart(&w, "w1");
+		w.add_worker("w2");
+		w.run(20);
+		if (registry_tells_first)
+			w.announce("w1");
+		w.drop_unanswered();
+		w.run(1500);
+		EXPECT_EQ(w.runs(7), 1u);
+	}
+}
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -178,6 +178,7 @@
 		c = nullptr;
 		auto out = calls;
 		calls.clear();
+		drop_unanswered();
 		for (auto &call : out)
 			drop_call(call);
 	}
@@ -418,6 +419,31 @@
 			answer(call);
 	}
 
+	/* Takes call @i out of those that wait for an answer. */
+	Call take(size_t i)
+	{
+		Call call = calls[i];
+
+		calls.erase(calls.begin() + (long)i);
+		return call;
+	}
+
+	/* Ends the calls in @unanswered without a reply. */
+	void drop_unanswered()
+	{
+		auto out = unanswered;
+
+		unanswered.clear();
+		for (auto &call : out)
+			drop_call(call);
+	}
+
+	/* Answers an order as a process that is gone since has done. */
+	void answer_as(Call call, order_status status)
+	{
+		finish_call(call, status);
+	}
+
 	void answer(Call &call)
 	{
 		FakeWorker &w = workers[call.worker.id];
@@ -488,6 +514,8 @@
 	std::map<std::string, FakeWorker> workers;
 	std::map<std::string, worker_entry> entries;
 	std::vector<Call> calls;
+	/* Calls that the test ends by drop_unanswered(). */
+	std::vector<Call> unanswered;
 	size_t polls = 0;
 	/* Newest stored record of each key; cancellations are not kept. */
 	std::map<std::string, std::string> newest;
