cell_worker: a run ends with a former process only if that process has listed it

What callers saw: a task ran on two workers at once, when workers crashed and were back at once under their id and address. Cause: an order carries the worker's id, which the new process has as well. It confirmed the start before the owner knew of it, as a poll that waits at a silently crashed process gets no reply for up to 1.9 s. When the registry or a poll told of the new process, the owner took all confirmed runs for runs of the former one, ended them and started the tasks elsewhere; the run itself was stopped only later. Change: only a run that the former process has listed ends with it. A confirmed run that it has not listed stays until a listing of the new process, asked for after the confirmation, has it or lacks it; any other is stopped at the new process first, as before. Its crash is charged only once the run is known to be lost: with the crash, two crashes that a task had no part in were counted against it.

--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -37,6 +37,7 @@
 {
 	t->settled = false;
 	t->started_clock = 0;
+	t->crash_doubt = DOUBT_NONE;
 	if (t->crashes)
 		trial_begin(c, t);
 }
@@ -62,6 +63,7 @@
 void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock)
 {
 	cell_crash_started(t, clock);
+	t->crash_doubt = DOUBT_NONE;
 	if (t->settled || clock - t->started_clock < CRASH_SETTLE_MS)
 		return;
 	t->settled = true;
@@ -123,11 +125,11 @@
 	return only == t->step->job && t->started_clock;
 }
 
-static void charge(struct cell *c, struct cell_task *t,
-		   const struct cell_job *only)
+static void charge(struct cell *c, struct cell_task *t, bool alone)
 {
 	struct cell_job *j = t->step->job;
 
+	t->crash_doubt = DOUBT_NONE;
 	if (job_state_is_terminal(j->state) || !is_unsettled(t))
 		return;
 	set_crashes(c, t, t->crashes + 1);
@@ -135,9 +137,8 @@
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s "
 		 "crashes=%u alone=%d",
 		 j->entry->id, t->step->number, t->index, t->run,
-		 t->worker->entry.addr.id, t->crashes, is_conclusive(t, only));
-	if (t->crashes < CRASHES_MAX &&
-	    (t->crashes < CRASHES_MIN || !is_conclusive(t, only)))
+		 t->worker->entry.addr.id, t->crashes, alone);
+	if (t->crashes < CRASHES_MAX && (t->crashes < CRASHES_MIN || !alone))
 		return;
 	log_line(LOG_WARN, "task given up: workers crashed under it",
 		 "job=%016" PRIx64 " step=%u index=%u crashes=%u", j->entry->id,
@@ -154,6 +155,30 @@
 		return;
 	for (t = w->first_task; t; t = next) {
 		next = t->next;
-		charge(c, t, only);
+		charge(c, t, is_conclusive(t, only));
 	}
 }
+
+void cell_crash_charge_listed(struct cell *c, struct cell_worker *w)
+{
+	const struct cell_job *only = only_unsettled_job(w);
+	struct cell_task *t, *next;
+
+	if (w->entry.draining)
+		return;
+	for (t = w->first_task; t; t = next) {
+		bool alone = is_conclusive(t, only);
+
+		next = t->next;
+		if (t->reported_ms)
+			charge(c, t, alone);
+		else if (t->state != TASK_STORING)
+			t->crash_doubt = alone ? DOUBT_ALONE : DOUBT_SHARED;
+	}
+}
+
+void cell_crash_charge_lost(struct cell *c, struct cell_task *t)
+{
+	if (t->crash_doubt)
+		charge(c, t, t->crash_doubt == DOUBT_ALONE);
+}
--- a/src/cell/cell_crash.h
+++ b/src/cell/cell_crash.h
@@ -20,6 +20,24 @@
  */
 void cell_crash_charge(struct cell *c, struct cell_worker *w);
 
+/**
+ * cell_crash_charge_listed() - count the crash of a worker's former process
+ * against the tasks that it had just started
+ *
+ * Which process has started a run is known once the worker has listed it. A run
+ * that the former process has not listed is charged by cell_crash_charge_lost()
+ * if it turns out to be lost.
+ */
+void cell_crash_charge_listed(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_crash_charge_lost() - charge a run that the present process of its
+ * worker does not list
+ *
+ * Without effect on a run that cell_crash_charge_listed() has left in no doubt.
+ */
+void cell_crash_charge_lost(struct cell *c, struct cell_task *t);
+
 /**
  * cell_crash_attach() - note that a task has been assigned to a worker
  *
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -62,6 +62,19 @@
 	TASK_DONE,
 };
 
+/**
+ * enum crash_doubt - whether a run was active on its worker's former process
+ * when that crashed
+ *
+ * @DOUBT_SHARED: it may have been, as may runs of other jobs
+ * @DOUBT_ALONE: if it was, no other job's run can have caused the crash
+ */
+enum crash_doubt {
+	DOUBT_NONE,
+	DOUBT_SHARED,
+	DOUBT_ALONE,
+};
+
 /**
  * struct cell_task - one task of one occurrence
  * @failed_runs: low 16 bits of the numbers of the runs counted in @failures
@@ -92,6 +105,7 @@
  * @paced_ms: when the last reply to a throttle order arrived
  * @avoid_worker: id of the worker that a run failed on last; 0 for none
  * @crashes: workers that crashed in a row soon after they started it
+ * @crash_doubt: enum crash_doubt
  * @settled: the worker has reported the run long enough after its start
  * @on_trial: counted in @trials of its worker
  * @in_quota: counted against the limits of its account
@@ -118,6 +132,7 @@
 	bool on_trial;
 	bool in_quota;
 	uint8_t crashes;
+	uint8_t crash_doubt;
 	uint8_t pace;
 	uint8_t pace_sent;
 	uint16_t doubt_ref;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -81,8 +81,13 @@
 
 static void mark_all_runs_lost(struct cell *c, struct cell_worker *w)
 {
-	while (w->first_task)
-		cell_task_mark_lost(c, w->first_task);
+	struct cell_task *t;
+
+	while (w->first_task) {
+		t = w->first_task;
+		cell_crash_charge_lost(c, t);
+		cell_task_mark_lost(c, t);
+	}
 }
 
 void cell_worker_crashed(struct cell *c, struct cell_worker *w)
@@ -92,15 +97,6 @@
 	cell_quota_release_orphans(c, w);
 }
 
-/* An order that was sent to the previous process may yet reach the new one,
- * which knows of no stop: the task is started elsewhere once a stop is
- * confirmed. */
-static bool is_start_under_way(const struct cell_task *t)
-{
-	return t->state == TASK_STARTING ||
-	       (t->state == TASK_STOPPING && !t->confirmed_ms);
-}
-
 /* Runs that the worker has not listed. Those whose start is confirmed are
  * @confirmed of them. */
 static uint32_t count_unlisted(const struct cell_worker *w, uint32_t *confirmed)
@@ -118,32 +114,38 @@
 	return n;
 }
 
-static void end_runs_of_previous_process(struct cell *c, struct cell_worker *w)
+/*
+ * Only a run that the former process has listed is known to have ended with it.
+ * The new process may have confirmed any other, or may yet receive the order,
+ * as it listens at the same address and knows of no stop. Its own answers
+ * decide: its listings of a run that was confirmed, else a stop.
+ */
+static void end_runs_of_former_process(struct cell *c, struct cell_worker *w)
 {
 	struct cell_task *t, *next;
 
-	cell_crash_charge(c, w);
+	cell_crash_charge_listed(c, w);
 	for (t = w->first_task; t; t = next) {
 		next = t->next;
-		if (!is_start_under_way(t)) {
+		if (t->state == TASK_STORING || t->reported_ms) {
 			cell_task_mark_lost(c, t);
-			continue;
+		} else if (t->state != TASK_RUNNING) {
+			t->stop_sent_ms = 0;
+			t->stop_confirmed_ms = 0;
+			cell_task_stop(c, t);
 		}
-		t->stop_sent_ms = 0;
-		t->stop_confirmed_ms = 0;
-		cell_task_stop(c, t);
 	}
 }
 
-/* The worker process has restarted: no run of the previous process is left, and
- * its clock, leases and numbering of ends are void. */
+/* The worker process has restarted: its clock, leases and numbering of ends are
+ * void. */
 static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born,
 			 const char *source)
 {
 	uint32_t runs = w->task_count, confirmed;
 	uint32_t unlisted = count_unlisted(w, &confirmed);
 
-	end_runs_of_previous_process(c, w);
+	end_runs_of_former_process(c, w);
 	cell_quota_release_orphans(c, w);
 	if (w->first_task)
 		cell_recovery_expect(c, w, 0);
@@ -395,9 +397,11 @@
 				 "worker=%s",
 				 t->step->job->entry->id, t->step->number,
 				 t->index, t->run, w->entry.addr.id);
+			cell_crash_charge_lost(c, t);
 			cell_task_mark_lost(c, t);
 		} else if (t->state == TASK_STOPPING && t->stop_confirmed_ms &&
 			   t->stop_confirmed_ms < sent_ms) {
+			cell_crash_charge_lost(c, t);
 			cell_task_mark_lost(c, t);
 		}
 	}
