cell_lease: count on the longer lease that a process with a new clock has granted

What callers would see: a task runs twice, beside a worker that restarts, confirms a start and is then silent for more than four seconds. Cause: the lease in an order ends at a time on the worker's clock, which starts anew with its process. By the new clock a deadline on the former one is far ahead, so the worker grants the longest lease that it allows (6 s on the users' sites) and not the owner's 4 s. The owner counted 4 s, from the start and again from the first reply of the new process. Change: the clock in the answer to a start is checked against the clock by which the lease was counted; below it, the leases of this worker last for the longest time from then on. The first reply of a new process on which runs are left counts in the same way. Settings: lease_max_ms of the cell is the platform's bound. The workers of the tests shorten a longer lease, as the real ones do. Not covered: a start without an answer that a new process carries out, which then is silent for over four seconds before the owner hears of it. Waiting for the longest lease there would delay the restart of all unanswered starts of lost workers by two seconds.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -37,6 +37,7 @@
 /**
  * struct cell_options - limits of the deployment; times in milliseconds
  * @lease_ms: length of a worker's lease, on the worker's clock
+ * @lease_max_ms: longest lease that a worker grants, on its clock
  * @takeover_ms: longest time after a takeover for which leases that a former
  *	owner renewed, and so runs that it started, may last on workers that do
  *	not reply
@@ -54,6 +55,7 @@
  */
 struct cell_options {
 	int64_t lease_ms;
+	int64_t lease_max_ms;
 	int64_t takeover_ms;
 	int64_t renew_after_ms;
 	int64_t early_ms;
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -20,17 +20,68 @@
 	return w->lease_end_ms;
 }
 
+/* Longest time for which a lease of @lease_ms lasts by the clock of this host.
+ */
+static int64_t lease_bound_ms(int64_t lease_ms)
+{
+	return lease_ms + lease_ms * WORKER_CLOCK_SLOW_PERMILLE / 1000 +
+	       LEASE_MARGIN_MS;
+}
+
+/* The clock of a worker in its reply to an order is at least what it was when
+ * the order was sent, by its last reply to a poll. */
+static int64_t least_clock(const struct cell_worker *w, int64_t sent_ms)
+{
+	int64_t passed = sent_ms - w->clock_received_ms;
+
+	if (passed > 0)
+		passed -= passed * WORKER_CLOCK_SLOW_PERMILLE / 1000;
+	return w->clock + passed - LEASE_MARGIN_MS;
+}
+
+void cell_lease_check_clock(struct cell *c, const struct cell_task *t,
+			    int64_t clock)
+{
+	struct cell_worker *w = t->worker;
+
+	if (!clock || !w->clock_received_ms ||
+	    clock >= least_clock(w, t->start_sent_ms))
+		return;
+	log_line(LOG_INFO, "worker confirmed a start on another clock",
+		 "worker=%s clock=%lld expected_min=%lld", w->entry.addr.id,
+		 (long long)clock, (long long)least_clock(w, t->start_sent_ms));
+	w->new_clock_until_ms = c->now_ms + lease_bound_ms(c->opt.lease_max_ms);
+}
+
+void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
+{
+	int64_t ms = w->is_new_clock ? c->opt.lease_max_ms : c->opt.lease_ms;
+
+	w->is_new_clock = false;
+	if (w->lease_end_ms < clock + ms)
+		w->lease_end_ms = clock + ms;
+}
+
+static int64_t known_lease_left_ms(const struct cell *c,
+				   const struct cell_worker *w)
+{
+	int64_t left = w->lease_end_ms - w->clock;
+
+	if (left < 0)
+		left = 0;
+	return lease_bound_ms(left) - (c->now_ms - w->clock_received_ms);
+}
+
 int64_t cell_lease_left_ms(const struct cell *c, const struct cell_worker *w)
 {
 	int64_t left;
 
 	if (!w->confirmed)
 		return w->unheard ? w->former_leases_end_ms - c->now_ms : 0;
-	left = w->lease_end_ms - w->clock;
-	if (left < 0)
-		left = 0;
-	left += left * WORKER_CLOCK_SLOW_PERMILLE / 1000 + LEASE_MARGIN_MS;
-	return left - (c->now_ms - w->clock_received_ms);
+	left = known_lease_left_ms(c, w);
+	if (left < w->new_clock_until_ms - c->now_ms)
+		left = w->new_clock_until_ms - c->now_ms;
+	return left;
 }
 
 /* Once the last lease sent has expired on the worker's clock, which may run
--- a/src/cell/cell_lease.h
+++ b/src/cell/cell_lease.h
@@ -16,6 +16,26 @@
  */
 int64_t cell_lease_extend(struct cell *c, struct cell_worker *w);
 
+/**
+ * cell_lease_check_clock() - check that a run was confirmed on the clock by
+ * which its lease is counted
+ * @clock: the worker's clock as it confirmed the run; 0 if that is not known
+ *
+ * The clock of a new process starts anew: a deadline on the former clock is far
+ * ahead there, and the lease lasts for the longest time that the worker grants.
+ */
+void cell_lease_check_clock(struct cell *c, const struct cell_task *t,
+			    int64_t clock);
+
+/**
+ * cell_lease_adopt() - count on the leases that a worker may hold when it first
+ * replies to this owner, or its new process does
+ * @clock: the worker's clock in that reply
+ *
+ * A former owner may have renewed them up to now.
+ */
+void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock);
+
 /**
  * cell_lease_left_ms() - time until all leases on a worker have ended,
  * also those of a former owner, on this host's clock
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -187,6 +187,7 @@
 	if (r->status == ORDER_OK) {
 		cell_crash_started(t, r->clock);
 		cell_task_confirm(c, t);
+		cell_lease_check_clock(c, t, r->clock);
 	}
 	/* A poll may have reported the run before this reply arrived. */
 	if (r->status == ORDER_OK || t->state == TASK_RUNNING)
@@ -210,6 +211,7 @@
 
 	t->state = TASK_STARTING;
 	t->run++;
+	t->start_sent_ms = c->now_ms;
 	t->confirmed_ms = 0;
 	order_init(c, t, &o);
 	o.lease_deadline_ms = cell_lease_extend(c, w);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -87,6 +87,7 @@
  *	started may be active, see cell_task_is_in_doubt(); or WORKER_REF_NONE
  * @stop_sent_ms: when the last stop was sent; 0 before
  * @stop_confirmed_ms: when the worker confirmed the stop; 0 before
+ * @start_sent_ms: when the last start was sent
  * @confirmed_ms: when the worker confirmed the start; 0 before
  * @reported_ms: sending time of the last poll whose reply listed the run
  * @retry_at_ms: the task is not placed before this time
@@ -137,6 +138,7 @@
 	uint8_t pace_sent;
 	uint16_t doubt_ref;
 	uint64_t storing_worker;
+	int64_t start_sent_ms;
 	int64_t confirmed_ms;
 	int64_t reported_ms;
 	int64_t stop_sent_ms;
@@ -322,6 +324,10 @@
  * @clock: its own clock in its last reply, received at @clock_received_ms;
  *	@clock_received_ms is 0 while its clock is not known
  * @lease_end_ms: latest end of a lease sent to it, on its clock
+ * @new_clock_until_ms: boot time until which leases may last that a process of
+ *	unknown clock has granted; 0 for none
+ * @is_new_clock: its process has restarted and may have granted a lease before
+ *	its clock was known
  * @answered_ms: when it answered a poll last
  * @backoff_until_ms: gets no new tasks before this time
  * @missed_polls: unanswered polls in a row
@@ -385,6 +391,8 @@
 	int64_t clock;
 	int64_t clock_received_ms;
 	int64_t lease_end_ms;
+	int64_t new_clock_until_ms;
+	bool is_new_clock;
 	int64_t former_leases_end_ms;
 	int64_t frozen_ms;
 	int64_t answered_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -158,6 +158,8 @@
 	w->clock = 0;
 	w->clock_received_ms = 0;
 	w->lease_end_ms = 0;
+	w->new_clock_until_ms = 0;
+	w->is_new_clock = w->first_task != NULL;
 	w->last_end = 0;
 	w->round_end = 0;
 	w->storing_end = 0;
@@ -422,9 +424,8 @@
 	w->missed_polls = 0;
 	cell_lease_thaw(c, w);
 	w->refused = false;
-	/* The former owner may have renewed the lease up to now. */
-	if (!w->confirmed && w->lease_end_ms < r->clock + c->opt.lease_ms)
-		w->lease_end_ms = r->clock + c->opt.lease_ms;
+	if (!w->confirmed)
+		cell_lease_adopt(c, w, r->clock);
 	cell_quota_release_orphans(c, w);
 	for (i = 0; i < r->running_count; i++)
 		apply_running(c, w, &r->running[i], r);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -396,6 +396,7 @@
 	o->options.lease_ms = LEASE_MS;
 	if (o->options.lease_ms > h->settings.lease_max_ms)
 		o->options.lease_ms = h->settings.lease_max_ms;
+	o->options.lease_max_ms = h->settings.lease_max_ms;
 	o->options.takeover_ms =
 		RENEW_AFTER_MS + o->options.lease_ms + TAKEOVER_MARGIN_MS;
 	o->options.renew_after_ms = RENEW_AFTER_MS;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -193,7 +193,7 @@
 
 	f = FakeWorker();
 	f.born = w->entries[id].born = born;
-	f.clock_offset = -w->now;
+	f.clock_offset = 100 - w->now;
 	for (size_t i = w->calls.size(); i-- > 0;)
 		if (w->calls[i].kind == Call::POLL &&
 		    w->calls[i].worker.id == id)
@@ -279,3 +279,37 @@
 		EXPECT_EQ(w.runs(7), 1u);
 	}
 }
+
+/*
+ * The clock of a new process starts anew, so that it takes a lease on the clock
+ * of the former one for the longest that it grants. The owner counted on a
+ * shorter one and started the task elsewhere while the worker was silent.
+ */
+TEST(CellWorker, WaitsForTheLongerLeaseThatANewProcessHasGranted)
+{
+	for (bool is_listed : {false, true}) {
+		CellWorld w;
+
+		w.long_polls = true;
+		w.begin({"w1"});
+		w.submit(7, {CellWorld::task_step(1)});
+		Call start = take_call(&w, Call::START);
+		restart(&w, "w1");
+		w.answer(start);
+		w.add_worker("w2");
+		if (is_listed) {
+			w.announce("w1");
+			w.drop_unanswered();
+			w.run(10);
+		}
+		w.workers["w1"].reachable = false;
+		w.drop_unanswered();
+		for (int i = 0; i < 80; i++) {
+			w.run(100);
+			w.expire_all();
+		}
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+		EXPECT_EQ(w.starts.size(), 2u);
+	}
+}
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -60,6 +60,17 @@
 		ended_runs;
 	uint64_t fence = 0;
 	int64_t lease = 0;
+
+	/* On its own clock; a longer lease is shortened to LEASE_MAX_MS. */
+	void extend_lease(int64_t deadline, int64_t clock)
+	{
+		if (deadline > clock + LEASE_MAX_MS)
+			deadline = clock + LEASE_MAX_MS;
+		if (deadline > lease)
+			lease = deadline;
+	}
+
+	static const int64_t LEASE_MAX_MS = 6000;
 };
 
 class CellWorld
@@ -127,6 +138,7 @@
 			((CellWorld *)p)->polls++;
 		};
 		opt.lease_ms = 4000;
+		opt.lease_max_ms = FakeWorker::LEASE_MAX_MS;
 		opt.renew_after_ms = 8000;
 		opt.takeover_ms = 12500;
 		opt.terminal_retention_ms = 240000;
@@ -611,8 +623,7 @@
 			r.status = ORDER_FENCED;
 		} else if (call.kind == Call::START) {
 			w.fence = call.sent.fence;
-			if (call.sent.lease_deadline_ms > w.lease)
-				w.lease = call.sent.lease_deadline_ms;
+			w.extend_lease(call.sent.lease_deadline_ms, r.clock);
 			if (w.ended_runs[task_key(call.sent.ref)] >=
 			    call.sent.ref.run)
 				r.status = ORDER_STALE_RUN;
@@ -658,8 +669,8 @@
 			return;
 		}
 		w.fence = call.poll.fence;
-		if (call.poll.lease_deadline_ms > w.lease)
-			w.lease = call.poll.lease_deadline_ms;
+		w.extend_lease(call.poll.lease_deadline_ms,
+			       now + w.clock_offset);
 		for (size_t i = 0; i < w.ended.size();)
 			if (w.ended[i].number <= call.poll.ack)
 				w.ended.erase(w.ended.begin() + (long)i);
