cell_worker: an answer from a worker's former address says nothing of its present process

What callers would see: a task runs twice, when a worker restarts at another address while a call to the former one is under way. Cause: 421 ("another worker listens here") was looked up by the worker's id alone. A late one, to a stop or a poll sent to the former address, ended all runs of the worker, also those that its new process had started at the new address since. Change: 421, and any other failure of a poll, counts only if the worker still has the address that the call went to. Result: KeepsItsRunsWhenAnotherWorkerAnswersAtItsFormerAddress failed (a task of another job ran twice) and passes.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -309,7 +309,8 @@
 	t->worker->poll_due_ms = c->now_ms;
 	if (r->status == ORDER_OK)
 		t->stop_confirmed_ms = c->now_ms;
-	else if (r->status == ORDER_RESTARTED)
+	else if (r->status == ORDER_RESTARTED &&
+		 cell_worker_has_address(t->worker, w))
 		cell_worker_crashed(c, t->worker);
 }
 
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
@@ -40,6 +41,12 @@
 	return index_get(&c->worker_ids, name_hash(id));
 }
 
+bool cell_worker_has_address(const struct cell_worker *w,
+			     const struct worker_addr *a)
+{
+	return !strcmp(w->entry.addr.address, a->address);
+}
+
 static void changed_list_remove(struct cell *c, struct cell_worker *w)
 {
 	if (w->newer)
@@ -468,6 +475,10 @@
 		apply_poll_reply(c, w, r);
 		return;
 	}
+	if (!cell_worker_has_address(w, a)) {
+		w->poll_due_ms = c->now_ms;
+		return;
+	}
 	w->poll_due_ms = c->now_ms + POLL_RETRY_MS;
 	w->missed_polls++;
 	w->refused = r->refused;
--- a/src/cell/cell_worker.h
+++ b/src/cell/cell_worker.h
@@ -10,6 +10,16 @@
  */
 struct cell_worker *cell_worker_find(const struct cell *c, const char *id);
 
+/**
+ * cell_worker_has_address() - whether a worker still has the address to which a
+ * call was sent
+ *
+ * An answer from another one, such as that of the worker that listens there
+ * now, says nothing of its present process.
+ */
+bool cell_worker_has_address(const struct cell_worker *w,
+			     const struct worker_addr *a);
+
 /**
  * cell_workers_tick() - poll workers, retry stops, expire leases
  */
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -313,3 +313,36 @@
 		EXPECT_EQ(w.starts.size(), 2u);
 	}
 }
+
+/* A worker had restarted at another address, and the worker that listens at its
+ * former one answered a stop of before: the runs at the new address were taken
+ * for lost. */
+TEST(CellWorker, KeepsItsRunsWhenAnotherWorkerAnswersAtItsFormerAddress)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::serving_step(1, 1000)});
+	w.answer_as(take_call(&w, Call::START), ORDER_OK);
+	w.entries["w1"].draining = true;
+	w.entries["w1"].leaving_ms = 1000;
+	w.announce("w1");
+	Call stop = take_call(&w, Call::STOP);
+	restart(&w, "w1");
+	w.entries["w1"].draining = false;
+	w.entries["w1"].leaving_ms = 0;
+	name_set(w.entries["w1"].addr.address, "new:1");
+	w.announce("w1");
+	w.drop_unanswered();
+	w.unanswered.push_back(take_call(&w, Call::STOP));
+	w.submit(8, {CellWorld::task_step(1)});
+	w.run(50);
+	ASSERT_EQ(w.runs(8), 1u);
+	w.add_worker("w2");
+	w.answer_as(stop, ORDER_RESTARTED);
+	w.run(1000);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(8), 1u);
+	w.drop_unanswered();
+}
