cell_worker: ask a new process at once, not after the last poll of the former one

What callers saw: work on workers that had restarted waited for up to 1.9 s, both new work and runs whose end was not known. Cause: one poll of a worker is in flight at a time. One that waited at a process which ended without a sign times out 900 ms after its wait of up to 1 s; until then the owner knew of the new process from the registry and did not ask it. The time-out then counted as a poll that the new process had missed. Change: each poll has a number. With a new process the one in flight becomes stale: its reply is dropped, and the next poll is sent at once. While a stale one is in flight, polls do not wait at the worker, as a worker gets two calls at a time and orders would wait too. Result: AsksANewProcessBeforeTheLastPollOfTheFormerOneEnds failed and passes.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -317,7 +317,9 @@
  *	not extended
  * @freeze_sent: that record has been part of a batch, so its leases are not
  *	extended until a record that takes it back is stored
- * @poll_in_flight: a poll has not been answered yet
+ * @poll_in_flight: a poll of the present process has not been answered yet;
+ *	@poll_seq identifies it
+ * @stale_polls: unanswered polls of former processes
  * @accepts_tasks: takes new tasks, evaluated at the start of each placement
  *	pass
  * @leaving_at_ms: earliest time at which it leaves; 0 if unknown
@@ -386,6 +388,8 @@
 	bool lease_frozen;
 	bool freeze_sent;
 	bool poll_in_flight;
+	uint64_t poll_seq;
+	uint32_t stale_polls;
 	bool accepts_tasks;
 	int64_t leaving_at_ms;
 	int64_t clock;
@@ -494,6 +498,7 @@
  *	one batch may be needed for all of them
  * @taken_bytes: bytes of @pending_records that batches have taken so far
  * @calls: calls to workers in flight
+ * @poll_seq: number of the last poll
  * @trials: sum of @trials of all workers
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
@@ -529,6 +534,7 @@
 	bool has_new_ends;
 	bool place_due;
 	uint32_t calls;
+	uint64_t poll_seq;
 	uint32_t trials;
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -30,12 +30,21 @@
 /* Greatest number of ended runs in one reply: a list of this length may be
  * incomplete. */
 #define ENDED_PAGE_MAX 500
+/* Interval of polls while one of a former process is in flight. No poll waits
+ * at the worker meanwhile: orders to it would have to wait as well. */
+#define POLL_STALE_MS 50
 /* Period of the pass that sends stops and repeats unconfirmed ones. */
 #define STOPS_PERIOD_MS 50
 /* Time before a draining worker leaves at which its long-running and
  * checkpointing tasks are stopped. */
 #define DRAIN_MARGIN_MS 1500
 
+/* Context of a poll in flight. */
+struct cell_poll {
+	struct cell *cell;
+	uint64_t seq;
+};
+
 struct cell_worker *cell_worker_find(const struct cell *c, const char *id)
 {
 	return index_get(&c->worker_ids, name_hash(id));
@@ -162,6 +171,9 @@
 		 w->entry.addr.id, born, w->entry.born, source, runs, unlisted,
 		 confirmed, w->task_count);
 	w->entry.born = born;
+	w->stale_polls += w->poll_in_flight;
+	w->poll_in_flight = false;
+	w->missed_polls = 0;
 	w->clock = 0;
 	w->clock_received_ms = 0;
 	w->lease_end_ms = 0;
@@ -453,24 +465,34 @@
 		w->poll_due_ms += POLL_STALLED_MS;
 	else if (!w->task_count)
 		w->poll_due_ms += POLL_IDLE_MS;
+	else if (w->stale_polls)
+		w->poll_due_ms += POLL_STALE_MS;
 }
 
 static void on_poll_reply(void *ctx, const struct worker_addr *a,
 			  const struct poll_reply *r)
 {
-	struct cell *c = ctx;
+	struct cell_poll *p = ctx;
+	struct cell *c = p->cell;
+	uint64_t seq = p->seq;
 	struct cell_worker *w;
 
+	free(p);
 	if (!cell_call_end(c))
 		return;
+	if (r->status == ORDER_FENCED) {
+		c->ops->fenced(c->ctx);
+		return;
+	}
 	w = cell_worker_find(c, a->id);
 	if (!w)
 		return;
-	w->poll_in_flight = false;
-	if (r->status == ORDER_FENCED) {
-		c->ops->fenced(c->ctx);
+	if (!w->poll_in_flight || w->poll_seq != seq) {
+		if (w->stale_polls)
+			w->stale_polls--;
 		return;
 	}
+	w->poll_in_flight = false;
 	if (r->status == ORDER_OK) {
 		apply_poll_reply(c, w, r);
 		return;
@@ -497,8 +519,11 @@
 
 static void send_poll(struct cell *c, struct cell_worker *w)
 {
+	struct cell_poll *p = xcalloc(1, sizeof(*p));
 	struct poll_request h = {0};
 
+	p->cell = c;
+	p->seq = ++c->poll_seq;
 	h.fence = c->epoch;
 	/* An unanswered renewal may have arrived and extended the lease. A
 	 * worker that does not answer gets no further renewals, so that its
@@ -508,13 +533,14 @@
 	h.ack = w->acked_end;
 	/* After a missed poll, tasks and leases wait for the reply. */
 	if (w->confirmed && w->task_count && !w->missed_polls &&
-	    w->last_end == w->acked_end)
+	    !w->stale_polls && w->last_end == w->acked_end)
 		h.wait_ms = w->trials || has_mixed_load(w)
 				    ? POLL_SAMPLE_MS
 				    : c->opt.poll_wait_ms;
 	w->poll_in_flight = true;
+	w->poll_seq = p->seq;
 	cell_call_begin(c);
-	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, c);
+	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, p);
 }
 
 static void worker_remove(struct cell *c, struct cell_worker **at)
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -346,3 +346,25 @@
 	EXPECT_EQ(w.runs(8), 1u);
 	w.drop_unanswered();
 }
+
+/* A process that had ended without a sign left the poll that waited at it
+ * without an answer. The owner knew of the new process, and did not ask it
+ * before that poll had timed out. */
+TEST(CellWorker, AsksANewProcessBeforeTheLastPollOfTheFormerOneEnds)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(200);
+	restart(&w, "w1");
+	w.announce("w1");
+	w.run(200);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 2u);
+	w.drop_unanswered();
+	w.submit(8, {CellWorld::task_step(1)});
+	w.run(200);
+	EXPECT_EQ(w.runs(8), 1u);
+}
