host_call: refuse a job at once that no worker is large enough for

What callers saw: a job with a task larger than any worker, or with a label that no worker has, or a gang beyond the limits of its account, was answered 200 and waited for ever. Cause: entry hosts know the configuration and not the workers; the owner reads the registry. Change: the owner stores the largest sizes of workers, by service and label (size_table: the rows that no other row exceeds in all respects), when they change. All hosts follow that record and refuse with 503 and without Retry-After, as no time is known. Nothing is refused before the registry has been read as a whole, nor for a service without known workers, and a worker counts for a minute after it was seen: workers that are replaced or without power come back. Such jobs are not shown as failed instead: only ends of runs may do that. Result: RefusesAJobThatNoWorkerIsLargeEnoughFor and RefusesAGangThatExceedsTheLimitsOfIts- Account fail without the check (200) and pass. Not covered: a gang that is larger than all workers of its service together.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -10,6 +10,7 @@
 #include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_sizes.h"
 #include "cell/cell_task.h"
 #include "cell/cell_worker.h"
 
@@ -100,6 +101,8 @@
 	effect_model_init(&c->effect_model);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
+	size_table_init(&c->sizes);
+	size_table_copy(&c->sizes, &view->sizes);
 	c->former_named_workers = !view->owner.name[0] ||
 				  view->owner.record_version >= RECORD_VERSION;
 	for (k = view->known_workers; k; k = k->next)
@@ -125,6 +128,7 @@
 	quota_table_finish(&c->quotas);
 	index_finish(&c->worker_ids);
 	effect_model_finish(&c->effect_model);
+	size_table_finish(&c->sizes);
 	buf_finish(&c->pending_records);
 	free(c->queue);
 	free(c->candidates);
@@ -413,6 +417,7 @@
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
+	cell_sizes_tick(c);
 	cell_recovery_tick(c);
 	jobs_tick(c);
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -5,6 +5,7 @@
 #include "cell/effect_model.h"
 #include "cell/fair_share.h"
 #include "cell/quota.h"
+#include "cell/size_table.h"
 
 /*
  * In identifiers, "serving" stands for latency-critical: such tasks have a
@@ -503,6 +504,7 @@
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
+ * @is_registry_read: the registry has been listed as a whole
  * @quotas: client accounts of the jobs
  * @has_accounts: the configuration has been read; no task of a client account
  *	is started before
@@ -555,6 +557,10 @@
 	size_t no_fit_next;
 	struct cell_job *jobs;
 	struct effect_model effect_model;
+	struct size_table sizes;
+	bool is_registry_read;
+	int64_t sizes_due_ms;
+	int64_t sizes_store_due_ms;
 	struct quota_table quotas;
 	bool has_accounts;
 	int64_t full_at_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -11,6 +11,7 @@
 #include "cell/cell_pace.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_sizes.h"
 #include "cell/cell_task.h"
 
 /* Long-poll wait for a worker that runs both latency-critical and best-effort
@@ -257,8 +258,10 @@
 		log_line(LOG_INFO, "worker is draining",
 			 "worker=%s leaving_ms=%lld left_ms=%lld", e->addr.id,
 			 (long long)e->leaving_ms, (long long)left_ms);
-	if (!old.registered)
+	if (!old.registered) {
 		c->place_due = true;
+		cell_sizes_note(c, w);
+	}
 	w->registered = true;
 	cell_worker_mark_changed(c, w);
 }
@@ -278,6 +281,7 @@
 {
 	struct cell_worker *w;
 
+	c->is_registry_read = true;
 	for (w = c->workers; w; w = w->next)
 		if (!index_get(ids, w->id))
 			cell_worker_gone(c, w->entry.addr.id);
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -37,6 +37,7 @@
 	memset(v, 0, sizeof(*v));
 	arena_init(&v->memory);
 	buf_init(&v->effect_model);
+	size_table_init(&v->sizes);
 	index_init(&v->by_id);
 	index_init(&v->queues);
 	index_init(&v->workers);
@@ -98,6 +99,7 @@
 		free(w);
 	}
 	buf_finish(&v->effect_model);
+	size_table_finish(&v->sizes);
 	arena_finish(&v->memory);
 	index_finish(&v->by_id);
 	index_finish(&v->queues);
@@ -289,6 +291,8 @@
 		buf_add(&v->effect_model, value.data, value.len);
 		return 0;
 	}
+	if (str_eq(key, str_of(SIZES_KEY)))
+		return size_table_read(&v->sizes, value, now_ms);
 	if (str_eq(key, str_of(OWNER_KEY)))
 		return apply_owner(v, value);
 	if (key.len > 2 && !memcmp(key.data, WORKER_KEY_PREFIX, 2)) {
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -3,6 +3,7 @@
 
 #include "base/index.h"
 #include "cell/job_spec.h"
+#include "cell/size_table.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -10,10 +11,11 @@
 
 /* Keys of the records: ID, ID/c and ID/p with the job's ID as 16 hexadecimal
  * digits; w/WORKER for a worker; "learned" for the effect model that the
- * owners learn, see cell/effect_model.h. */
+ * owners learn, see cell/effect_model.h; "sizes" for the sizes of workers. */
 #define JOB_KEY_SIZE 20
 #define WORKER_KEY_PREFIX "w/"
 #define EFFECT_MODEL_KEY "learned"
+#define SIZES_KEY "sizes"
 /* Key of the record that names the owner, which each owner writes first. */
 #define OWNER_KEY "owner"
 /* Owners of this version store on which worker each start may run, and whether
@@ -84,6 +86,7 @@
  * struct job_view - all jobs of one partition, built from its records
  * @memory: owns the counts in @queues
  * @effect_model: the stored effect model, empty before one has been read
+ * @sizes: the largest workers, empty before the record has been read
  * @owner: the newest owner, empty before one is known
  * @owner_seen_ms: boot time at which the last record with the key "learned" was
  *	read, which every owner writes periodically; 0 before
@@ -100,6 +103,7 @@
 	struct job_entry *jobs;
 	struct known_worker *known_workers;
 	struct buf effect_model;
+	struct size_table sizes;
 	struct cell_owner owner;
 	int64_t owner_seen_ms;
 	const struct job_view_ops *ops;
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -5,6 +5,7 @@
 
 #include "adapters/clock.h"
 #include "base/logger.h"
+#include "cell/quota.h"
 #include "host/caller_auth.h"
 #include "host/retry_after.h"
 #include "platform/caller.h"
@@ -30,6 +31,9 @@
 #define RETRY_AFTER_SHORT_MS 500
 /* Largest payload of a job, in bytes. */
 #define PAYLOAD_MAX 4000
+/* A task of the job needs a larger worker than there is, or a gang more than
+ * its account may have. No time to come back is known. */
+#define TOO_LARGE_BODY "{\"error\":\"no capacity of this size\"}"
 /* A job of another account has the ID of a submission. */
 #define ID_TAKEN_BODY "{\"error\":\"ID in use\"}"
 
@@ -92,6 +96,14 @@
 	return h->now_ms - since;
 }
 
+static bool store_is_down(const struct host *h)
+{
+	return h->store_failures &&
+	       h->now_ms - h->store_failed_ms > STORE_DOWN_MS &&
+	       !follower_is_fresh(&h->job_follower, h->now_ms,
+				  2 * STORE_DOWN_MS);
+}
+
 void call_refuse(struct host *h, struct host_call *c)
 {
 	int64_t waited = h->now_ms - c->arrived_ms;
@@ -236,12 +248,52 @@
 	return c;
 }
 
-static bool store_is_down(const struct host *h)
+/* Whether a step fits in the limits of an account that runs nothing else: a
+ * gang starts as a whole. */
+static bool fits_in_limits(const struct job_step *s, const struct account *a)
 {
-	return h->store_failures &&
-	       h->now_ms - h->store_failed_ms > STORE_DOWN_MS &&
-	       !follower_is_fresh(&h->job_follower, h->now_ms,
-				  2 * STORE_DOWN_MS);
+	struct demand d = demand_of_step(s);
+	struct quota q = {0};
+
+	if (!a)
+		return true;
+	quota_set_limits(&q, a);
+	return quota_fits(&q, &d, s->flags & STEP_GANG ? s->count : 1);
+}
+
+/*
+ * Refuses a job that would wait for ever, as the workers and the configuration
+ * are known here.
+ *
+ * Return: whether it is refused.
+ */
+static bool refuse_if_too_large(struct host *h, struct http_request *r,
+				const struct queue *q,
+				const struct account *account,
+				const struct job_spec *spec)
+{
+	size_t i;
+
+	for (i = 0; i < spec->steps.count; i++) {
+		const struct job_step *s = job_spec_step(spec, i);
+		bool fits =
+			size_table_may_run(&h->job_view.sizes, q->service, s);
+
+		if (fits && fits_in_limits(s, account))
+			continue;
+		h->counts.refused++;
+		log_line(LOG_WARN, "job refused",
+			 "job=%016" PRIx64 " queue=%s reason=%s step=%zu "
+			 "count=%u cpu=%u memory_mb=%u accelerators=%u "
+			 "label=%s sizes=%zu",
+			 spec->id, q->name,
+			 fits ? "gang_over_limits" : "no_worker_large_enough",
+			 i, s->count, s->cpu, s->memory_mb, s->accelerators,
+			 s->worker_label, h->job_view.sizes.count);
+		reply(h, r, 503, 0, TOO_LARGE_BODY);
+		return true;
+	}
+	return false;
 }
 
 static void submit(struct host *h, struct http_request *r,
@@ -281,7 +333,7 @@
 			 "job=%016" PRIx64 " queue=%s bytes=%zu", id, q->name,
 			 text.len);
 		reply(h, r, 400, 0, "{\"error\":\"job not readable\"}");
-	} else {
+	} else if (!refuse_if_too_large(h, r, q, account, &spec)) {
 		c = call_new(h, r, CALL_SUBMIT, id, account);
 		name_set(spec.account, c->account);
 		job_spec_write(&spec, &c->record);
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -47,6 +47,37 @@
 	EXPECT_EQ(w.runs(7), 1u);
 }
 
+/* All hosts learn of the largest workers from the store. Nothing is stored of a
+ * registry that has been read in part: the largest may be missing. */
+TEST(CellWorker, StoresTheSizesOfWorkersOnceTheRegistryIsRead)
+{
+	CellWorld w;
+	struct index ids;
+
+	w.begin({"w1", "w2"});
+	w.run(3000);
+	EXPECT_EQ(w.newest.count(SIZES_KEY), 0u);
+	index_init(&ids);
+	for (const char *id : {"w1", "w2"})
+		index_put(&ids, name_hash(id), &w);
+	cell_workers_retain(w.c, &ids);
+	index_finish(&ids);
+	w.run(1000);
+	ASSERT_EQ(w.newest.count(SIZES_KEY), 1u);
+	job_step s = CellWorld::task_step(1, 16000);
+	EXPECT_TRUE(size_table_may_run(&w.view.sizes, "pool", &s));
+	s.cpu++;
+	EXPECT_FALSE(size_table_may_run(&w.view.sizes, "pool", &s));
+	w.add_worker("w3", 64000);
+	w.run(1100);
+	EXPECT_TRUE(size_table_may_run(&w.view.sizes, "pool", &s));
+	w.take_over(2);
+	w.run(100);
+	w.newest.erase(SIZES_KEY);
+	w.run(15000);
+	EXPECT_EQ(w.newest.count(SIZES_KEY), 0u) << "nothing has changed";
+}
+
 /* Takes the first call of a kind out of those that wait for an answer. */
 Call take_call(CellWorld *w, Call::Kind kind)
 {
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -305,6 +305,49 @@
 	EXPECT_EQ(r.text.find("Retry-After"), std::string::npos);
 }
 
+/* A job that no worker is large enough for was accepted and waited for ever. */
+TEST_F(HostCall, RefusesAJobThatNoWorkerIsLargeEnoughFor)
+{
+	const std::string large =
+		"{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1},"
+		"{\"count\":1,\"cpu\":9}]}";
+	worker_size size = {name_hash("s"), 0, 8, 8, 0, 0};
+	size_table sizes;
+	buf b;
+
+	publish(config(1, ""));
+	size_table_init(&sizes);
+	size_table_add(&sizes, &size);
+	buf_init(&b);
+	size_table_write(&sizes, &b);
+	store.put(TOPIC_JOBS, SIZES_KEY, std::string(b.data, b.len));
+	for (int i = 0; i < 4; i++)
+		tick();
+	Reply r = call("POST", path("q"), "", large);
+	EXPECT_EQ(r.status, 503);
+	EXPECT_EQ(r.text.find("Retry-After"), std::string::npos);
+	EXPECT_EQ(store.topics[TOPIC_JOBS].size(), 1u);
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 200);
+	EXPECT_EQ(h.counts.refused, 1u);
+	buf_finish(&b);
+	size_table_finish(&sizes);
+}
+
+/* A gang starts as a whole. One that needs more than its account may have was
+ * accepted and waited for ever. */
+TEST_F(HostCall, RefusesAGangThatExceedsTheLimitsOfItsAccount)
+{
+	const std::string
+		steps = ",\"cpu\":10}]}",
+		gang = "{\"spec\":\"s\",\"steps\":[{\"gang\":true,\"count\":";
+
+	publish(config(1, "{\"name\":\"a\",\"apiKeys\":[\"a1\"],"
+			  "\"maxCount\":{\"cpu\":35}}"));
+	EXPECT_EQ(status("POST", path("q"), "a1", gang + "4" + steps), 503);
+	EXPECT_TRUE(store.topics[TOPIC_JOBS].empty());
+	EXPECT_EQ(status("POST", path("q"), "a1", gang + "3" + steps), 200);
+}
+
 /* A caller whose request cannot be served at all learns that first. */
 TEST_F(HostCall, ChecksTheKeyAfterConfigurationSizeAndRoute)
 {
