host_call: refuse at once to look for an unknown job while the store is down

What callers saw: a query or a cancel of a job that a host had not read waited 1.2 s for a log that the host knew it could not read, and got 503 with a fixed half second; a submission was refused at once in the same moment, with the time of the outage. Change: such a call is refused at once, with the Retry-After of the outage, once the store counts as down (appends failed for 1 s and the log not read for 2 s).

--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -217,7 +217,9 @@
 		call_answer(h, c, 410, 0, "{}");
 		return;
 	}
-	if (h->now_ms - c->arrived_ms > LOG_READ_WAIT_MS)
+	if (store_is_down(h))
+		call_refuse(h, c);
+	else if (h->now_ms - c->arrived_ms > LOG_READ_WAIT_MS)
 		call_answer(h, c, 503, RETRY_AFTER_SHORT_MS, "{}");
 	else
 		follower_read_now(&h->job_follower);
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -333,6 +333,25 @@
 	size_table_finish(&sizes);
 }
 
+/* A host that knew that the store was down held callers who asked for a job it
+ * had not read for 1.2 s before it told them so. */
+TEST_F(HostCall, RefusesToLookForAnUnknownJobWhileTheStoreIsDown)
+{
+	publish(config(1, ""));
+	store.mode = FakeStore::UNAVAILABLE;
+	for (const char *method : {"GET", "DELETE"}) {
+		int64_t began = h.now_ms = clock_boot_ms();
+
+		h.store_failures = 5;
+		h.store_failed_ms = began - 3000;
+		h.job_follower.caught_up_ms = began - 5000;
+		Reply r = call(method, path("q"), "");
+		EXPECT_EQ(r.status, 503) << method;
+		EXPECT_NE(r.text.find("Retry-After: "), std::string::npos);
+		EXPECT_LT(clock_boot_ms() - began, 800) << method;
+	}
+}
+
 /* A gang starts as a whole. One that needs more than its account may have was
  * accepted and waited for ever. */
 TEST_F(HostCall, RefusesAGangThatExceedsTheLimitsOfItsAccount)
