cell_room: reserve no worker without the accelerators that a task needs

Cause: the choice of the worker to reserve checks processors, memory, label and the limit of tasks per worker, and not accelerators. Result: ReservesNoWorkerWithoutTheAccelerators failed (the short task did not start within 0.5 s) and passes.

--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -60,6 +60,8 @@
 		if (w->service != service || !w->accepts_tasks ||
 		    w->cpu_serving + st->spec->cpu > w->entry.cpu ||
 		    w->memory_used + st->spec->memory_mb > w->entry.memory_mb ||
+		    w->accelerators_used + st->spec->accelerators >
+			    w->entry.accelerators ||
 		    !has_label(w, st->spec->worker_label) ||
 		    !cell_may_add_task(st, w))
 			continue;
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -173,6 +173,25 @@
 	EXPECT_EQ(w.runs(1000), 2u);
 }
 
+/* A worker without accelerators was reserved again and again for a long-running
+ * task that needs one, and took no short work. */
+TEST(CellPlace, ReservesNoWorkerWithoutTheAccelerators)
+{
+	CellWorld w;
+	job_step long_running = CellWorld::task_step(1, 1000);
+
+	long_running.flags = STEP_LONG_RUNNING;
+	long_running.accelerators = 1;
+	w.take_over(1);
+	w.add_worker("w1", 16000);
+	w.run(100);
+	w.submit(1000, {long_running});
+	w.run(4000);
+	w.submit(1, {short_step()});
+	w.run(500);
+	EXPECT_EQ(w.runs(1), 1u);
+}
+
 /*
  * A worker that was reserved for a large long-running task was kept from a
  * small one that had been unplaced for too long as well: the small one waited
