host_call: refuse the jobs of a queue that needs tickets

What callers saw: a job for a queue with "advice" was accepted and never ran. Cause: workers refuse such a start without a ticket (409), and tickets are not built; the flag was read and used nowhere. Change: 503 at once without Retry-After, with a log line. Result: RefusesJobsOfAQueueThatNeedsAdvice got 200 and gets 503.

--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -34,6 +34,8 @@
 /* A task of the job needs a larger worker than there is, or a gang more than
  * its account may have. No time to come back is known. */
 #define TOO_LARGE_BODY "{\"error\":\"no capacity of this size\"}"
+/* The queue's policy allows starts with a ticket only, which is not built. */
+#define NO_TICKETS_BODY "{\"error\":\"queue needs tickets\"}"
 /* A job of another account has the ID of a submission. */
 #define ID_TAKEN_BODY "{\"error\":\"ID in use\"}"
 
@@ -318,6 +320,14 @@
 		reply(h, r, 200, 0, "{}");
 		return;
 	}
+	if (q->advice) {
+		h->counts.refused++;
+		log_line(LOG_WARN, "job refused",
+			 "job=%016" PRIx64 " queue=%s reason=needs_tickets", id,
+			 q->name);
+		reply(h, r, 503, 0, NO_TICKETS_BODY);
+		return;
+	}
 	if (!h->job_follower.loaded || store_is_down(h)) {
 		h->counts.refused++;
 		log_line(LOG_WARN, "job refused",
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -352,6 +352,19 @@
 	}
 }
 
+/* Workers refuse the tasks of such a queue without a ticket, which no host asks
+ * for: its jobs were accepted and tried for ever. */
+TEST_F(HostCall, RefusesJobsOfAQueueThatNeedsAdvice)
+{
+	publish("{\"version\":1,\"limits\":{\"maxBodyBytes\":200},"
+		"\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+		"\"pathPrefix\":\"/q/\",\"service\":\"s\",\"advice\":"
+		"{\"decisionMs\":5,\"periodMs\":1,\"validityMs\":900}}]}");
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 503);
+	EXPECT_EQ(status("GET", path("q"), ""), 410);
+	EXPECT_TRUE(store.topics[TOPIC_JOBS].empty());
+}
+
 /* A gang starts as a whole. One that needs more than its account may have was
  * accepted and waited for ever. */
 TEST_F(HostCall, RefusesAGangThatExceedsTheLimitsOfItsAccount)
