--- a/tests/cell_quota_test.cc
+++ b/tests/cell_quota_test.cc
@@ -333,6 +333,32 @@
 	}
 }
 
+/* The registry told the next owner of a new process of the worker before it was
+ * heard. What the former owner had been stopping was taken for runs of the
+ * former process, though the new one may have started them. */
+TEST(CellQuota, RunsThatMayBeOnANewProcessCountUntilItIsHeard)
+{
+	QuotaWorld w;
+
+	w.limit({{"a", 4000}});
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit_for("a", 1, {CellWorld::task_step(3)});
+	w.run(200);
+	ASSERT_EQ(w.runs(1), 3u);
+	w.workers["w1"].born = w.entries["w1"].born = 2000;
+	w.workers["w1"].reachable = false;
+	w.cancel(1);
+	w.run(100);
+	w.take_over_on_a_new_host(2);
+	w.add_worker("w2");
+	w.submit_for("a", 2, {CellWorld::task_step(4)});
+	w.run(500);
+	EXPECT_EQ(w.runs(2), 1u);
+	w.run(15000);
+	EXPECT_EQ(w.runs(2), 4u);
+}
+
 /* A run is done, its worker is cut off before it says so, and the task runs
  * again elsewhere: the end of the first run, reported late, let the second one
  * be forgotten though its worker had not been heard. */
--- /dev/null
+++ b/tests/cell_restart_test.cc
@@ -0,0 +1,557 @@
+#include "tests/cell_world.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <memory>
+#include <random>
+
+namespace
+{
+
+/* Time-out of an order, and of a poll beyond its wait. */
+const int64_t CALL_TIMEOUT_MS = 900;
+const int64_t STOP_MAX_MS = 800;
+
+/* A call on its way: it is carried out by the process that listens then. */
+struct Flight {
+	Call call;
+	int64_t at = 0;    /* carried out */
+	int64_t due = 0;   /* time-out at the owner */
+	int64_t reply = 0; /* its reply arrives; 0 for none yet */
+	uint64_t born = 0; /* process that holds a long poll */
+	bool open = true;  /* the owner waits for it */
+	bool done = false; /* carried out */
+	bool lost = false; /* its reply is */
+	order_reply order_result = {};
+	poll_reply poll_result = {};
+	std::vector<run_row> rows;
+	std::vector<ended_run> ends;
+};
+
+/* A run that ends by itself or by a stop. */
+struct Ending {
+	int64_t at;
+	std::string worker;
+	uint64_t born;
+	task_ref ref;
+	run_end how;
+};
+
+struct Process {
+	bool up = true;
+	/* Down without a sign: connections get no answer. */
+	bool dark = false;
+	int64_t up_at = 0;
+	int64_t announce_at = 0;
+};
+
+/*
+ * Workers that crash and start again at once under their id, calls that take
+ * time, get lost or are carried out late, entries that arrive late, stops that
+ * take time and owners that change, all at random.
+ *
+ * A new process keeps the fence and the ended runs of the former one here: a
+ * start that the former process would have refused, and that arrives at the
+ * new one, is carried out by a real worker, and no order can prevent it.
+ */
+class RestartWorld : public CellWorld
+{
+      public:
+	explicit RestartWorld(unsigned seed) : rng(seed)
+	{
+		opt.renew_after_ms = 4000;
+		opt.takeover_ms = 8500;
+		opt.append_max_bytes = 0;
+		long_polls = true;
+	}
+
+	~RestartWorld()
+	{
+		change_owner(false);
+		stop();
+	}
+
+	void reply_to_poll(Call &call, const poll_reply &h) override
+	{
+		if (!current) {
+			CellWorld::reply_to_poll(call, h);
+			return;
+		}
+		current->poll_result = h;
+		current->poll_result.sent_ms = call.at;
+		current->rows.assign(h.running, h.running + h.running_count);
+		current->ends.assign(h.ended, h.ended + h.ended_count);
+	}
+
+	void on_start(const std::string &worker, const order &sent) override
+	{
+		FakeWorker &f = workers[worker];
+		auto d = done_ends.find(task_key(sent.ref));
+
+		if (d != done_ends.end())
+			d->second.started_after = true;
+		check_account(sent.ref.job);
+		if (sent.ref.job < LASTING)
+			endings.push_back(
+				{now + 5 +
+					 (int64_t)(rng() %
+						   (rng() % 2 ? 900 : 60)),
+				 worker, f.born, sent.ref, RUN_DONE});
+	}
+
+	void add_restartable(const std::string &id)
+	{
+		add_worker(id);
+		workers[id].ignores_stops = true;
+		processes[id] = Process();
+	}
+
+	void crash(const std::string &id, bool dark, int64_t down_ms,
+		   int64_t told_ms)
+	{
+		FakeWorker &f = workers[id];
+		Process &p = processes[id];
+
+		if (!p.up)
+			return;
+		for (auto &r : f.running)
+			erase_running(r.ref, id);
+		for (auto d = done_ends.begin(); d != done_ends.end();)
+			if (d->second.worker == id && !d->second.noted)
+				d = done_ends.erase(d);
+			else
+				d++;
+		f.running.clear();
+		f.ended.clear();
+		p.up = false;
+		p.dark = dark;
+		p.up_at = now + down_ms;
+		p.announce_at = now + down_ms + told_ms;
+		for (auto &fl : flights)
+			if (fl->call.worker.id == id && fl->born && !fl->done) {
+				fl->done = true;
+				fl->lost = true;
+				if (!dark)
+					fl->due = now + 2;
+			}
+	}
+
+	void change_owner(bool is_new_host)
+	{
+		std::vector<std::unique_ptr<Flight>> old;
+
+		if (!c)
+			return;
+		take_calls();
+		cell_stop(c);
+		c = nullptr;
+		for (auto &fl : flights)
+			if (fl->open) {
+				fl->open = false;
+				fail(*fl);
+			}
+		epoch++;
+		if (is_new_host)
+			rebuild_view();
+	}
+
+	void take_over_next()
+	{
+		take_over(epoch);
+	}
+
+	void step()
+	{
+		now += calm ? 20 : 5;
+		restart_processes();
+		end_runs();
+		expire_all();
+		cell_set_authority(c, now + 1000);
+		tick();
+		commit();
+		take_calls();
+		for (size_t i = 0; i < flights.size(); i++)
+			advance(*flights[i]);
+		flights.erase(std::remove_if(flights.begin(), flights.end(),
+					     [](auto &fl) {
+						     return !fl->open &&
+							    fl->done;
+					     }),
+			      flights.end());
+	}
+
+	void pass(int64_t ms)
+	{
+		for (int64_t end = now + ms; now < end;)
+			step();
+	}
+
+	size_t rerun_after_done() const
+	{
+		size_t n = 0;
+
+		for (auto &d : done_ends)
+			n += d.second.noted && d.second.started_after;
+		return n;
+	}
+
+	size_t running_rows()
+	{
+		size_t n = 0;
+
+		for (auto &w : workers)
+			n += w.second.running.size();
+		return n;
+	}
+
+	/* Jobs from this id on last until they are cancelled. */
+	static const uint64_t LASTING = 1000;
+
+	std::mt19937 rng;
+	uint64_t epoch = 1;
+	bool calm = false;
+	std::map<std::string, Process> processes;
+	/* Jobs of the account, and the runs that it may have at once. */
+	std::set<uint64_t> account_jobs;
+	size_t account_runs = 0;
+	size_t over_account = 0;
+	size_t restarts = 0;
+
+      private:
+	struct DoneEnd {
+		std::string worker;
+		uint64_t number;
+		bool noted;
+		bool started_after;
+	};
+
+	void erase_running(const task_ref &ref, const std::string &id)
+	{
+		auto range = running_on.equal_range(task_key(ref));
+
+		for (auto k = range.first; k != range.second; k++)
+			if (k->second.first == id &&
+			    k->second.second == ref.run) {
+				running_on.erase(k);
+				return;
+			}
+	}
+
+	void check_account(uint64_t job)
+	{
+		size_t n = 0;
+
+		if (!account_jobs.count(job))
+			return;
+		for (auto &w : workers)
+			for (auto &r : w.second.running)
+				n += account_jobs.count(r.ref.job);
+		over_account += n > account_runs;
+	}
+
+	void restart_processes()
+	{
+		for (auto &p : processes) {
+			if (!p.second.up && now >= p.second.up_at) {
+				FakeWorker &f = workers[p.first];
+
+				p.second.up = true;
+				f.born = (uint64_t)now;
+				f.ends = 0;
+				f.lease = 0;
+				f.clock_offset = -now;
+				restarts++;
+			}
+			if (p.second.announce_at &&
+			    now >= p.second.announce_at) {
+				p.second.announce_at = 0;
+				entries[p.first].born = workers[p.first].born;
+				announce(p.first);
+			}
+		}
+	}
+
+	void end_runs()
+	{
+		for (size_t i = 0; i < endings.size();) {
+			Ending e = endings[i];
+
+			if (now < e.at) {
+				i++;
+				continue;
+			}
+			endings.erase(endings.begin() + (long)i);
+			end_run(e);
+		}
+	}
+
+	void end_run(const Ending &e)
+	{
+		FakeWorker &f = workers[e.worker];
+
+		if (f.born != e.born || !processes[e.worker].up)
+			return;
+		for (size_t i = 0; i < f.running.size(); i++) {
+			task_ref r = f.running[i].ref;
+
+			if (!is_same_task(r, e.ref) || r.run != e.ref.run)
+				continue;
+			end_at(f, i, e.how);
+			if (e.how == RUN_DONE)
+				done_ends[task_key(r)] = {e.worker, f.ends,
+							  false, false};
+			return;
+		}
+	}
+
+	void take_calls()
+	{
+		for (auto &call : calls) {
+			auto fl = std::make_unique<Flight>();
+
+			fl->call = call;
+			fl->call.at = now;
+			fl->at = now + (int64_t)(rng() % 15);
+			fl->due = now + CALL_TIMEOUT_MS;
+			if (call.kind == Call::POLL)
+				fl->due += call.poll.wait_ms;
+			else if (!calm && rng() % 100 < 4)
+				fl->at += (int64_t)(rng() % 2500);
+			fl->lost = !calm && rng() % 100 < 3;
+			flights.push_back(std::move(fl));
+		}
+		calls.clear();
+	}
+
+	/* Ends the call at the owner without a reply. */
+	void fail(Flight &fl)
+	{
+		current = nullptr;
+		drop_call(fl.call);
+	}
+
+	static void record(void *ctx, const worker_addr *, const task_ref *,
+			   const order_reply *r)
+	{
+		((Flight *)ctx)->order_result = *r;
+	}
+
+	void note_ends(const std::string &id, uint64_t ack)
+	{
+		for (auto &d : done_ends)
+			if (d.second.worker == id && d.second.number <= ack)
+				d.second.noted = true;
+	}
+
+	void schedule_stop(const std::string &id, const task_ref &ref)
+	{
+		FakeWorker &f = workers[id];
+
+		for (auto &r : f.running)
+			if (is_same_task(r.ref, ref) && r.ref.run <= ref.run)
+				endings.push_back(
+					{now + (int64_t)(rng() % STOP_MAX_MS),
+					 id, f.born, r.ref, RUN_STOPPED});
+	}
+
+	void carry_out(Flight &fl)
+	{
+		std::string id = fl.call.worker.id;
+		FakeWorker &f = workers[id];
+		Call copy = fl.call;
+
+		if (fl.call.kind == Call::POLL) {
+			bool is_fenced = fl.call.poll.fence < f.fence;
+
+			/* It extends the lease as it arrives. */
+			if (!fl.born && !is_fenced)
+				f.extend_lease(fl.call.poll.lease_deadline_ms,
+					       now + f.clock_offset);
+			fl.born = f.born;
+			if (f.ended.empty() &&
+			    now < fl.call.at + fl.call.poll.wait_ms)
+				return;
+			if (!is_fenced)
+				note_ends(id, fl.call.poll.ack);
+			current = &fl;
+			answer_poll(f, copy);
+			current = nullptr;
+		} else {
+			copy.done = record;
+			copy.ctx = &fl;
+			copy.sent.checkpoint = nullptr;
+			execute(f, copy);
+			if (fl.call.kind == Call::STOP &&
+			    fl.order_result.status == ORDER_OK)
+				schedule_stop(id, fl.call.sent.ref);
+		}
+		fl.done = true;
+		fl.reply = now + (int64_t)(rng() % 15);
+	}
+
+	void deliver(Flight &fl)
+	{
+		fl.open = false;
+		if (fl.call.kind != Call::POLL) {
+			fl.call.done(fl.call.ctx, &fl.call.worker,
+				     &fl.call.sent.ref, &fl.order_result);
+			return;
+		}
+		fl.poll_result.running = fl.rows.data();
+		fl.poll_result.ended = fl.ends.data();
+		CellWorld::reply_to_poll(fl.call, fl.poll_result);
+	}
+
+	void refuse(Flight &fl)
+	{
+		fl.done = true;
+		if (!fl.open)
+			return;
+		fl.open = false;
+		finish_call(fl.call, ORDER_NOT_SENT);
+	}
+
+	void advance(Flight &fl)
+	{
+		Process &p = processes[fl.call.worker.id];
+
+		if (!fl.done && now >= fl.at) {
+			if (p.up)
+				carry_out(fl);
+			else if (p.dark || !fl.open)
+				fl.done = fl.lost = true;
+			else
+				refuse(fl);
+		}
+		if (fl.open && fl.reply && now >= fl.reply && !fl.lost)
+			deliver(fl);
+		if (fl.open && now >= fl.due) {
+			fl.open = false;
+			fail(fl);
+		}
+		/* The host of a poll that timed out has closed it. */
+		if (!fl.open && fl.call.kind == Call::POLL)
+			fl.done = true;
+	}
+
+	Flight *current = nullptr;
+	std::vector<std::unique_ptr<Flight>> flights;
+	std::vector<Ending> endings;
+	std::map<TaskKey, DoneEnd> done_ends;
+};
+
+struct Options {
+	bool change_owners;
+	bool limit_account;
+};
+
+void submit_jobs(RestartWorld &x, uint64_t round, const Options &o)
+{
+	uint64_t id = 1 + round * 2;
+
+	x.submit(id, {CellWorld::task_step(2, 1000)});
+	x.account_name = o.limit_account ? "small" : "";
+	x.submit(id + 1, {CellWorld::task_step(3, 1000)});
+	if (o.limit_account)
+		x.account_jobs.insert(id + 1);
+	x.account_name = "";
+}
+
+void disturb(RestartWorld &x, const Options &o)
+{
+	std::string id = "w" + std::to_string(1 + x.rng() % 4);
+	unsigned kind = x.rng() % 100;
+
+	if (kind < 60)
+		x.crash(id, x.rng() % 2, 50 + (int64_t)(x.rng() % 400),
+			(int64_t)(x.rng() % 2500));
+	else if (kind < 75 && o.change_owners) {
+		x.change_owner(x.rng() % 2);
+		x.take_over_next();
+	} else if (kind < 85) {
+		worker_entry e = x.entries[id];
+
+		e.born = e.born > 2000 ? 2000 : e.born;
+		cell_worker_update(x.c, &e);
+	} else if (kind < 90) {
+		cell_worker_gone(x.c, id.c_str());
+	} else if (kind < 95) {
+		uint64_t job = 1 + x.rng() % 80;
+
+		if (job_view_get(&x.view, job))
+			x.cancel(job);
+	}
+}
+
+void play(unsigned seed, const Options &o)
+{
+	RestartWorld x(seed);
+	uint64_t round, id, last = RestartWorld::LASTING + 4;
+
+	if (o.limit_account) {
+		x.account_runs = 4;
+		x.set_accounts({{"small", 4000}});
+	}
+	x.take_over(1);
+	for (int i = 1; i <= 4; i++)
+		x.add_restartable("w" + std::to_string(i));
+	x.pass(200);
+	for (id = RestartWorld::LASTING; id < last; id++) {
+		job_step s = CellWorld::task_step(1, 1000);
+
+		s.flags = STEP_LONG_RUNNING;
+		x.submit(id, {s});
+	}
+	for (round = 0; round < 40; round++) {
+		submit_jobs(x, round, o);
+		disturb(x, o);
+		x.pass((int64_t)(x.rng() % 400));
+	}
+	x.calm = true;
+	x.pass(4000);
+	for (auto &e : x.entries)
+		x.announce(e.first);
+	x.pass(14000);
+	EXPECT_TRUE(x.duplicates.empty()) << "seed " << seed;
+	EXPECT_EQ(x.rerun_after_done(), 0u) << "seed " << seed;
+	EXPECT_EQ(x.over_account, 0u) << "seed " << seed;
+	EXPECT_GT(x.restarts, 0u) << "seed " << seed;
+	for (id = 1; id <= 2 * round; id++)
+		EXPECT_TRUE(job_state_is_terminal(x.state(id)))
+			<< "seed " << seed << " job " << id;
+	for (id = RestartWorld::LASTING; id < last; id++)
+		EXPECT_EQ(x.runs(id),
+			  job_state_is_terminal(x.state(id)) ? 0u : 1u)
+			<< "seed " << seed << " job " << id;
+	EXPECT_EQ(x.running_rows(), x.counts().placed) << "seed " << seed;
+}
+
+/* CELL_RESTART_SEEDS=FIRST-LAST plays other seeds than those of CI. */
+void play_seeds(unsigned first, unsigned last, const Options &o)
+{
+	const char *text = getenv("CELL_RESTART_SEEDS");
+
+	if (text && sscanf(text, "%u-%u", &first, &last) != 2)
+		FAIL() << "CELL_RESTART_SEEDS=" << text << ", not FIRST-LAST";
+	for (unsigned seed = first; seed <= last; seed++)
+		play(seed, o);
+}
+
+/* Runs of a former process were taken for those of the present one, and the
+ * other way round: tasks ran twice. */
+TEST(CellRestartModel, RunsNoTaskTwiceUnderOneOwner)
+{
+	play_seeds(1, 40, {false, false});
+}
+
+TEST(CellRestartModel, RunsNoTaskTwiceUnderOwnersThatChange)
+{
+	play_seeds(1, 40, {true, false});
+}
+
+TEST(CellRestartModel, KeepsTheLimitsOfAccounts)
+{
+	play_seeds(1, 40, {true, true});
+}
+
+} /* namespace */
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -399,3 +399,56 @@
 	w.run(200);
 	EXPECT_EQ(w.runs(8), 1u);
 }
+
+/* A poll acknowledged the ends of a worker's former process to the new one,
+ * which forgot its own: a task that it had done ran again. */
+TEST(CellWorker, HearsOfTheEndsOfANewProcess)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(6, {CellWorld::task_step(1)});
+	w.run(100);
+	w.end(6, RUN_DONE);
+	w.run(100);
+	w.submit(7, {CellWorld::task_step(1)});
+	Call start = take_call(&w, Call::START);
+	restart(&w, "w1");
+	w.answer(start);
+	w.run(20);
+	w.end(7, RUN_DONE);
+	w.drop_unanswered();
+	w.run(1500);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
+/* A stop that the former process had confirmed counted for the new one, which
+ * then carried out the start. */
+TEST(CellWorker, WaitsForTheNewProcessToConfirmAStop)
+{
+	order_reply lost = {ORDER_UNKNOWN, 0};
+	CellWorld w;
+
+	w.begin({"w1"}, 50);
+	w.submit(7, {CellWorld::task_step(1)});
+	Call start = take_call(&w, Call::START);
+	start.done(start.ctx, &start.worker, &start.sent.ref, &lost);
+	start.done = [](void *, const worker_addr *, const task_ref *,
+			const order_reply *) {};
+	Call former_stop = take_call(&w, Call::STOP);
+	restart(&w, "w1");
+	w.add_worker("w2");
+	w.announce("w1");
+	Call stop = take_call(&w, Call::STOP);
+	w.answer_as(former_stop, ORDER_OK);
+	w.drop_unanswered();
+	w.run(350);
+	EXPECT_EQ(w.starts.size(), 0u);
+	w.answer(start);
+	w.answer(stop);
+	w.run(1000);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -91,6 +91,7 @@
 		};
 		net.ctx = this;
 		relay_init(&r, &direct.ops, &direct, &net);
+		started_wall_ms = clock_wall_ms();
 		r.worker_count = 400;
 		now = clock_boot_ms();
 	}
@@ -230,6 +231,7 @@
 	std::map<uint64_t, relay_server> hosts;
 	uint64_t sender = 0;
 	int64_t now = 0;
+	int64_t started_wall_ms = 0;
 	bool lose_batches = false;
 	int disconnects = 0;
 	std::vector<order_status> statuses;
@@ -474,4 +476,38 @@
 	EXPECT_EQ(statuses.size(), 1u);
 }
 
+/* An answer to a call with the same number, which another host was asked, was
+ * taken for the answer to this one. */
+TEST_F(Relay, DropsAnAnswerOfAHostThatWasNotAsked)
+{
+	relay_answer a = {};
+	relay_batch b = {};
+
+	add_host("h1", 4000);
+	activate_peers();
+	start("i-1");
+	run(20);
+	a.seq = r.seq;
+	b.answers = {&a, 1};
+	relay_receive(&r, name_hash("h2"), &b);
+	EXPECT_TRUE(statuses.empty());
+	relay_receive(&r, name_hash("h1"), &b);
+	EXPECT_EQ(statuses.size(), 1u);
+}
+
+/* A host that restarted under its name numbered its calls anew, and the answers
+ * to calls of its former process were taken for answers to its own. */
+TEST_F(Relay, NumbersNoCallAsItsFormerProcessDid)
+{
+	const uint64_t calls_max = 1000000;
+	relay_net net = {};
+	relay next;
+
+	while (clock_wall_ms() < started_wall_ms + 2)
+		;
+	relay_init(&next, &direct.ops, &direct, &net);
+	EXPECT_GT(next.seq, r.seq + calls_max);
+	relay_finish(&next);
+}
+
 } /* namespace */
