cell_worker: ends are acknowledged once, and not after a missed poll

What callers would see: a task runs again after it was done, beside a worker that crashes and is back at once under its id. Cause: each poll repeated the greatest number of a stored end. A new process numbers its ends from 1. A poll that reached it before the owner knew of it, mostly the one after a missed poll, made it forget ends that nobody had heard. Its listing then lacked the run, which was taken for lost and started again. Change: an acknowledgement is sent until a reply shows that the process has it, and not in a poll that follows a missed one. Ends that come again are known by their numbers, as before. Left: a poll with a new acknowledgement that is on its way for longer than a process takes to restart.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -361,6 +361,9 @@
  *	stored is
  * @acked_end: ends up to this number are stored; sent to the worker, which then
  *	forgets them
+ * @sent_ack: acknowledgement in the last poll; 0 for none
+ * @forgotten_end: the worker has replied to a poll that acknowledged the ends
+ *	up to this number
  */
 struct cell_worker {
 	struct cell_worker *older;
@@ -413,6 +416,8 @@
 	uint64_t round_end;
 	uint64_t storing_end;
 	uint64_t acked_end;
+	uint64_t sent_ack;
+	uint64_t forgotten_end;
 	struct cell_orphan *orphans;
 	bool headroom_stale;
 	struct serving_headroom headroom[SERVING_STEPS_MAX];
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -184,6 +184,8 @@
 	w->round_end = 0;
 	w->storing_end = 0;
 	w->acked_end = 0;
+	w->sent_ack = 0;
+	w->forgotten_end = 0;
 	w->confirmed = false;
 	w->recorded = false;
 	w->storing_record = false;
@@ -441,6 +443,8 @@
 		return;
 	if (r->born > w->entry.born)
 		worker_reset(c, w, r->born, "poll");
+	if (w->sent_ack)
+		w->forgotten_end = w->sent_ack;
 	w->clock = r->clock;
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
@@ -534,7 +538,11 @@
 	 * lease runs out and its runs end within a known time. */
 	if (!w->missed_polls && w->stored && !w->lease_frozen)
 		h.lease_deadline_ms = cell_lease_extend(c, w);
-	h.ack = w->acked_end;
+	/* A new process numbers its ends anew, and would forget those up to an
+	 * acknowledgement meant for the former one. */
+	if (!w->missed_polls && w->acked_end != w->forgotten_end)
+		h.ack = w->acked_end;
+	w->sent_ack = h.ack;
 	/* After a missed poll, tasks and leases wait for the reply. */
 	if (w->confirmed && w->task_count && !w->missed_polls &&
 	    !w->stale_polls && w->last_end == w->acked_end)
