cell_worker: the news of a new process releases no run of a worker that is unheard

What callers would see: a client account is above its limits after a change of the owner, while a worker restarts. Cause: runs of ended jobs that a former owner was stopping count until their worker is heard or its leases have ended. When the registry told of a new process, they were released as runs of the former one. Which process had started them is not known before the worker is heard. Change: they are released there only if the former process has been heard under this owner; then they are the runs that it listed. Result: CellQuota.RunsThatMayBeOnANewProcessCountUntilItIsHeard failed (4 runs for 1) and passes, as do the other tests of the cell.

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -163,7 +163,10 @@
 	uint32_t unlisted = count_unlisted(w, &confirmed);
 
 	end_runs_of_former_process(c, w);
-	cell_quota_release_orphans(c, w);
+	/* Until it is heard, what a former owner was stopping counts: the new
+	 * process may have started it. */
+	if (w->confirmed)
+		cell_quota_release_orphans(c, w);
 	if (w->first_task)
 		cell_recovery_expect(c, w, 0);
 	log_line(LOG_INFO, "worker restarted",
