cell_task: a stop that a worker's former process has confirmed says nothing of the new one

What callers would see: a task runs twice, when a worker restarts under its id while a start that got no answer is still on its way. Cause: when a new process is known, stops are sent again to it, as it may yet receive the start. The reply of the former process to the first stop, read after that, counted for both: a listing without the run ended it, the task was started elsewhere, and the start then arrived. Change: a call returns the start time of the process that it was meant for, with the worker's address; the reply to a stop counts if that is still the process known. Result: CellWorker.WaitsForTheNewProcessToConfirmAStop failed and passes; it waits for less now, so that a reply of the new process that didn't count would show.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -306,6 +306,9 @@
 
 	if (!t || t->state != TASK_STOPPING)
 		return;
+	/* A stop has been sent to the new process since. */
+	if (w->born != t->worker->entry.born)
+		return;
 	t->worker->poll_due_ms = c->now_ms;
 	if (r->status == ORDER_OK)
 		t->stop_confirmed_ms = c->now_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -161,7 +161,10 @@
 {
 	uint32_t runs = w->task_count, confirmed;
 	uint32_t unlisted = count_unlisted(w, &confirmed);
+	uint64_t before = w->entry.born;
 
+	w->entry.born = born;
+	w->entry.addr.born = born;
 	end_runs_of_former_process(c, w);
 	/* Until it is heard, what a former owner was stopping counts: the new
 	 * process may have started it. */
@@ -172,9 +175,8 @@
 	log_line(LOG_INFO, "worker restarted",
 		 "worker=%s born=%" PRIu64 " before=%" PRIu64 " source=%s "
 		 "runs=%u unlisted=%u confirmed=%u kept=%u",
-		 w->entry.addr.id, born, w->entry.born, source, runs, unlisted,
+		 w->entry.addr.id, born, before, source, runs, unlisted,
 		 confirmed, w->task_count);
-	w->entry.born = born;
 	w->stale_polls += w->poll_in_flight;
 	w->poll_in_flight = false;
 	w->missed_polls = 0;
@@ -205,6 +207,7 @@
 
 	name_set(w->entry.addr.address, k->address);
 	w->entry.born = k->born;
+	w->entry.addr.born = k->born;
 	w->recorded = true;
 	w->stored = true;
 	w->lease_frozen = k->leases_end_ms != 0;
@@ -256,6 +259,7 @@
 		w->poll_due_ms = c->now_ms;
 	}
 	w->entry = *e;
+	w->entry.addr.born = e->born;
 	w->service = name_hash(e->service);
 	w->leaving_at_ms = estimate_leaving(c, &old, e);
 	left_ms = w->leaving_at_ms ? w->leaving_at_ms - c->now_ms : 0;
--- a/src/host/relay_server.c
+++ b/src/host/relay_server.c
@@ -114,7 +114,7 @@
 {
 	struct poll_request q = {r->fence, r->deadline, r->ack, r->wait_ms};
 	struct served_call *c = xcalloc(1, sizeof(*c));
-	struct worker_addr w;
+	struct worker_addr w = {0};
 	struct order o = {0};
 
 	c->server = s;
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -219,10 +219,13 @@
 
 /**
  * struct worker_addr - address of one process of a worker
+ * @born: when the process started that the caller knows of, which the answer to
+ *	a call returns; another process may listen at @address by then
  */
 struct worker_addr {
 	char id[NAME_SIZE];
 	char address[NAME_SIZE];
+	uint64_t born;
 };
 
 /**
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -448,7 +448,7 @@
 	EXPECT_EQ(w.starts.size(), 0u);
 	w.answer(start);
 	w.answer(stop);
-	w.run(1000);
+	w.run(300);
 	EXPECT_TRUE(w.duplicates.empty());
 	EXPECT_EQ(w.runs(7), 1u);
 }
