relay: an answer counts if it is from the host asked and for a call of this process

What callers would see: an order or a listing of one worker taken for that of another; an order's answer taken for a listing has no runs, so that all confirmed runs of the worker are started again elsewhere. Cause: each process of a host numbered the calls that it had others relay from 1, and an answer was matched by that number alone. Answers to calls of a former process go to the host's name, and so to the next process: one that owns the cell again within the 1.9 s that a call takes, shortly after a former one had begun to, may have calls with the same numbers in flight. Change: numbers begin at the start time of the process, as those of record batches do; an answer by another host than the one asked is dropped. Result: Relay.DropsAnAnswerOfAHostThatWasNotAsked and Relay.NumbersNoCallAsItsFormerProcessDid failed and pass.

--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -14,6 +14,9 @@
  * worker take less than a thousandth of a core. */
 #define WORKERS_PER_CORE 200
 #define MILLI 1000
+/* Numbers of calls begin at the start time of the process, in ms, times 2 to
+ * this power: a former process of the host has not used them. */
+#define SEQ_TIME_SHIFT 20
 /* A peer is pinged when nothing was sent to it for this long. It counts as
  * reachable while the last contact is at most three of these periods ago. */
 #define PING_PERIOD_MS 600
@@ -60,6 +63,7 @@
 	r->direct = direct;
 	r->port = port;
 	r->net = *net;
+	r->seq = (uint64_t)clock_wall_ms() << SEQ_TIME_SHIFT;
 	index_init(&r->pending);
 	index_init(&r->suspects);
 }
@@ -545,12 +549,14 @@
 	relay_poll,
 };
 
-static void receive_answer(struct relay *r, const struct relay_answer *a)
+static void receive_answer(struct relay *r, uint64_t from,
+			   const struct relay_answer *a)
 {
 	struct relay_pending *p = index_get(&r->pending, a->seq);
 	struct order_reply o = {(enum order_status)a->status, a->clock};
 
-	if (!p) /* the call has timed out */
+	/* The call has timed out, or another host was asked. */
+	if (!p || p->peer->id != from)
 		return;
 	if (relay_answer_check(a)) {
 		log_line(LOG_ERROR, "unknown value in a relayed answer",
@@ -587,5 +593,5 @@
 		p->unanswered_pings = 0;
 	}
 	for (i = 0; i < b->answers.count; i++)
-		receive_answer(r, &rows[i]);
+		receive_answer(r, from, &rows[i]);
 }
