cell_worker_test: one set-up for a start that a new process confirms

Cause: three tests repeated the same lines. Change: start_on_new_process(); the checks are unchanged.

--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -231,6 +231,19 @@
 			w->unanswered.push_back(w->take(i));
 }
 
+/* Starts a task of job 7 on w1, whose new process confirms it before the owner
+ * knows of that process. */
+void start_on_new_process(CellWorld *w, job_step step)
+{
+	w->long_polls = true;
+	w->begin({"w1"});
+	w->submit(7, {step});
+	Call start = take_call(w, Call::START);
+	restart(w, "w1");
+	w->answer(start);
+	w->add_worker("w2");
+}
+
 /*
  * A worker restarted under its id, and its new process confirmed a start before
  * the owner knew of it. The owner took the run for one of the former process
@@ -241,13 +254,7 @@
 	for (bool registry_tells_first : {true, false}) {
 		CellWorld w;
 
-		w.long_polls = true;
-		w.begin({"w1"});
-		w.submit(7, {CellWorld::task_step(1)});
-		Call start = take_call(&w, Call::START);
-		restart(&w, "w1");
-		w.answer(start);
-		w.add_worker("w2");
+		start_on_new_process(&w, CellWorld::task_step(1));
 		w.run(20);
 		if (registry_tells_first)
 			w.announce("w1");
@@ -266,15 +273,10 @@
 {
 	CellWorld w;
 
-	w.long_polls = true;
-	w.begin({"w1"});
-	w.submit(7, {CellWorld::serving_step(1, 1000)});
-	Call start = take_call(&w, Call::START);
-	worker_entry former = w.entries["w1"];
-	restart(&w, "w1");
+	start_on_new_process(&w, CellWorld::serving_step(1, 1000));
 	w.workers["w1"].ignores_stops = true;
-	w.answer(start);
-	w.add_worker("w2");
+	worker_entry former = w.entries["w1"];
+	former.born = 1000;
 	former.draining = true;
 	former.leaving_ms = 1000;
 	cell_worker_update(w.c, &former);
@@ -321,13 +323,7 @@
 	for (bool is_listed : {false, true}) {
 		CellWorld w;
 
-		w.long_polls = true;
-		w.begin({"w1"});
-		w.submit(7, {CellWorld::task_step(1)});
-		Call start = take_call(&w, Call::START);
-		restart(&w, "w1");
-		w.answer(start);
-		w.add_worker("w2");
+		start_on_new_process(&w, CellWorld::task_step(1));
 		if (is_listed) {
 			w.announce("w1");
 			w.drop_unanswered();
