host_call: tell jobs that are not read yet from a store that is down

Change: reason=jobs_unread, and -1 as long as the jobs have never been read. The answer to the caller is the same.

--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -58,6 +58,14 @@
 	free(c);
 }
 
+/* -1 before the jobs have been read once. */
+static int64_t log_age_ms(const struct host *h)
+{
+	return h->job_follower.caught_up_ms
+		       ? h->now_ms - h->job_follower.caught_up_ms
+		       : -1;
+}
+
 void call_answer(struct host *h, struct host_call *c, int status,
 		 uint32_t retry_ms, const char *body)
 {
@@ -69,8 +77,7 @@
 			 "may_be_stored=%d log_age_ms=%lld",
 			 c->id, kinds[c->kind], status,
 			 (long long)(h->now_ms - c->arrived_ms),
-			 c->may_be_stored,
-			 (long long)(h->now_ms - h->job_follower.caught_up_ms));
+			 c->may_be_stored, (long long)log_age_ms(h));
 	if (c->kind == CALL_SUBMIT) {
 		h->counts.accepted += status == 200;
 		h->counts.refused += status == 503 || status == 429;
@@ -331,10 +338,11 @@
 	if (!h->job_follower.loaded || store_is_down(h)) {
 		h->counts.refused++;
 		log_line(LOG_WARN, "job refused",
-			 "job=%016" PRIx64 " queue=%s reason=store_down "
+			 "job=%016" PRIx64 " queue=%s reason=%s "
 			 "log_age_ms=%lld",
 			 id, q->name,
-			 (long long)(h->now_ms - h->job_follower.caught_up_ms));
+			 h->job_follower.loaded ? "store_down" : "jobs_unread",
+			 (long long)log_age_ms(h));
 		reply(h, r, 503, retry_after_ms(outage_ms(h), id), "{}");
 		return;
 	}
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -283,6 +283,39 @@
 	EXPECT_EQ(status("GET", path("p"), "a1"), 200);
 }
 
+/*
+ * After all hosts had been killed, 22 of 30 read the jobs for 2.3 s over narrow
+ * links and refused meanwhile. Their logs blamed a store that worked, with an
+ * age of the log that was the time since the machine had started.
+ */
+TEST_F(HostCall, TellsUnreadJobsFromAStoreThatIsDown)
+{
+	std::string log;
+
+	publish(config(1, ""));
+	reads = false;
+	follower_stop(&h.job_follower);
+	follower_start(&h.job_follower, clock_boot_ms());
+	testing::internal::CaptureStderr();
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 503);
+	log = testing::internal::GetCapturedStderr();
+	EXPECT_NE(log.find("reason=jobs_unread "), std::string::npos) << log;
+	EXPECT_NE(log.find("log_age_ms=-1\n"), std::string::npos) << log;
+
+	reads = true;
+	for (int i = 0; i < 4; i++)
+		tick();
+	reads = false;
+	h.store_failures = 1;
+	h.store_failed_ms = clock_boot_ms() - 60000;
+	h.job_follower.caught_up_ms = clock_boot_ms() - 60000;
+	testing::internal::CaptureStderr();
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 503);
+	log = testing::internal::GetCapturedStderr();
+	EXPECT_NE(log.find("reason=store_down "), std::string::npos) << log;
+	EXPECT_NE(log.find("log_age_ms=60"), std::string::npos) << log;
+}
+
 /* Deployments without client accounts must go on as before. */
 TEST_F(HostCall, NeedsNoKeyWithoutAccounts)
 {
