cell_crash: a crash whose cause other workers had in common is not charged

What callers saw: a job is shown as failed though no task of it has failed, after power losses or restarts of many workers within seconds (LOST). Cause: each crash was charged to all tasks that had just started there, at once. The other losses of the same cause become known up to seconds later, and then nothing took the charge back. A task that a first cause had made suspect starts apart from others, so a second cause found it alone: two crashes, the last alone, and its job failed. Change: cell_loss keeps the last 128 losses of workers, each with the time in which the process ended and the tasks that may have ended it. A loss is unexplained if its worker had no unsettled run, or if all of them have settled or ended elsewhere since. A crash is not charged if an unexplained loss may have happened at the same time. Before its job fails, a task is held until all workers have answered since, or for 2.5 to 5 s. Where a quarter of the workers is lost and nothing is unexplained, it is tried once more. A task with four crashes of any cause is given up once the last is charged. A worker that answers again as the same process has crashed under nobody. Tasks with two crashes start again once no worker has been lost for 1.5 s. Both sides of the evidence stand in the log lines. The stored record is unchanged; the next owner starts from the charges left, at least one of a suspect.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -5,6 +5,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_account.h"
+#include "cell/cell_crash.h"
 #include "cell/cell_job.h"
 #include "cell/cell_place.h"
 #include "cell/cell_progress.h"
@@ -419,6 +420,7 @@
 	cell_workers_tick(c);
 	cell_sizes_tick(c);
 	cell_recovery_tick(c);
+	cell_crash_tick(c);
 	jobs_tick(c);
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
 		c->place_due = true;
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -256,7 +256,7 @@
 		cost += FAR_DATA_COST;
 	if (t->avoid_worker == w->id)
 		cost += AVOID_COST;
-	if (t->crashes)
+	if (t->suspected)
 		cost += cell_crash_unsettled(w) * UNSETTLED_COST;
 	*out = cost;
 	return 0;
--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -4,6 +4,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_job.h"
+#include "cell/cell_loss.h"
 
 /* A run that its worker reports this long after its start has not crashed it.
  */
@@ -12,6 +13,23 @@
  * the last one, and in any case. */
 #define CRASHES_MIN 2
 #define CRASHES_MAX 3
+/* After this many crashes, whatever their cause, a task is given up if the last
+ * one had no cause in common with others. */
+#define CRASHES_SEEN_MAX 4
+/* If at least one worker in this many may have ended at the same time, a task
+ * is tried again up to CRASHES_SEEN_MAX crashes. */
+#define LOST_SHARE 4
+/* Within this time after a crash is known, so are the other losses of that
+ * time, and most tasks that crash no workers have settled elsewhere; for the
+ * others, the verdict waits up to VERDICT_MAX_MS. */
+#define VERDICT_MS 2500
+#define VERDICT_MAX_MS 5000
+#define VERDICTS_PERIOD_MS 100
+/* A task with CRASHES_MIN crashes, whatever their cause, is tried again once no
+ * worker has been lost for this long, so that the next crash is conclusive; but
+ * after CALM_WAIT_MAX_MS in any case. */
+#define CALM_MS 1500
+#define CALM_WAIT_MAX_MS 8000
 /* A worker takes no other tasks during a trial, as long as no more than one
  * worker in this many has one. */
 #define TRIAL_SHARE 4
@@ -38,7 +56,7 @@
 	t->settled = false;
 	t->started_clock = 0;
 	t->crash_doubt = DOUBT_NONE;
-	if (t->crashes)
+	if (t->suspected)
 		trial_begin(c, t);
 }
 
@@ -53,13 +71,28 @@
 		t->started_clock = clock;
 }
 
-static void set_crashes(struct cell *c, struct cell_task *t, uint8_t n)
+static void set_suspected(struct cell *c, struct cell_task *t, bool suspected)
 {
-	t->step->suspects += (n != 0) - (t->crashes != 0);
-	t->crashes = n;
+	t->step->suspects += (uint32_t)suspected - (uint32_t)t->suspected;
+	t->suspected = suspected;
 	cell_job_mark_dirty(c, t->step->job);
 }
 
+/* The next owner knows of no loss before its time: a crash that is not charged
+ * leaves the task suspected there. */
+uint8_t cell_crash_stored(const struct cell_task *t)
+{
+	return t->suspected && !t->crashes ? 1 : t->crashes;
+}
+
+void cell_crash_recover(struct cell_task *t, uint8_t crashes)
+{
+	t->crashes = crashes;
+	t->crashes_seen = crashes;
+	t->suspected = crashes != 0;
+	t->step->suspects += t->suspected;
+}
+
 void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock)
 {
 	cell_crash_started(t, clock);
@@ -68,12 +101,20 @@
 		return;
 	t->settled = true;
 	trial_end(c, t);
-	if (t->crashes)
-		set_crashes(c, t, 0);
+	cell_loss_clear(c, t);
+	t->crashes = 0;
+	t->crashes_seen = 0;
+	if (t->suspected)
+		set_suspected(c, t, false);
+}
+
+void cell_crash_ended(struct cell *c, struct cell_task *t, enum run_end how)
+{
+	if (how == RUN_DONE || how == RUN_FAILED)
+		cell_loss_clear(c, t);
 }
 
-/* Whether the run may have been active and has not been seen to settle. */
-static bool is_unsettled(const struct cell_task *t)
+bool cell_crash_is_unsettled(const struct cell_task *t)
 {
 	return t->state != TASK_STORING && !t->settled;
 }
@@ -84,14 +125,14 @@
 	uint32_t n = 0;
 
 	for (t = w->first_task; t; t = t->next)
-		n += is_unsettled(t);
+		n += cell_crash_is_unsettled(t);
 	return n;
 }
 
 bool cell_crash_may_share(const struct cell_task *t,
 			  const struct cell_worker *w)
 {
-	return !t->crashes || !w->trials;
+	return !t->suspected || !w->trials;
 }
 
 bool cell_crash_trial_blocks(const struct cell *c, const struct cell_worker *w)
@@ -108,7 +149,7 @@
 	const struct cell_task *t;
 
 	for (t = w->first_task; t; t = t->next) {
-		if (!is_unsettled(t))
+		if (!cell_crash_is_unsettled(t))
 			continue;
 		if (j && j != t->step->job)
 			return NULL;
@@ -125,25 +166,266 @@
 	return only == t->step->job && t->started_clock;
 }
 
-static void charge(struct cell *c, struct cell_task *t, bool alone)
+static bool is_enough(const struct cell_task *t, bool alone)
+{
+	return t->crashes >= CRASHES_MAX ||
+	       t->crashes_seen >= CRASHES_SEEN_MAX ||
+	       (t->crashes >= CRASHES_MIN && alone);
+}
+
+static void give_up(struct cell *c, struct cell_task *t, bool alone,
+		    const struct loss_evidence *e)
 {
 	struct cell_job *j = t->step->job;
 
-	t->crash_doubt = DOUBT_NONE;
-	if (job_state_is_terminal(j->state) || !is_unsettled(t))
+	log_line(LOG_WARN, "task given up: workers crashed under it",
+		 "job=%016" PRIx64 " step=%u index=%u crashes=%u seen=%u "
+		 "alone=%d others_lost=%u unexplained=%u silent=%u",
+		 j->entry->id, t->step->number, t->index, t->crashes,
+		 t->crashes_seen, alone, e->others, e->unexplained, e->silent);
+	cell_loss_explain(c, t);
+	cell_job_settle(c, j, JOB_FAILED);
+}
+
+static void count_crash(struct cell *c, struct cell_task *t,
+			struct worker_loss *l, uint32_t i, bool alone)
+{
+	t->crashes++;
+	t->crashes_seen++;
+	set_suspected(c, t, true);
+	if (!l)
 		return;
-	set_crashes(c, t, t->crashes + 1);
+	l->charged |= 1U << i;
+	l->alone |= (uint32_t)alone << i;
+}
+
+static void log_crash(const struct cell_task *t, uint32_t run,
+		      const struct cell_worker *w, bool alone)
+{
 	log_line(LOG_WARN, "worker crashed under a task",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s "
-		 "crashes=%u alone=%d",
-		 j->entry->id, t->step->number, t->index, t->run,
-		 t->worker->entry.addr.id, t->crashes, alone);
-	if (t->crashes < CRASHES_MAX && (t->crashes < CRASHES_MIN || !alone))
+		 "crashes=%u seen=%u alone=%d",
+		 t->step->job->entry->id, t->step->number, t->index, run,
+		 w->entry.addr.id, t->crashes, t->crashes_seen, alone);
+}
+
+static void charge(struct cell *c, struct cell_task *t, bool alone)
+{
+	struct cell_job *j = t->step->job;
+	struct loss_evidence none = {0};
+	struct worker_loss *l;
+	uint32_t i = 0;
+
+	t->crash_doubt = DOUBT_NONE;
+	if (job_state_is_terminal(j->state) || !cell_crash_is_unsettled(t))
 		return;
-	log_line(LOG_WARN, "task given up: workers crashed under it",
-		 "job=%016" PRIx64 " step=%u index=%u crashes=%u", j->entry->id,
-		 t->step->number, t->index, t->crashes);
-	cell_job_settle(c, j, JOB_FAILED);
+	l = cell_loss_find(c, t, &i);
+	count_crash(c, t, l, i, alone);
+	log_crash(t, t->run, t->worker, alone);
+	if (!is_enough(t, alone))
+		return;
+	if (!l) {
+		/* Nothing is known that speaks for the task. */
+		if (t->crashes_seen >= CRASHES_SEEN_MAX)
+			give_up(c, t, alone, &none);
+		return;
+	}
+	t->held = true;
+	l->pending |= 1U << i;
+	l->charged_ms = c->now_ms;
+	c->verdicts++;
+}
+
+static void release(struct cell *c, struct cell_task *t)
+{
+	t->held = false;
+	c->place_due = true;
+}
+
+static void verdict_end(struct cell *c, struct worker_loss *l, uint32_t i)
+{
+	l->pending &= ~(1U << i);
+	c->verdicts--;
+}
+
+static void excuse(struct cell *c, struct cell_task *t, struct worker_loss *l,
+		   uint32_t i)
+{
+	l->excused |= 1U << i;
+	if (!t->crashes)
+		return;
+	t->crashes--;
+	cell_job_mark_dirty(c, t->step->job);
+}
+
+/* Take back the charges for crashes that others had in common. */
+static void excuse_common(struct cell *c, struct cell_task *t)
+{
+	struct loss_evidence e;
+	uint32_t i;
+	size_t n;
+
+	for (n = 0; n < LOSSES_MAX; n++) {
+		struct worker_loss *l = &c->losses[n];
+
+		if (!cell_loss_lists(l, t, &i) ||
+		    !((l->charged & ~l->excused & ~l->cleared) >> i & 1))
+			continue;
+		cell_loss_weigh(c, l, &e);
+		if (e.unexplained)
+			excuse(c, t, l, i);
+	}
+}
+
+/*
+ * Where a large share of the workers ends at once, and the tasks that they had
+ * started are all held, nothing tells a common cause from tasks that crash
+ * their workers. What the task does when it is tried once more decides.
+ */
+static bool is_undecided(const struct cell *c, const struct cell_task *t,
+			 const struct loss_evidence *e)
+{
+	uint64_t lost = (uint64_t)e->others + e->silent + 1;
+
+	return lost > 1 && lost * LOST_SHARE >= index_count(&c->worker_ids) &&
+	       t->crashes_seen < CRASHES_SEEN_MAX;
+}
+
+/* Whether what is not known yet may speak for the task. */
+static bool is_open(const struct cell *c, const struct worker_loss *l,
+		    const struct loss_evidence *e)
+{
+	int64_t ms = c->now_ms - l->charged_ms;
+
+	if (ms < VERDICT_MS)
+		return e->others || e->awaited;
+	return ms < VERDICT_MAX_MS && cell_loss_is_tried(c, l);
+}
+
+static void judge(struct cell *c, struct cell_task *t, struct worker_loss *l,
+		  uint32_t i)
+{
+	bool alone = l->alone >> i & 1, is_guilty;
+	struct loss_evidence e;
+
+	excuse_common(c, t);
+	cell_loss_weigh(c, l, &e);
+	is_guilty = !(l->excused >> i & 1) && is_enough(t, alone);
+	if (is_guilty && is_open(c, l, &e))
+		return;
+	verdict_end(c, l, i);
+	release(c, t);
+	if (is_guilty && !is_undecided(c, t, &e)) {
+		give_up(c, t, alone, &e);
+		return;
+	}
+	log_line(LOG_WARN, "task tried again though workers crashed under it",
+		 "job=%016" PRIx64 " step=%u index=%u crashes=%u seen=%u "
+		 "alone=%d others_lost=%u unexplained=%u silent=%u",
+		 t->step->job->entry->id, t->step->number, t->index, t->crashes,
+		 t->crashes_seen, alone, e.others, e.unexplained, e.silent);
+}
+
+static void judge_pending(struct cell *c, struct worker_loss *l)
+{
+	uint32_t i;
+
+	for (i = 0; l->pending && i < l->count; i++) {
+		struct cell_task *t;
+
+		if (!(l->pending >> i & 1))
+			continue;
+		t = cell_task_find(c, &l->tasks[i]);
+		if (t && t->held && t->state == TASK_WAITING &&
+		    !job_state_is_terminal(t->step->job->state)) {
+			judge(c, t, l, i);
+			continue;
+		}
+		verdict_end(c, l, i);
+		if (t)
+			release(c, t);
+	}
+}
+
+void cell_crash_tick(struct cell *c)
+{
+	size_t n;
+
+	if (!c->verdicts || c->now_ms < c->verdicts_due_ms)
+		return;
+	c->verdicts_due_ms = c->now_ms + VERDICTS_PERIOD_MS;
+	for (n = 0; n < LOSSES_MAX; n++)
+		judge_pending(c, &c->losses[n]);
+}
+
+bool cell_crash_is_held(const struct cell *c, const struct cell_task *t)
+{
+	return t->held || (t->crashes_seen >= CRASHES_MIN &&
+			   c->now_ms - c->lost_ms < CALM_MS &&
+			   c->now_ms - t->retry_at_ms < CALM_WAIT_MAX_MS);
+}
+
+void cell_crash_charge_ended(struct cell *c, const struct cell_worker *w)
+{
+	struct worker_loss *l;
+	struct cell_task *t;
+	uint32_t i;
+
+	if (!w->loss_noted || w->first_task)
+		return;
+	l = cell_loss_of(c, w);
+	for (i = 0; l && i < l->count; i++) {
+		t = cell_task_find(c, &l->tasks[i]);
+		if (!t || (l->charged | l->cleared) >> i & 1 ||
+		    t->state == TASK_DONE ||
+		    job_state_is_terminal(t->step->job->state))
+			continue;
+		count_crash(c, t, l, i, false);
+		log_crash(t, l->tasks[i].run, w, false);
+	}
+}
+
+/* Empty an entry of the losses; the charges of the tasks in the bit mask @tasks
+ * are taken back. */
+static void forget(struct cell *c, struct worker_loss *l, uint32_t tasks)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->count; i++) {
+		struct cell_task *t = cell_task_find(c, &l->tasks[i]);
+
+		if (t && (tasks & ~l->excused & ~l->cleared) >> i & 1)
+			excuse(c, t, l, i);
+		if (!(l->pending >> i & 1))
+			continue;
+		verdict_end(c, l, i);
+		if (t)
+			release(c, t);
+	}
+	memset(l, 0, sizeof(*l));
+}
+
+void cell_crash_forget_loss(struct cell *c, struct worker_loss *l)
+{
+	forget(c, l, l->pending);
+}
+
+void cell_crash_restarted(struct cell_worker *w)
+{
+	w->loss_noted = false;
+}
+
+void cell_crash_answered(struct cell *c, struct cell_worker *w)
+{
+	size_t n;
+
+	if (!w->loss_noted)
+		return;
+	w->loss_noted = false;
+	for (n = 0; n < LOSSES_MAX; n++)
+		if (c->losses[n].worker == w->id &&
+		    c->losses[n].from_ms == w->answered_ms)
+			forget(c, &c->losses[n], c->losses[n].charged);
 }
 
 void cell_crash_charge(struct cell *c, struct cell_worker *w)
@@ -153,6 +435,7 @@
 
 	if (w->entry.draining)
 		return;
+	cell_loss_note(c, w);
 	for (t = w->first_task; t; t = next) {
 		next = t->next;
 		charge(c, t, is_conclusive(t, only));
@@ -166,6 +449,7 @@
 
 	if (w->entry.draining)
 		return;
+	cell_loss_note(c, w);
 	for (t = w->first_task; t; t = next) {
 		bool alone = is_conclusive(t, only);
 
--- a/src/cell/cell_crash.h
+++ b/src/cell/cell_crash.h
@@ -14,9 +14,10 @@
  * had just started
  *
  * A task without a settled run is given up, and its job fails, after repeated
- * crashes: sooner if no other job can have caused the last one. A draining
- * worker is expected to leave, which counts as no crash. The caller ends the
- * runs afterwards.
+ * crashes: sooner if no other job can have caused the last one. Before, it is
+ * held back until the other losses of that time are known: a crash whose cause
+ * other workers had in common is not charged. A draining worker is expected to
+ * leave, which counts as no crash. The caller ends the runs afterwards.
  */
 void cell_crash_charge(struct cell *c, struct cell_worker *w);
 
@@ -38,6 +39,12 @@
  */
 void cell_crash_charge_lost(struct cell *c, struct cell_task *t);
 
+/**
+ * cell_crash_charge_ended() - charge the tasks whose runs ended with the leases
+ * of a worker, now that its process is known to have ended
+ */
+void cell_crash_charge_ended(struct cell *c, const struct cell_worker *w);
+
 /**
  * cell_crash_attach() - note that a task has been assigned to a worker
  *
@@ -64,6 +71,56 @@
  */
 void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock);
 
+/**
+ * cell_crash_ended() - note how a run has ended
+ */
+void cell_crash_ended(struct cell *c, struct cell_task *t, enum run_end how);
+
+/**
+ * cell_crash_recover() - take over what a former owner has stored
+ */
+void cell_crash_recover(struct cell_task *t, uint8_t crashes);
+
+/**
+ * cell_crash_stored() - what the next owner has to know of a task's crashes
+ */
+uint8_t cell_crash_stored(const struct cell_task *t);
+
+/**
+ * cell_crash_restarted() - note that a new process of a worker is known
+ */
+void cell_crash_restarted(struct cell_worker *w);
+
+/**
+ * cell_crash_answered() - note that a worker has answered
+ *
+ * If its end was noted, its process has not ended after all.
+ */
+void cell_crash_answered(struct cell *c, struct cell_worker *w);
+
+/**
+ * cell_crash_forget_loss() - empty an entry of the losses
+ *
+ * Tasks whose last crash it was to be judged by are not held any longer.
+ */
+void cell_crash_forget_loss(struct cell *c, struct worker_loss *l);
+
+/**
+ * cell_crash_tick() - decide on the tasks that are held
+ */
+void cell_crash_tick(struct cell *c);
+
+/**
+ * cell_crash_is_held() - whether a task may not be placed yet
+ */
+bool cell_crash_is_held(const struct cell *c, const struct cell_task *t);
+
+/**
+ * cell_crash_is_unsettled() - whether a run may have been active and has not
+ * been seen to settle
+ */
+bool cell_crash_is_unsettled(const struct cell_task *t);
+
 /**
  * cell_crash_unsettled() - count the runs on a worker that have not settled
  */
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "cell/cell_cost.h"
+#include "cell/cell_crash.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 #include "cell/cell_room.h"
@@ -98,6 +99,7 @@
 		return;
 	for (i = 0; i < st->spec->count; i++)
 		if (c->now_ms < st->tasks[i].retry_at_ms ||
+		    cell_crash_is_held(c, &st->tasks[i]) ||
 		    cell_task_is_in_doubt(c, &st->tasks[i]))
 			return;
 	if (!cell_quota_fits(c, st, st->spec->count))
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -5,6 +5,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_account.h"
+#include "cell/cell_crash.h"
 #include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -286,6 +287,7 @@
 {
 	struct cell_job *j = t->step->job;
 
+	cell_crash_ended(c, t, how);
 	if (checkpoint && checkpoint[0])
 		name_set(t->checkpoint, checkpoint);
 	if (how == RUN_DONE)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -74,7 +74,7 @@
 static bool is_placeable(const struct cell *c, const struct cell_task *t)
 {
 	return t->state == TASK_WAITING && c->now_ms >= t->retry_at_ms &&
-	       !cell_task_is_in_doubt(c, t);
+	       !cell_crash_is_held(c, t) && !cell_task_is_in_doubt(c, t);
 }
 
 static uint64_t service_of(const struct cell *c, const struct cell_step *st)
@@ -117,7 +117,7 @@
 	for (i = 0; i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
 
-		if (!t->crashes || !is_placeable(c, t))
+		if (!t->suspected || !is_placeable(c, t))
 			continue;
 		if (!cell_quota_fits(c, st, 1))
 			return;
@@ -161,7 +161,7 @@
 		struct cell_task *t = &st->tasks[i];
 		struct cell_worker *w;
 
-		if (t->crashes || !is_placeable(c, t))
+		if (t->suspected || !is_placeable(c, t))
 			continue;
 		if (!cell_quota_fits(c, st, 1))
 			break;
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/logger.h"
+#include "cell/cell_crash.h"
 #include "cell/cell_job.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -182,10 +183,8 @@
 
 		failures.data += used;
 		failures.len -= used;
-		if (i < p->crashes.len) {
-			t->crashes = (uint8_t)p->crashes.data[i];
-			st->suspects += t->crashes != 0;
-		}
+		if (i < p->crashes.len)
+			cell_crash_recover(t, (uint8_t)p->crashes.data[i]);
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
 			t->run = (uint32_t)(c->epoch % RUN_EPOCHS) *
@@ -319,7 +318,7 @@
 		if (st->tasks[i].ordered && st->tasks[i].state != TASK_DONE)
 			worker_ref_write(&st->tasks[i],
 					 workers + WORKER_REF_BYTES * named++);
-		crashes[i] = (char)st->tasks[i].crashes;
+		crashes[i] = (char)cell_crash_stored(&st->tasks[i]);
 		used += failures_write(&st->tasks[i], failures + used);
 		failed |= st->tasks[i].failures > 0;
 	}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -106,7 +106,13 @@
  * @pace_in_flight: the throttle order with it has no reply yet
  * @paced_ms: when the last reply to a throttle order arrived
  * @avoid_worker: id of the worker that a run failed on last; 0 for none
- * @crashes: workers that crashed in a row soon after they started it
+ * @crashes: workers that crashed in a row soon after they started it, for no
+ *	cause that others had in common with them
+ * @crashes_seen: the same, whatever the cause, as far as this owner knows
+ * @suspected: a worker has crashed soon after it started it, and it has not
+ *	settled since
+ * @held: not placed before the evidence about its last crash is complete
+ * @in_loss: listed in a loss, see struct worker_loss
  * @crash_doubt: enum crash_doubt
  * @settled: the worker has reported the run long enough after its start
  * @on_trial: counted in @trials of its worker
@@ -133,7 +139,11 @@
 	bool settled;
 	bool on_trial;
 	bool in_quota;
+	bool suspected;
+	bool held;
+	bool in_loss;
 	uint8_t crashes;
+	uint8_t crashes_seen;
 	uint8_t crash_doubt;
 	uint8_t pace;
 	uint8_t pace_sent;
@@ -189,7 +199,7 @@
  * @number: index of the step in the job
  * @waiting: tasks without a worker that are not done
  * @done: tasks that are done, of @spec->count
- * @suspects: tasks with @crashes
+ * @suspects: tasks with @suspected
  * @image: name_hash() of the image
  * @curve: load curve; NULL unless the step is latency-critical
  * @no_fit_version: no worker whose @version is not higher meets its demand, as
@@ -333,9 +343,10 @@
  *	its clock was known
  * @answered_ms: when it answered a poll last
  * @backoff_until_ms: gets no new tasks before this time
- * @missed_polls: unanswered polls in a row
+ * @missed_polls: unanswered polls in a row, the first one as of @silent_ms
+ * @loss_noted: the end of its process has been noted, see cell_loss_note()
  * @refused: its host refused the connection for the last poll
- * @trials: unsettled runs there of tasks with @crashes
+ * @trials: unsettled runs there of suspected tasks
  * @backoff_level: back-offs since a run there ended as done; each doubles the
  *	pause of the next
  * @failed_job: job whose run failed there last
@@ -404,6 +415,8 @@
 	int64_t poll_due_ms;
 	int64_t backoff_until_ms;
 	uint32_t missed_polls;
+	int64_t silent_ms;
+	bool loss_noted;
 	bool refused;
 	uint32_t trials;
 	uint32_t backoff_level;
@@ -420,6 +433,42 @@
 	int64_t paced_ms;
 };
 
+/* Losses of workers that are kept as evidence, the newest ones, and the tasks
+ * listed with each. */
+#define LOSSES_MAX 128
+#define LOSS_TASKS_MAX 24
+
+/**
+ * struct worker_loss - the end of a worker's process that nobody announced
+ * @worker: id of the worker; 0 for an empty entry
+ * @from_ms: it answered last then, and @to_ms: it is known to have ended then
+ * @charged_ms: when a task was charged with it last
+ * @explained: a task that is listed here has been given up
+ * @has_others: runs that are not listed here may have been unsettled
+ * @count: tasks with an unsettled run there, in @tasks
+ * @cleared: of these, as a bit mask, those that have since run elsewhere and
+ *	crashed nothing
+ * @charged: bit mask of those that were charged
+ * @alone: no other job's run can have caused the end
+ * @excused: the charge was taken back
+ * @pending: held until it is decided whether they are given up
+ */
+struct worker_loss {
+	uint64_t worker;
+	int64_t from_ms;
+	int64_t to_ms;
+	int64_t charged_ms;
+	bool has_others;
+	bool explained;
+	uint32_t count;
+	uint32_t cleared;
+	uint32_t charged;
+	uint32_t alone;
+	uint32_t excused;
+	uint32_t pending;
+	struct task_ref tasks[LOSS_TASKS_MAX];
+};
+
 /* Size of the cache of demands that no worker met. */
 #define NO_FIT_MAX 64
 
@@ -501,6 +550,9 @@
  * @calls: calls to workers in flight
  * @poll_seq: number of the last poll
  * @trials: sum of @trials of all workers
+ * @losses: the newest losses of workers, overwritten in turn at @losses_noted,
+ *	the last one noted at @lost_ms
+ * @verdicts: sum of the tasks in @pending of all losses
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
@@ -538,6 +590,11 @@
 	uint32_t calls;
 	uint64_t poll_seq;
 	uint32_t trials;
+	uint32_t verdicts;
+	size_t losses_noted;
+	int64_t lost_ms;
+	int64_t verdicts_due_ms;
+	struct worker_loss losses[LOSSES_MAX];
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
 	int64_t jobs_due_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -8,6 +8,7 @@
 #include "cell/cell_crash.h"
 #include "cell/cell_job.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_loss.h"
 #include "cell/cell_pace.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -142,6 +143,7 @@
 	struct cell_task *t, *next;
 
 	cell_crash_charge_listed(c, w);
+	cell_crash_charge_ended(c, w);
 	for (t = w->first_task; t; t = next) {
 		next = t->next;
 		if (t->state == TASK_STORING || t->reported_ms) {
@@ -191,6 +193,7 @@
 	w->lease_frozen = false;
 	w->backoff_level = 0;
 	w->fail_streak = 0;
+	cell_crash_restarted(w);
 }
 
 struct cell_worker *cell_worker_recover(struct cell *c,
@@ -273,6 +276,8 @@
 	if (!w || !w->registered)
 		return;
 	w->registered = false;
+	cell_loss_note(c, w);
+	cell_crash_charge_ended(c, w);
 	log_line(LOG_INFO, "worker left the registry", "worker=%s tasks=%u", id,
 		 w->task_count);
 }
@@ -441,6 +446,7 @@
 		return;
 	if (r->born > w->entry.born)
 		worker_reset(c, w, r->born, "poll");
+	cell_crash_answered(c, w);
 	w->clock = r->clock;
 	w->clock_received_ms = c->now_ms;
 	w->answered_ms = c->now_ms;
@@ -506,7 +512,8 @@
 		return;
 	}
 	w->poll_due_ms = c->now_ms + POLL_RETRY_MS;
-	w->missed_polls++;
+	if (!w->missed_polls++)
+		w->silent_ms = c->now_ms;
 	w->refused = r->refused;
 	if (r->status == ORDER_RESTARTED) {
 		/* No worker with this id listens at the address any more. */
@@ -588,7 +595,8 @@
 			 "worker=%s tasks=%u answered_ms_ago=%lld",
 			 w->entry.addr.id, w->task_count,
 			 (long long)(c->now_ms - w->answered_ms));
-		if (w->refused)
+		cell_loss_note(c, w);
+		if (w->refused || !w->registered)
 			cell_crash_charge(c, w);
 		mark_all_runs_lost(c, w);
 	}
--- a/tests/cell_crash_test.cc
+++ b/tests/cell_crash_test.cc
@@ -616,3 +616,44 @@
 	for (uint64_t job : {1, 2, 3, 4, 5})
 		expect_given_up(w, job);
 }
+
+/* All tasks of a step crash their workers, so several workers end at a time. */
+TEST(CellCrash, GivesUpAStepWhoseTasksAllCrashTheirWorkers)
+{
+	BusyWorld w;
+
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(6, 9000)});
+	w.fill(4);
+	w.play(60000);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_FAILED);
+	EXPECT_LE(w.starts_of[7], STARTS_MAX * 6);
+	w.expect_all_completed(100);
+}
+
+/* A worker that does not answer for a while, and whose process lives on, is no
+ * evidence of a cause that ends processes. */
+TEST(CellCrash, GivesUpATaskBesideWorkersThatAreCutOff)
+{
+	BusyWorld w;
+	int starts = 0;
+
+	w.begin(EIGHT);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(1)});
+	for (int64_t end = w.now + 60000; w.now < end;) {
+		w.play(5);
+		if (w.starts_of[7] == starts)
+			continue;
+		starts = w.starts_of[7];
+		for (auto &id : {"w7", "w8"})
+			if (w.worker_of(7) != id && w.is_up(id))
+				w.workers[id].reachable = false;
+		w.play(3000);
+		for (auto &id : {"w7", "w8"})
+			if (w.is_up(id))
+				w.workers[id].reachable = true;
+	}
+	expect_given_up(w, 7);
+}
