--- a/tools/random_days.sh
+++ b/deploy/random_days.sh
@@ -73,7 +73,7 @@
 # write_days SEED...
 write_days()
 {
-	table | awk -F '|' -v seeds="$*" -v skip="${SKIP:-}" -f tools/random_days.awk
+	table | awk -F '|' -v seeds="$*" -v skip="${SKIP:-}" -f deploy/random_days.awk
 }
 
 # result OUTPUT: `clean`, the broken rules, or nothing if the day was not played. The
--- a/tools/random_days_test.sh
+++ b/deploy/random_days_test.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.." || exit
 tmp=$(mktemp -d)
 trap 'rm -rf "$tmp"' EXIT
-days="bash tools/random_days.sh"
+days="bash deploy/random_days.sh"
 PASSED=0
 FAILED=0
 
