cell_poll: polls of workers in a module of their own

Cause: cell_worker.c had grown to 655 lines. Change: what sends polls and applies their replies moves to cell_poll.c; cell_worker_reset() has a header entry, nothing else changes.

--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -9,44 +9,23 @@
 #include "cell/cell_job.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_loss.h"
-#include "cell/cell_pace.h"
+#include "cell/cell_poll.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 #include "cell/cell_sizes.h"
 #include "cell/cell_task.h"
 
-/* Long-poll wait for a worker that runs both latency-critical and best-effort
- * tasks: the tail latency that it reports covers half a second. Also for a
- * worker with a trial, which ends with a report of the run. */
-#define POLL_SAMPLE_MS 500
-/* Poll period of a worker that runs no task. */
-#define POLL_IDLE_MS 1500
 /* Back-off from a worker after starts that it refused or that did not reach it,
  * or a streak of failed runs: doubles from the first value up to the maximum.
  */
 #define BACKOFF_FIRST_MS 300
 #define BACKOFF_MAX_MS 4800
-/* Runs of different jobs that fail in a row on a worker before the owner backs
- * off from it. */
-#define FAIL_STREAK_MAX 3
-/* Greatest number of ended runs in one reply: a list of this length may be
- * incomplete. */
-#define ENDED_PAGE_MAX 500
-/* Interval of polls while one of a former process is in flight. No poll waits
- * at the worker meanwhile: orders to it would have to wait as well. */
-#define POLL_STALE_MS 50
 /* Period of the pass that sends stops and repeats unconfirmed ones. */
 #define STOPS_PERIOD_MS 50
 /* Time before a draining worker leaves at which its long-running and
  * checkpointing tasks are stopped. */
 #define DRAIN_MARGIN_MS 1500
 
-/* Context of a poll in flight. */
-struct cell_poll {
-	struct cell *cell;
-	uint64_t seq;
-};
-
 struct cell_worker *cell_worker_find(const struct cell *c, const char *id)
 {
 	return index_get(&c->worker_ids, name_hash(id));
@@ -156,10 +135,8 @@
 	}
 }
 
-/* The worker process has restarted: its clock, leases and numbering of ends are
- * void. */
-static void worker_reset(struct cell *c, struct cell_worker *w, uint64_t born,
-			 const char *source)
+void cell_worker_reset(struct cell *c, struct cell_worker *w, uint64_t born,
+		       const char *source)
 {
 	uint32_t runs = w->task_count, confirmed;
 	uint32_t unlisted = count_unlisted(w, &confirmed);
@@ -258,7 +235,7 @@
 		return;
 	old = *w;
 	if (e->born > w->entry.born) {
-		worker_reset(c, w, e->born, "registry");
+		cell_worker_reset(c, w, e->born, "registry");
 		w->poll_due_ms = c->now_ms;
 	}
 	w->entry = *e;
@@ -314,261 +291,6 @@
 		 "worker=%s pause_ms=%lld", w->entry.addr.id, (long long)pause);
 }
 
-static void record_failure(struct cell *c, struct cell_worker *w,
-			   const struct cell_task *t)
-{
-	uint64_t job = t->step->job->entry->id;
-
-	if (w->failed_job == job)
-		return;
-	w->failed_job = job;
-	if (++w->fail_streak >= FAIL_STREAK_MAX)
-		cell_worker_back_off(c, w);
-}
-
-static bool has_mixed_load(const struct cell_worker *w)
-{
-	return w->cpu_serving && w->cpu_best_effort;
-}
-
-/* Return: whether a run that a worker reports is the task's, or becomes it. */
-static bool is_run_of(struct cell *c, struct cell_task *t,
-		      struct cell_worker *w, const struct task_ref *ref,
-		      uint64_t clock)
-{
-	if (t && t->worker == w && t->run == ref->run)
-		return true;
-	if (!t || t->state != TASK_WAITING || !t->step->job->recovered ||
-	    job_state_is_terminal(t->step->job->state))
-		return false;
-	cell_task_adopt(c, t, w, ref->run);
-	cell_crash_started(t, clock);
-	return true;
-}
-
-static void apply_running(struct cell *c, struct cell_worker *w,
-			  const struct run_row *r,
-			  const struct poll_reply *reply)
-{
-	struct cell_task *t = cell_task_find(c, &r->ref);
-
-	if (!is_run_of(c, t, w, &r->ref, reply->clock)) {
-		cell_quota_hold_orphan(c, w, &r->ref);
-		cell_stop_orphan(c, w, &r->ref);
-		return;
-	}
-	t->reported_ms = reply->sent_ms;
-	t->percent = (uint8_t)r->progress_percent;
-	t->measure = r->measure;
-	if (r->checkpoint[0])
-		name_set(t->checkpoint, r->checkpoint);
-	cell_task_confirm(c, t);
-	cell_crash_reported(c, t, reply->clock);
-}
-
-static void log_unfinished_end(const struct cell_worker *w,
-			       const struct cell_task *t,
-			       const struct ended_run *e)
-{
-	static const char *const names[] = {
-		[RUN_STOPPED] = "stopped",
-		[RUN_EXPIRED] = "expired",
-		[RUN_GANG_BROKEN] = "gang_broken",
-		[RUN_GANG_INCOMPLETE] = "gang_incomplete",
-	};
-
-	if (e->how == RUN_DONE || e->how == RUN_FAILED)
-		return;
-	log_line(LOG_INFO, "run ended unfinished",
-		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s how=%s "
-		 "current=%d in_doubt=%d",
-		 e->ref.job, e->ref.step, e->ref.index, e->ref.run,
-		 w->entry.addr.id, names[e->how], t->worker == w,
-		 t->doubt_ref != WORKER_REF_NONE);
-}
-
-static void apply_end(struct cell *c, struct cell_worker *w,
-		      const struct ended_run *e)
-{
-	struct cell_task *t = cell_task_find(c, &e->ref);
-
-	if (e->number <= w->last_end)
-		return;
-	w->last_end = e->number;
-	c->has_new_ends = true;
-	if (!t)
-		return;
-	log_unfinished_end(w, t, e);
-	if (t->worker == w && t->run == e->ref.run) {
-		if (e->how == RUN_FAILED) {
-			t->avoid_worker = w->id;
-			record_failure(c, w, t);
-		} else if (e->how == RUN_DONE) {
-			w->fail_streak = 0;
-			w->backoff_level = 0;
-		}
-		cell_task_end_run(c, t, e->how, e->checkpoint);
-		return;
-	}
-	/* A run of a former owner, or one marked lost before. */
-	if (t->state == TASK_WAITING)
-		cell_task_apply_end(c, t, e->ref.run, e->how, e->checkpoint);
-	else if (e->how == RUN_FAILED)
-		cell_task_count_failure(c, t, e->ref.run);
-}
-
-/*
- * Mark lost the runs that the worker no longer lists. A run whose start or stop
- * was confirmed after the poll was sent is checked against a later reply.
- */
-static void mark_missing_runs_lost(struct cell *c, struct cell_worker *w,
-				   int64_t sent_ms)
-{
-	struct cell_task *t, *next;
-
-	for (t = w->first_task; t; t = next) {
-		next = t->next;
-		if (t->reported_ms == sent_ms)
-			continue;
-		if (t->state == TASK_RUNNING && t->confirmed_ms < sent_ms) {
-			log_line(LOG_WARN, "worker no longer lists a run",
-				 "job=%016" PRIx64 " step=%u index=%u run=%u "
-				 "worker=%s",
-				 t->step->job->entry->id, t->step->number,
-				 t->index, t->run, w->entry.addr.id);
-			cell_crash_charge_lost(c, t);
-			cell_task_mark_lost(c, t);
-		} else if (t->state == TASK_STOPPING && t->stop_confirmed_ms &&
-			   t->stop_confirmed_ms < sent_ms) {
-			cell_crash_charge_lost(c, t);
-			cell_task_mark_lost(c, t);
-		}
-	}
-}
-
-static void apply_poll_reply(struct cell *c, struct cell_worker *w,
-			     const struct poll_reply *r)
-{
-	size_t i;
-
-	if (r->born && r->born < w->entry.born)
-		return;
-	if (r->born > w->entry.born)
-		worker_reset(c, w, r->born, "poll");
-	cell_crash_answered(c, w);
-	if (w->sent_ack)
-		w->forgotten_end = w->sent_ack;
-	w->clock = r->clock;
-	w->clock_received_ms = c->now_ms;
-	w->answered_ms = c->now_ms;
-	w->missed_polls = 0;
-	cell_lease_thaw(c, w);
-	w->refused = false;
-	if (!w->confirmed)
-		cell_lease_adopt(c, w, r->clock);
-	cell_quota_release_orphans(c, w);
-	for (i = 0; i < r->running_count; i++)
-		apply_running(c, w, &r->running[i], r);
-	for (i = 0; i < r->ended_count; i++)
-		apply_end(c, w, &r->ended[i]);
-	if (r->ended_count < ENDED_PAGE_MAX) {
-		mark_missing_runs_lost(c, w, r->sent_ms);
-		cell_recovery_resolve(c, w);
-	}
-	if (!w->confirmed) {
-		w->confirmed = true;
-		c->place_due = true;
-	}
-	cell_pace_worker(c, w);
-	cell_worker_mark_changed(c, w);
-	w->poll_due_ms = c->now_ms;
-	if (w->last_end != w->acked_end || w->orphans)
-		w->poll_due_ms += POLL_STALLED_MS;
-	else if (!w->task_count)
-		w->poll_due_ms += POLL_IDLE_MS;
-	else if (w->stale_polls)
-		w->poll_due_ms += POLL_STALE_MS;
-}
-
-static void on_poll_reply(void *ctx, const struct worker_addr *a,
-			  const struct poll_reply *r)
-{
-	struct cell_poll *p = ctx;
-	struct cell *c = p->cell;
-	uint64_t seq = p->seq;
-	struct cell_worker *w;
-
-	free(p);
-	if (!cell_call_end(c))
-		return;
-	if (r->status == ORDER_FENCED) {
-		c->ops->fenced(c->ctx);
-		return;
-	}
-	w = cell_worker_find(c, a->id);
-	if (!w)
-		return;
-	if (!w->poll_in_flight || w->poll_seq != seq) {
-		if (w->stale_polls)
-			w->stale_polls--;
-		return;
-	}
-	w->poll_in_flight = false;
-	if (r->status == ORDER_OK) {
-		apply_poll_reply(c, w, r);
-		return;
-	}
-	if (!cell_worker_has_address(w, a)) {
-		w->poll_due_ms = c->now_ms;
-		return;
-	}
-	w->poll_due_ms = c->now_ms + POLL_RETRY_MS;
-	if (!w->missed_polls++)
-		w->silent_ms = c->now_ms;
-	w->refused = r->refused;
-	if (r->status == ORDER_RESTARTED) {
-		/* No worker with this id listens at the address any more. */
-		cell_worker_crashed(c, w);
-		w->confirmed = true;
-		w->clock_received_ms = c->now_ms;
-		w->lease_end_ms = w->clock;
-		cell_recovery_resolve(c, w);
-		return;
-	}
-	log_line(LOG_DEBUG, "worker did not answer", "worker=%s status=%d",
-		 a->id, (int)r->status);
-}
-
-static void send_poll(struct cell *c, struct cell_worker *w)
-{
-	struct cell_poll *p = xcalloc(1, sizeof(*p));
-	struct poll_request h = {0};
-
-	p->cell = c;
-	p->seq = ++c->poll_seq;
-	h.fence = c->epoch;
-	/* An unanswered renewal may have arrived and extended the lease. A
-	 * worker that does not answer gets no further renewals, so that its
-	 * lease runs out and its runs end within a known time. */
-	if (!w->missed_polls && w->stored && !w->lease_frozen)
-		h.lease_deadline_ms = cell_lease_extend(c, w);
-	/* A new process numbers its ends anew, and would forget those up to an
-	 * acknowledgement meant for the former one. */
-	if (!w->missed_polls && w->acked_end != w->forgotten_end)
-		h.ack = w->acked_end;
-	w->sent_ack = h.ack;
-	/* After a missed poll, tasks and leases wait for the reply. */
-	if (w->confirmed && w->task_count && !w->missed_polls &&
-	    !w->stale_polls && w->last_end == w->acked_end)
-		h.wait_ms = w->trials || has_mixed_load(w)
-				    ? POLL_SAMPLE_MS
-				    : c->opt.poll_wait_ms;
-	w->poll_in_flight = true;
-	w->poll_seq = p->seq;
-	cell_call_begin(c);
-	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, p);
-}
-
 static void worker_remove(struct cell *c, struct cell_worker **at)
 {
 	char key[NAME_SIZE + sizeof(WORKER_KEY_PREFIX)];
@@ -622,7 +344,7 @@
 		stop_due_tasks(c, w);
 	if (!w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
 	    c->now_ms < c->authority_until_ms + c->opt.renew_after_ms)
-		send_poll(c, w);
+		cell_poll_send(c, w);
 }
 
 void cell_workers_tick(struct cell *c)
--- a/src/cell/cell_worker.h
+++ b/src/cell/cell_worker.h
@@ -25,6 +25,17 @@
  */
 void cell_workers_tick(struct cell *c);
 
+/**
+ * cell_worker_reset() - note that a worker's process has restarted
+ * @born: start time of the new process
+ * @source: who tells of it, for the log
+ *
+ * Its clock, leases and numbering of ends are void. Runs that may be active on
+ * the new process stay.
+ */
+void cell_worker_reset(struct cell *c, struct cell_worker *w, uint64_t born,
+		       const char *source);
+
 /**
  * cell_worker_crashed() - end the runs of a worker whose process has been
  * replaced
