--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -482,6 +482,13 @@
 	EXPECT_EQ(r.ended[0].how, RUN_DONE);
 	EXPECT_EQ(poll_reply_parse(str_of("{\"running\":[[1]]}"), &r, &a),
 		  -EBADMSG);
+	/* Without the start time of the process, a listing of a former one
+	 * would count for the present one. */
+	r.born = 0;
+	EXPECT_EQ(poll_reply_parse(str_of("{\"clockMs\":48,\"running\":[],"
+					  "\"ended\":[]}"),
+				   &r, &a),
+		  -EBADMSG);
 	EXPECT_EQ(
 		poll_reply_parse(str_of("{\"running\":[],\"ended\":[[1,\"x\",1,"
 					"\"done\"]]}"),
