admission: what cannot be served is a decision of its own

Change: admission_check() decides without input or output, one function refuses; the body names the reason that the log names.

--- /dev/null
+++ b/src/host/admission.h
@@ -0,0 +1,50 @@
+#ifndef HOST_ADMISSION_H
+#define HOST_ADMISSION_H
+
+#include "cell/queue_table.h"
+#include "cell/size_table.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * enum admission - whether a job can be served
+ *
+ * @ADMISSION_NEEDS_TICKETS: the queue's policy allows starts with a ticket
+ *	only, which is not built
+ * @ADMISSION_NO_WORKER: a task needs a larger worker than there is, or a label
+ *	that none has
+ * @ADMISSION_OVER_LIMITS: a gang needs more than its account may have
+ */
+enum admission {
+	ADMISSION_OK,
+	ADMISSION_NEEDS_TICKETS,
+	ADMISSION_NO_WORKER,
+	ADMISSION_OVER_LIMITS,
+};
+
+/**
+ * admission_check() - find out whether a job would wait for ever
+ * @sizes: the largest workers
+ * @account: of the caller; NULL for none
+ * @step: set to the first step that cannot be served
+ *
+ * Answers callers whose jobs nothing can run, as the workers and the
+ * configuration are known: they are refused at once.
+ */
+enum admission admission_check(const struct size_table *sizes,
+			       const struct queue *q,
+			       const struct account *account,
+			       const struct job_spec *spec, size_t *step);
+
+/**
+ * admission_name() - reason of a refusal, for the log and the caller
+ */
+const char *admission_name(enum admission a);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -5,7 +5,7 @@
 
 #include "adapters/clock.h"
 #include "base/logger.h"
-#include "cell/quota.h"
+#include "host/admission.h"
 #include "host/caller_auth.h"
 #include "host/retry_after.h"
 #include "platform/caller.h"
@@ -31,11 +31,6 @@
 #define RETRY_AFTER_SHORT_MS 500
 /* Largest payload of a job, in bytes. */
 #define PAYLOAD_MAX 4000
-/* A task of the job needs a larger worker than there is, or a gang more than
- * its account may have. No time to come back is known. */
-#define TOO_LARGE_BODY "{\"error\":\"no capacity of this size\"}"
-/* The queue's policy allows starts with a ticket only, which is not built. */
-#define NO_TICKETS_BODY "{\"error\":\"queue needs tickets\"}"
 /* A job of another account has the ID of a submission. */
 #define ID_TAKEN_BODY "{\"error\":\"ID in use\"}"
 
@@ -259,52 +254,32 @@
 	return c;
 }
 
-/* Whether a step fits in the limits of an account that runs nothing else: a
- * gang starts as a whole. */
-static bool fits_in_limits(const struct job_step *s, const struct account *a)
+/* Return: whether the job is refused, as nothing can run it. No time to come
+ * back is known then. */
+static bool refuse_unservable(struct host *h, struct http_request *r,
+			      const struct queue *q,
+			      const struct account *account,
+			      const struct job_spec *spec)
 {
-	struct demand d = demand_of_step(s);
-	struct quota q = {0};
-
-	if (!a)
-		return true;
-	quota_set_limits(&q, a);
-	return quota_fits(&q, &d, s->flags & STEP_GANG ? s->count : 1);
-}
-
-/*
- * Refuses a job that would wait for ever, as the workers and the configuration
- * are known here.
- *
- * Return: whether it is refused.
- */
-static bool refuse_if_too_large(struct host *h, struct http_request *r,
-				const struct queue *q,
-				const struct account *account,
-				const struct job_spec *spec)
-{
-	size_t i;
-
-	for (i = 0; i < spec->steps.count; i++) {
-		const struct job_step *s = job_spec_step(spec, i);
-		bool fits =
-			size_table_may_run(&h->job_view.sizes, q->service, s);
+	char body[CALLER_BODY_SIZE];
+	const struct job_step *s;
+	enum admission a;
+	size_t step;
 
-		if (fits && fits_in_limits(s, account))
-			continue;
-		h->counts.refused++;
-		log_line(LOG_WARN, "job refused",
-			 "job=%016" PRIx64 " queue=%s reason=%s step=%zu "
-			 "count=%u cpu=%u memory_mb=%u accelerators=%u "
-			 "label=%s sizes=%zu",
-			 spec->id, q->name,
-			 fits ? "gang_over_limits" : "no_worker_large_enough",
-			 i, s->count, s->cpu, s->memory_mb, s->accelerators,
-			 s->worker_label, h->job_view.sizes.count);
-		reply(h, r, 503, 0, TOO_LARGE_BODY);
-		return true;
-	}
-	return false;
+	a = admission_check(&h->job_view.sizes, q, account, spec, &step);
+	if (a == ADMISSION_OK)
+		return false;
+	s = job_spec_step(spec, step);
+	h->counts.refused++;
+	log_line(LOG_WARN, "job refused",
+		 "job=%016" PRIx64 " queue=%s reason=%s step=%zu count=%u "
+		 "cpu=%u memory_mb=%u accelerators=%u label=%s sizes=%zu",
+		 spec->id, q->name, admission_name(a), step, s->count, s->cpu,
+		 s->memory_mb, s->accelerators, s->worker_label,
+		 h->job_view.sizes.count);
+	snprintf(body, sizeof(body), "{\"error\":\"%s\"}", admission_name(a));
+	reply(h, r, 503, 0, body);
+	return true;
 }
 
 static void submit(struct host *h, struct http_request *r,
@@ -327,14 +302,6 @@
 		reply(h, r, 200, 0, "{}");
 		return;
 	}
-	if (q->advice) {
-		h->counts.refused++;
-		log_line(LOG_WARN, "job refused",
-			 "job=%016" PRIx64 " queue=%s reason=needs_tickets", id,
-			 q->name);
-		reply(h, r, 503, 0, NO_TICKETS_BODY);
-		return;
-	}
 	if (!h->job_follower.loaded || store_is_down(h)) {
 		h->counts.refused++;
 		log_line(LOG_WARN, "job refused",
@@ -353,7 +320,7 @@
 			 "job=%016" PRIx64 " queue=%s bytes=%zu", id, q->name,
 			 text.len);
 		reply(h, r, 400, 0, "{\"error\":\"job not readable\"}");
-	} else if (!refuse_if_too_large(h, r, q, account, &spec)) {
+	} else if (!refuse_unservable(h, r, q, account, &spec)) {
 		c = call_new(h, r, CALL_SUBMIT, id, account);
 		name_set(spec.account, c->account);
 		job_spec_write(&spec, &c->record);
