--- /dev/null
+++ b/tools/random_days.awk
@@ -0,0 +1,63 @@
+# Writes random days from the table of random_days.sh (-v seeds, -v skip). A kind is
+# drawn first, then one of its rows, so that the number of rows has no weight.
+
+# Products stay below 2^53, so that each awk draws the same.
+function draw(n) {
+	state = state * 16807 % 2147483647
+	return int(state / 2147483647 * n)
+}
+
+function add_range(name, range,    ends, low, high) {
+	if (range == "-")
+		return
+	split(range, ends, "-")
+	low = int(ends[1] * 100 + .5)
+	high = int(ends[2] * 100 + .5)
+	line = line sprintf(", %s = %.2f", name,
+			    (low + draw(high - low + 1)) / 100)
+}
+
+function draw_entry(part, tenths,    kind, f, hows, n) {
+	kind = kinds[part, draw(kind_count[part])]
+	split(rows[part, kind, draw(row_count[part, kind])], f, "|")
+	line = sprintf("at = %.1f, kind = \"%s\"", tenths / 10, kind)
+	add_range("for_s", f[3])
+	add_range("x", f[4])
+	add_range("share", f[5])
+	add_range("gap_s", f[6])
+	if (f[7] != "")
+		line = line ", " f[7]
+	n = split(f[8], hows, ";")
+	if (n > 0)
+		line = line ", how = \"" hows[1 + draw(n)] "\""
+	return "  { " line " },\n"
+}
+
+function write_day(seed,    i, at, first, last, plan, faults) {
+	state = (seed * 69621 + 12345) % 2147483646 + 1
+	for (i = 0; i < 8; i++)
+		draw(1)
+	first = at = 20 + draw(41)
+	for (i = 4 + draw(4); i > 0; i--) {
+		faults = faults draw_entry("faults", at)
+		last = at
+		at += 3 + draw(38)
+	}
+	for (i = 1 + draw(3); i > 0; i--)
+		plan = plan draw_entry("plan", first + draw(last - first + 1))
+	printf "name = \"random-%d\"\n", seed
+	printf "plan = [\n%s]\nfaults = [\n%s]\n", plan, faults
+}
+
+index("," skip ",", "," $2 ",") { next }
+{
+	if (!(($1, $2) in row_count))
+		kinds[$1, kind_count[$1]++] = $2
+	rows[$1, $2, row_count[$1, $2]++] = $0
+}
+
+END {
+	n = split(seeds, seed, " ")
+	for (k = 1; k <= n; k++)
+		write_day(seed[k])
+}
--- /dev/null
+++ b/tools/random_days.sh
@@ -0,0 +1,150 @@
+#!/usr/bin/env bash
+# Random days with overlapping disruptions for the users' bench.
+#
+#   random_days.sh write SEED...      prints the days of these seeds
+#   random_days.sh play N [FIRST]     plays N days, from seed FIRST (1) on
+#   random_days.sh kinds              prints the kinds of disruptions
+#
+# SKIP lists kinds to leave out, with commas. `play` needs BENCH (the bench's
+# program) and SITE (a site file); a day that broke or could not be played is kept
+# in OUT (build/days) with its output and printed: seed, result, file, kinds left
+# out. A kind that the site does not offer is left out from there on.
+# Exit status: 0 all clean, 1 one broke, 2 none broke and one was not played.
+set -eu
+cd "$(dirname "$0")/.."
+
+# Part (plan or faults), kind, range of for_s in seconds, of x, of share, of gap_s in
+# seconds, other fields, variants of how. Ranges are LOW-HIGH; `-` is none.
+table()
+{
+	cat <<'EOF'
+faults|burst|1-6|1.3-3|-|-||
+faults|give_up|1-6|-|.1-.5|-||;once;prompt
+faults|srv_crash|.3-4|-|.1-.5|-||;gone;domain;joined;rack;across;all;dark;dark rack
+faults|srv_crash|.3-3|-|.1-.5|-||same;dark same
+faults|srv_slow|1-6|2-8|.1-.4|-||;across
+faults|srv_grey|1-6|.3-1|.05-.3|-||errors;shed;busy;hang;reset;mute;errors one_zone
+faults|srv_grey|1-6|4-8|.05-.3|-||slow
+faults|srv_cut|.5-5|.2-.6|.1-.5|-||;fronts;some;some lossy;one_way;reset
+faults|srv_cut|.5-5|.2-.6|.1-.5|-||reborn;one_way reborn;some reborn
+faults|answer_lost|1-6|.02-.3|.2-.6|-||
+faults|node_kill|.5-4|-|.1-.5|-||;power;turn;power turn meet
+faults|node_kill|.5-4|-|-|-|on = "core", count = 1|leader;power leader;giver;reader;renewed
+faults|node_kill|.5-4|-|-|-|on = "core", count = 1|seed;leader race drain;meet drain;hard
+faults|node_freeze|.5-4|-|.1-.4|-||;leader;giver;leader renewed
+faults|node_slow|1-6|2-6|.1-.4|-||;leader;giver
+faults|herd_kill|.5-5|-|.3-1|-||;power;taken;taken all
+faults|herd_kill|.5-5|-|1-1|-|on = "core"|;power;off;taken
+faults|after_ack_kill|.5-4|-|-|-||;kill;timed;taken;taken gone
+faults|replace_core|-|.5-4|-|-||;leader;seed;oldest
+faults|clock_step|1-6|500-3000|.1-.5|-||;back;ahead;leader
+faults|zone_cut|1-6|-|-|-||;drop;reset;refuse;drop meet
+faults|zone_loss|1-2|-|-|-||
+faults|one_way|1-6|-|-|-||;all;all in
+faults|core_cut|1-6|-|-|-|count = 1|;leader;leader race;reset;refuse;behind;all;near;oldest
+faults|core_cut|1-6|-|-|-|count = 1|split;one_way;both;lure;relieve;seeds;revoke
+faults|node_cut|1-6|-|.1-.4|-||;all;leader;giver;turn;meet;reset;refuse;one_way
+faults|node_cut|1-6|-|.1-.4|-||servers;servers one_way;servers reborn
+faults|platform_down|.5-6|-|-|-||silent;busy;reset;silent lapse;busy lapse;reset lapse
+faults|platform_down|.5-8|-|.2-.5|-||silent;busy lapse;nodes busy;nodes many;nodes reset
+faults|platform_down|1-8|-|.2-.5|-||nodes silent;nodes busy revoke meet;nodes reset revoke
+faults|platform_down|1-8|-|-|-|count = 1|nodes leader busy;nodes leader silent revoke
+faults|platform_slow|1-6|10-90|-|-||
+faults|platform_lost|1-6|.1-.5|-|-||;late
+faults|platform_compact|.5-5|1-6|-|-||;keyed;drain;drain keyed;rebalance;rewind
+faults|applied_late|1-6|.03-.3|-|-||;orders;cloud;grants;all
+faults|poison|1-6|2-6|.02-.1|-||;long;deadly
+faults|reset_conns|-|.3-.8|.1-.5|-||
+faults|cloud_down|.5-6|-|-|-||silent;busy;reset
+faults|cloud_slow|1-6|10-60|-|-||
+plan|roll_term|-|1-2|.3-1|.5-2||;busy;leader;starter
+plan|roll_term|-|1-1|.1-.3|.5-2||remove
+plan|release|-|1-1|.3-1|.3-2||
+plan|config_change|-|-|-|-||route;weights;timeout;tenant;quota;quota down;topup;idle
+plan|big_config|-|-|-|-|count = 200|
+plan|evacuate|2-8|-|-|-||;warm
+plan|hup|-|-|.3-1|.5-2||
+plan|add_nodes|-|-|.3-1|-||
+plan|replace_core|-|.5-4|-|-||planned
+plan|scale_in|2-6|1-3|.05-.2|-||;spot;reclaim;reclaim dry
+EOF
+}
+
+# write_days SEED...
+write_days()
+{
+	table | awk -F '|' -v seeds="$*" -v skip="${SKIP:-}" -f tools/random_days.awk
+}
+
+# result OUTPUT: `clean`, the broken rules, or nothing if the day was not played. The
+# bench gives a day with a fault the score 0.
+result()
+{
+	awk '/^rules broken: / { broken = broken substr($0, 15) " " }
+	/^[Ff]aults?:? / { broken = broken $0 " " }
+	row { row = 0; played = 1; zero = $3 == "0.00" }
+	/^day +own\/srv +score/ { row = 1 }
+	END {
+		if (broken == "" && zero)
+			broken = "score 0"
+		if (broken != "" || played)
+			print broken != "" ? broken : "clean"
+	}' "$1"
+}
+
+# refused_kind OUTPUT: the kind that the site does not offer, by the bench's message.
+refused_kind()
+{
+	sed -n -e 's/^fleetbench: \([a-z_]*\): contract .* is not open.*/\1/p' \
+		-e 's/^fleetbench: .*unknown variant `\([a-z_]*\)`.*/\1/p' "$1"
+}
+
+# play_seed SEED: draws the day again without a kind that the site refuses.
+play_seed()
+{
+	local day=$OUT/$name-$1.toml out=$OUT/$name-$1.out kind
+
+	while :; do
+		write_days "$1" >"$day"
+		"$BENCH" run "$SITE" "$day" --no-cpu --seed "$1" \
+			--why "${WHY:-random day, seed $1}" >"$out" 2>&1 || :
+		got=$(result "$out")
+		kind=$(refused_kind "$out")
+		if [ -n "$got" ] || ! grep -q "kind = \"$kind\"" "$day"; then
+			break
+		fi
+		SKIP=${SKIP:+$SKIP,}$kind
+	done
+	[ "$got" = clean ] && rm "$day" "$out" && return
+	[ -n "$got" ] || got="not played: $(tail -n 1 "$out")"
+	echo "seed $1: $got; $day; left out: ${SKIP:-none}"
+}
+
+play()
+{
+	local seed got clean=0 broken=0 unplayed=0
+
+	: "${BENCH:?path of the bench}" "${SITE:?path of a site file}"
+	OUT=${OUT:-build/days}
+	name=$(basename "$SITE" .toml)
+	mkdir -p "$OUT"
+	for ((seed = ${2:-1}; seed < ${2:-1} + $1; seed++)); do
+		play_seed "$seed"
+		case $got in
+		clean) clean=$((clean + 1)) ;;
+		'not played'*) unplayed=$((unplayed + 1)) ;;
+		*) broken=$((broken + 1)) ;;
+		esac
+	done
+	echo "$name: $clean clean, $broken broken, $unplayed not played;" \
+		"left out: ${SKIP:-none}"
+	[ $broken = 0 ] || return 1
+	[ $unplayed = 0 ] || return 2
+}
+
+case ${1:-} in
+write) shift && write_days "$@" ;;
+kinds) table | cut -d'|' -f2 | sort -u ;;
+play) play "${2:?number of days}" "${3:-1}" ;;
+*) sed -n '2,13s/^# \{0,1\}//p' "$0" >&2 && exit 2 ;;
+esac
