--- a/review/src/main.c
+++ b/review/src/main.c
@@ -312,10 +312,11 @@
 	char why[300];
 	int n = 0, i, twice;
 
-	for (i = 0; i < 60; i++) {
-		if (trouble && i == 10)
+	/* Three times 5 s, 5 s apart. */
+	for (i = 0; i < 160; i++) {
+		if (trouble && i % 50 == 10)
 			worker_set_grey(grey, true);
-		if (trouble && i == 42) /* after 6.4 s */
+		if (trouble && i % 50 == 35)
 			worker_set_grey(grey, false);
 		threads[n++] = submit_later(job_body(1500, 12, 4000));
 		sleep_ms(200);
--- a/review/src/workers.c
+++ b/review/src/workers.c
@@ -12,7 +12,7 @@
 #define STOP_MS 600	 /* within stopGraceMs, 900 */
 #define WAIT_MAX_MS 2000
 #define ENDED_PAGE 500
-#define RUNS_MAX 4000
+#define RUNS_MAX 8000
 
 enum run_state { RUNNING, STOPPING, ENDED, FORGOTTEN, LOST };
 
