loop: a POST is sent once

Cause: when a reused connection ends without a reply, curl sends the request again on another one, whatever its method, and reports the reply to the second request only. An append or a start that had been carried out, and whose second copy got 503, was so taken for refused: "nothing was done". The owner gave the number of the stored batch to other records, and the store took them for a repeat (LOST); the cell placed the task elsewhere without stopping its run (TWICE); the host told the caller that its job had not been accepted (REFUSED).

Evidence: Loop.DoesNotRepeatAPostThatMayHaveBeenCarriedOut makes three calls to a server that answers the first, carries out the second and ends its connection, and answers 503 after that. Ruled out: the store's own refusals (the stand-in carried the call out, 200), a time-out (the call ended at once), and the owner, which keeps a batch that it knows may be stored (Owner.KeepsABatchThatMayBeStoredWhileTheStoreRefusesIt held before; without that protection it fails).

Change: http_once_set() forbids the second request of a POST of which a part has been sent; the call then ends without a reply, as every caller of the loop handles already. A request of which nothing was sent may still be tried on another connection, and a GET may be repeated. No connection is opened for a request that is not repeated. A refused connection counts as evidence about the peer only if nothing was sent before.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "adapters/clock.h"
+#include "adapters/http_once.h"
 #include "base/logger.h"
 
 #define EVENTS_MAX 64
@@ -26,6 +27,7 @@
 };
 
 struct loop_call {
+	struct loop *loop;
 	CURL *easy;
 	struct curl_slist *headers;
 	struct buf url;
@@ -38,6 +40,7 @@
 	int64_t due_ms;
 	bool in_flight;
 	bool sent;
+	bool post;
 	uint64_t lane;
 	struct loop_call *next_waiting;
 	struct loop_call *next;
@@ -102,6 +105,8 @@
 }
 
 /*
+ * No connection is opened for a POST that is not sent again.
+ *
  * curl closes some sockets without calling on_close(), and the kernel removes
  * them from the epoll set. The state recorded for a descriptor is therefore
  * reset when its number is used again.
@@ -109,13 +114,16 @@
 static curl_socket_t on_open(void *ctx, curlsocktype purpose,
 			     struct curl_sockaddr *a)
 {
-	struct loop *l = ctx;
-	int fd = socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
+	struct loop_call *c = ctx;
+	int fd;
 
 	(void)purpose;
+	if (c->post && http_was_sent(c->easy))
+		return CURL_SOCKET_BAD;
+	fd = socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
-	memset(fd_state(l, fd), 0, sizeof(struct loop_fd));
+	memset(fd_state(c->loop, fd), 0, sizeof(struct loop_fd));
 	return fd;
 }
 
@@ -230,6 +238,7 @@
 		return c;
 	}
 	c = xcalloc(1, sizeof(*c));
+	c->loop = l;
 	c->easy = curl_easy_init();
 	if (!c->easy)
 		abort();
@@ -246,7 +255,7 @@
 			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(c->easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
-	curl_easy_setopt(c->easy, CURLOPT_OPENSOCKETDATA, l);
+	curl_easy_setopt(c->easy, CURLOPT_OPENSOCKETDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(c->easy, CURLOPT_CLOSESOCKETDATA, l);
 	return c;
@@ -367,6 +376,8 @@
 		c->headers = curl_slist_append(c->headers, f->header);
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 	curl_easy_setopt(c->easy, CURLOPT_URL, c->url.data);
+	http_once_set(c->easy, f->post);
+	c->post = f->post;
 	l->fetches++;
 	c->lane = f->lane;
 	c->sent = false;
@@ -380,7 +391,7 @@
 {
 	struct fetch_result f = {0};
 	enum activity before;
-	long sent = 0, error = 0;
+	long error = 0;
 
 	call_unlink(l, c);
 	if (c->sent)
@@ -393,10 +404,10 @@
 	} else if (!c->sent) {
 		f.not_sent = true;
 	} else {
-		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
-		f.not_sent = !sent;
+		f.not_sent = !http_was_sent(c->easy);
+		l->unanswered += !f.not_sent;
 		curl_easy_getinfo(c->easy, CURLINFO_OS_ERRNO, &error);
-		f.refused = result == CURLE_COULDNT_CONNECT &&
+		f.refused = f.not_sent && result == CURLE_COULDNT_CONNECT &&
 			    error == ECONNREFUSED;
 	}
 	if (c->lane)
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -26,7 +26,8 @@
  * struct fetch - one HTTP request
  * @url: complete URL
  * @body: content of a POST; empty for a GET
- * @post: whether the method is POST rather than GET
+ * @post: whether the method is POST rather than GET; a POST is sent once, a GET
+ *	again when a reused connection ends without a reply
  * @content_type: type of @body; read for a POST only
  * @header: an additional header line, or NULL
  * @timeout_ms: time after which the request fails unless its reply has arrived
@@ -96,6 +97,7 @@
  * @expiry_due_ms: boot time before which no call in flight expires
  * @posts: mailbox of values that loop_post() received
  * @fetches: requests started so far
+ * @unanswered: requests so far that may have been carried out and got no reply
  * @activity: time of the loop's thread, by what it was spent on
  */
 struct loop {
@@ -117,6 +119,7 @@
 	const struct loop_ops *ops;
 	void *ctx;
 	uint64_t fetches;
+	uint64_t unanswered;
 	struct activity_meter activity;
 };
 
--- a/tests/host_append_test.cc
+++ b/tests/host_append_test.cc
@@ -126,4 +126,22 @@
 	EXPECT_TRUE(call_withdraw(h.get(), calls[2].get()));
 }
 
+/* Against rejected jobs that ran: after an append without an answer, refusals
+ * of the same record say nothing about the first one. */
+TEST_F(HostAppend, RefusesNoCallWhoseRecordMayBeStored)
+{
+	add_call(10);
+	store.mode = FakeStore::LOSE_REPLIES;
+	host_append_queue_send(h.get());
+	store.run();
+	EXPECT_TRUE(calls[0]->may_be_stored);
+	call_queue_append(h.get(), calls[0].get());
+	store.mode = FakeStore::REFUSE;
+	h->append_due_ms = 0;
+	host_append_queue_send(h.get());
+	store.run();
+	EXPECT_TRUE(calls[0]->may_be_stored);
+	EXPECT_FALSE(call_withdraw(h.get(), calls[0].get()));
+}
+
 } /* namespace */
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -11,6 +11,7 @@
 
 #include "adapters/http_server.h"
 #include "adapters/loop.h"
+#include "tests/scripted_server.h"
 
 namespace
 {
@@ -92,6 +93,27 @@
 		return a;
 	}
 
+	/* Makes one call after the other; each outcome is that of a call. */
+	Results call(const std::string &address, bool post, int count)
+	{
+		std::string url = "http://" + address + "/x";
+		Results a = {&l, 0, {}, {}, ""};
+		struct fetch f = {};
+
+		f.url = url.c_str();
+		f.post = post;
+		f.content_type = "text/plain";
+		f.body = str_of("order");
+		f.timeout_ms = 4000;
+		for (int i = 0; i < count; i++) {
+			a.left = 1;
+			loop_fetch(&l, &f, on_result, &a);
+			l.stopping = false;
+			loop_run(&l);
+		}
+		return a;
+	}
+
 	/* Returns a port without a listener. */
 	static uint16_t closed_port()
 	{
@@ -134,6 +156,49 @@
 	EXPECT_TRUE(a.refused[0]);
 }
 
+/*
+ * Against jobs that were accepted and not stored, tasks that ran twice and
+ * rejected jobs that ran: curl sent a POST again by itself when a reused
+ * connection ended without an answer, and the 503 that answered the second one
+ * was taken for the outcome, although the first one had been carried out.
+ */
+TEST_F(Loop, DoesNotRepeatAPostThatMayHaveBeenCarriedOut)
+{
+	for (int end : {ScriptedServer::RESET, ScriptedServer::CLOSE}) {
+		ScriptedServer s({200, end, 503});
+		Results a = call(s.address, true, 3);
+
+		EXPECT_EQ(a.statuses, std::vector<long>({200, 0, 503}));
+		EXPECT_FALSE(a.not_sent[1]);
+		EXPECT_FALSE(a.refused[1]);
+		EXPECT_EQ(s.requests, 3);
+		EXPECT_EQ(s.connections, 2);
+	}
+}
+
+/* The second try of a GET changes nothing, so it is left to curl. */
+TEST_F(Loop, RepeatsAGetWhoseConnectionEnds)
+{
+	ScriptedServer s({200, ScriptedServer::RESET, 200});
+	Results a = call(s.address, false, 2);
+
+	EXPECT_EQ(a.statuses, std::vector<long>({200, 200}));
+}
+
+/* A connection that its peer has closed meanwhile costs no call. */
+TEST_F(Loop, SendsAPostOnANewConnectionWhenTheIdleOneIsClosed)
+{
+	ScriptedServer s({200, 200});
+	Results a = call(s.address, true, 1);
+
+	s.close_connection();
+	usleep(20000); /* until the end of the stream has arrived */
+	Results b = call(s.address, true, 1);
+	EXPECT_EQ(b.statuses, std::vector<long>({200}));
+	EXPECT_EQ(s.requests, 2);
+	EXPECT_EQ(s.connections, 2);
+}
+
 /*
  * A loop that is short of CPU time must not fail a call whose reply has
  * arrived before its time-out is handled. The owner of a cell otherwise takes
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -320,6 +320,38 @@
 	EXPECT_EQ(copies, 0u);
 }
 
+/*
+ * Against jobs answered 200 that were not stored: once an append of a batch has
+ * had no answer, its number belongs to its records, however often the store
+ * refuses it after that. The next batch under that number would be taken for a
+ * repeat and not be stored.
+ */
+TEST_F(Owner, KeepsABatchThatMayBeStoredWhileTheStoreRefusesIt)
+{
+	Host a(&store, "a");
+	std::map<std::string, size_t> copies;
+
+	run({&a}, 500);
+	uint64_t seq = a.owner.seq;
+	store.mode = FakeStore::LOSE_REPLIES;
+	a.add_records(1, "sent");
+	run({&a}, 20);
+	store.mode = FakeStore::REFUSE;
+	run({&a}, 2000);
+	EXPECT_EQ(a.owner.seq, seq);
+	EXPECT_TRUE(a.peer_outcomes.empty());
+	store.mode = FakeStore::SERVE;
+	a.add_records(2, "later");
+	run({&a}, 300);
+	ASSERT_EQ(a.peer_outcomes.size(), 2u);
+	EXPECT_EQ(a.peer_outcomes[0].second, STORE_OK);
+	EXPECT_EQ(a.peer_outcomes[1].second, STORE_OK);
+	for (auto &r : store.topics[TOPIC_JOBS])
+		copies[r.key]++;
+	EXPECT_EQ(copies["sent"], 1u);
+	EXPECT_EQ(copies["later"], 1u);
+}
+
 /* They waited behind the batch that could not be stored. */
 TEST_F(Owner, RefusesRecordsThatArriveWhileTheStoreRefuses)
 {
