log_http: an append is sent once

Cause: the client of the request interface's log reuses connections too, so that curl repeats an append whose connection ends without a reply. A 503 to the second copy was reported as LOG_REFUSED, though the first one may be stored.

Evidence: LogHttp.AnAppendThatLosesItsReplyIsNotRefused, which failed before (LOG_REFUSED in place of LOG_NO_REPLY, four requests for three appends). The other client, http_client.c, opens a connection for each request, which curl does not repeat.

Change: http_once_set() for appends. The scripted server of the tests serves connections side by side, as the host list is polled beside the appends.

--- a/src/adapters/log_http.c
+++ b/src/adapters/log_http.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "adapters/clock.h"
+#include "adapters/http_once.h"
 #include "base/counter.h"
 #include "base/logger.h"
 
@@ -106,6 +107,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, l->headers);
 	curl_easy_setopt(c->easy, CURLOPT_USERAGENT, l->client);
 	if (c->kind == CALL_APPEND) {
+		http_once_set(c->easy, true);
 		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body.data);
 		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 				 (curl_off_t)c->body.len);
--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -5,6 +5,7 @@
 #include "adapters/http_server.h"
 #include "adapters/log_http.h"
 #include "adapters/peer_net.h"
+#include "tests/scripted_server.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -183,3 +184,51 @@
 	buf_finish(&b);
 	arena_finish(&a);
 }
+
+static void on_appended(void *ctx, uint64_t token, enum log_status status,
+			uint64_t offset)
+{
+	int *outcome = (int *)ctx;
+
+	(void)token;
+	(void)offset;
+	__atomic_store_n(outcome, status, __ATOMIC_RELEASE);
+}
+
+static int append_and_wait(struct log_http *l, int *outcome)
+{
+	int64_t end = clock_mono_ms() + WAIT_MS;
+
+	__atomic_store_n(outcome, -1, __ATOMIC_RELEASE);
+	log_http_append(l, 1, "jobs", str_of("line"));
+	while (__atomic_load_n(outcome, __ATOMIC_ACQUIRE) < 0 &&
+	       clock_mono_ms() < end)
+		usleep(1000);
+	return __atomic_load_n(outcome, __ATOMIC_ACQUIRE);
+}
+
+/*
+ * Against rejected requests that ran: an append was carried out and its reply
+ * lost, a second one that curl sent by itself was refused, and the caller was
+ * told that its request had not been taken.
+ */
+TEST(LogHttp, AnAppendThatLosesItsReplyIsNotRefused)
+{
+	ScriptedServer s({200, ScriptedServer::RESET, 503}, "{\"offset\":1}",
+			 "POST");
+	std::string url = "http://" + s.address;
+	struct log_sink sink = {};
+	struct log_http l;
+	int outcome;
+
+	sink.append = on_appended;
+	sink.hosts = [](void *, const struct listed_host *, size_t) {};
+	sink.hosts_unchanged = [](void *) {};
+	sink.ctx = &outcome;
+	ASSERT_EQ(log_http_start(&l, url.c_str(), "a@zone-1", &sink), 0);
+	EXPECT_EQ(append_and_wait(&l, &outcome), LOG_OK);
+	EXPECT_EQ(append_and_wait(&l, &outcome), LOG_NO_REPLY);
+	EXPECT_EQ(append_and_wait(&l, &outcome), LOG_REFUSED);
+	EXPECT_EQ(s.requests, 3);
+	log_http_stop(&l);
+}
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -191,7 +191,7 @@
 	ScriptedServer s({200, 200});
 	Results a = call(s.address, true, 1);
 
-	s.close_connection();
+	s.close_connections();
 	usleep(20000); /* until the end of the stream has arrived */
 	Results b = call(s.address, true, 1);
 	EXPECT_EQ(b.statuses, std::vector<long>({200}));
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -2,6 +2,7 @@
 #define TESTS_SCRIPTED_SERVER_H
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,9 +12,9 @@
 #include <unistd.h>
 
 /*
- * An HTTP server that handles its requests by a script, one connection at a
- * time: each request is carried out and answered with its status, or its
- * connection ends without an answer.
+ * An HTTP server that handles its requests by a script: each one is carried out
+ * and answered with its status, or its connection ends without an answer.
+ * Requests of a method other than @only are answered 200.
  */
 class ScriptedServer
 {
@@ -21,8 +22,10 @@
 	enum { RESET = -1, CLOSE = 0 }; /* instead of a status */
 
 	explicit ScriptedServer(std::vector<int> script,
-				std::string reply_body = "{}")
-	    : steps(std::move(script)), body(std::move(reply_body))
+				std::string reply_body = "{}",
+				std::string only_method = "")
+	    : steps(std::move(script)), body(std::move(reply_body)),
+	      only(std::move(only_method))
 	{
 		sockaddr_in sin = {};
 		socklen_t len = sizeof(sin);
@@ -34,47 +37,62 @@
 		listen(listen_fd, 16);
 		getsockname(listen_fd, (sockaddr *)&sin, &len);
 		address = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
-		thread = std::thread([this] { serve(); });
+		acceptor = std::thread([this] { accept_all(); });
 	}
 
 	~ScriptedServer()
 	{
 		stopping = true;
 		shutdown(listen_fd, SHUT_RDWR);
-		close_connection();
-		thread.join();
+		acceptor.join();
+		close_connections();
+		for (std::thread &t : handlers)
+			t.join();
+		for (int fd : accepted)
+			close(fd);
 		close(listen_fd);
 	}
 
-	/* Ends the open connection between two requests. */
-	void close_connection()
+	/* Ends the open connections between two requests. */
+	void close_connections()
 	{
-		shutdown(conn_fd, SHUT_RDWR);
+		std::lock_guard<std::mutex> hold(lock);
+
+		for (int fd : accepted)
+			shutdown(fd, SHUT_RDWR);
 	}
 
 	std::string address;
-	std::atomic<int> requests{0};
+	std::atomic<int> requests{0}; /* that the script was for */
 	std::atomic<int> connections{0};
 
       private:
-	void serve()
+	void accept_all()
 	{
-		while (!stopping) {
-			int fd = accept(listen_fd, nullptr, nullptr);
+		int fd;
+
+		while ((fd = accept(listen_fd, nullptr, nullptr)) >= 0) {
+			std::lock_guard<std::mutex> hold(lock);
 
-			if (fd < 0)
-				return;
-			conn_fd = fd;
 			connections++;
-			while (!stopping && take_request(fd) && handle(fd))
-				;
-			conn_fd = -1;
-			close(fd);
+			accepted.push_back(fd);
+			handlers.emplace_back([this, fd] { serve(fd); });
 		}
 	}
 
+	/* The descriptor stays open, so that its number is not used again. */
+	void serve(int fd)
+	{
+		std::string method;
+
+		while (!stopping && take_request(fd, method) &&
+		       handle(fd, method))
+			;
+		shutdown(fd, SHUT_RDWR);
+	}
+
 	/* Reads up to the end of the body. */
-	static bool take_request(int fd)
+	static bool take_request(int fd, std::string &method)
 	{
 		std::string text;
 		size_t head, length = 0, at;
@@ -85,6 +103,7 @@
 				return false;
 			text += c;
 		}
+		method = text.substr(0, text.find(' '));
 		at = text.find("Content-Length: ");
 		if (at != std::string::npos)
 			length = strtoul(text.c_str() + at + 16, nullptr, 10);
@@ -94,29 +113,41 @@
 		return true;
 	}
 
-	bool handle(int fd)
+	int next_status(const std::string &method)
+	{
+		size_t n;
+
+		if (!only.empty() && method != only)
+			return 200;
+		n = (size_t)requests++;
+		return n < steps.size() ? steps[n] : 500;
+	}
+
+	bool handle(int fd, const std::string &method)
 	{
-		size_t n = (size_t)requests++;
-		int status = n < steps.size() ? steps[n] : 500;
-		linger abort = {1, 0};
+		int status = next_status(method);
+		sockaddr none = {};
 		std::string reply =
 			"HTTP/1.1 " + std::to_string(status) +
 			" x\r\nContent-Length: " + std::to_string(body.size()) +
 			"\r\n\r\n" + body;
 
-		if (status == RESET)
-			setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort,
-				   sizeof(abort));
+		none.sa_family = AF_UNSPEC;
+		if (status == RESET) /* this connect() resets the connection */
+			connect(fd, &none, sizeof(none));
 		return status > 0 &&
 		       send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) > 0;
 	}
 
 	std::vector<int> steps;
 	std::string body;
+	std::string only;
 	int listen_fd;
-	std::atomic<int> conn_fd{-1};
 	std::atomic<bool> stopping{false};
-	std::thread thread;
+	std::mutex lock; /* guards @accepted and @handlers */
+	std::vector<int> accepted;
+	std::vector<std::thread> handlers;
+	std::thread acceptor;
 };
 
 #endif
