platform: a failure that may follow an effect is not a refusal

A job answered 503 would run if the store, or something between, answered its append with 500, 502 or 504.

Cause: on_reply() took every status but 200, 409, 410 and 412 for STORE_REFUSED, "refused without effect". Only 4xx, 503 and 507 exclude an effect.

Evidence: PlatformCall.OnlyAStatusThatExcludesAnEffectIsARefusal, which failed before for 202, 204, 302, 408, 500, 502 and 504. Orders to workers were right: reply_status() gives ORDER_UNKNOWN for a status that it does not know.

--- a/tests/platform_call_test.cc
+++ b/tests/platform_call_test.cc
@@ -99,6 +99,24 @@
 	EXPECT_EQ(append(s), STORE_REFUSED);
 }
 
+/*
+ * Against rejected jobs that ran: a status that says nothing about the append,
+ * such as that of a failure inside the store, was taken for a refusal.
+ */
+TEST_F(PlatformCall, OnlyAStatusThatExcludesAnEffectIsARefusal)
+{
+	for (int status : {400, 403, 413, 429, 503, 507}) {
+		ScriptedServer s({status}, STORED);
+
+		EXPECT_EQ(append(s), STORE_REFUSED) << status;
+	}
+	for (int status : {202, 204, 302, 408, 500, 502, 504}) {
+		ScriptedServer s({status}, STORED);
+
+		EXPECT_EQ(append(s), STORE_UNKNOWN) << status;
+	}
+}
+
 /*
  * Against a task that ran twice: a start was carried out and its answer lost, a
  * second one that curl sent by itself was refused, and the task was started on
