platform: an entry whose address cannot be called names no worker

What could happen, by the code: an entry of another writer with a host name makes the client look that name up, and one with a port out of range is polled for ever as a worker that does not answer.

Cause: worker_entry_parse() took any text for an address.

Evidence: WorkerEntry.RejectsAnAddressThatCannotBeCalled, which failed before for all of its twelve addresses. The addresses in the fixtures of two tests were no IP numbers; they are now, so that these tests still fail for the reason that they name.

Change: address_parse(), which was part of peer_net.c, is a module and is strict about the port.

--- a/src/adapters/peer_net.c
+++ b/src/adapters/peer_net.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "adapters/address.h"
 #include "adapters/clock.h"
 #include "base/counter.h"
 #include "base/logger.h"
@@ -147,24 +148,6 @@
 	lock_give(&n->lock);
 }
 
-static bool parse_addr(const char *text, struct sockaddr_in *sin)
-{
-	char ip[NAME_SIZE];
-	const char *colon = strrchr(text, ':');
-	long port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return false;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	port = strtol(colon + 1, NULL, 10);
-	memset(sin, 0, sizeof(*sin));
-	sin->sin_family = AF_INET;
-	sin->sin_port = htons((uint16_t)port);
-	return port > 0 && port < 65536 &&
-	       inet_pton(AF_INET, ip, &sin->sin_addr) == 1;
-}
-
 void peer_net_set_hosts(struct peer_net *n, const struct listed_host *hosts,
 			size_t count)
 {
@@ -175,7 +158,7 @@
 	lock_take(&n->lock);
 	for (i = 0; i < count; i++) {
 		if (hosts[i].id == n->host_id ||
-		    !parse_addr(hosts[i].addr, &sin))
+		    address_parse(hosts[i].addr, &sin))
 			continue;
 		a = index_get(&n->addrs, hosts[i].id);
 		if (!a) {
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -820,7 +820,7 @@
 	a.retains = false;
 	a.owner.parse_worker = worker_entry_parse;
 	store.put("keyed.servers", "w1",
-		  "{\"address\":\"w1:1\",\"service\":\"pool\",\"state\":"
+		  "{\"address\":\"10.0.0.1:1\",\"service\":\"pool\",\"state\":"
 		  "\"ready\",\"born\":5,\"capacity\":{\"cpu\":1000,"
 		  "\"memMb\":100}}");
 	submit(1);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -119,9 +119,11 @@
 		"[]",
 		"{\"service\":\"pool\"}",
 		"{\"service\":1,\"address\":\"a\",\"state\":\"ready\"}",
-		"{\"service\":\"p\",\"address\":\"a:1\",\"state\":\"odd\","
+		"{\"service\":\"p\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"odd\","
 		"\"capacity\":{\"cpu\":1}}",
-		"{\"service\":\"p\",\"address\":\"a:1\",\"state\":\"ready\","
+		"{\"service\":\"p\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"ready\","
 		"\"capacity\":{\"cpu\":\"x\"}}",
 	};
 	worker_entry e;
@@ -566,11 +568,11 @@
 
 	for (const char *left :
 	     {"9223372036854775807", "-9223372036854775808", "1e300"}) {
-		std::string text =
-			"{\"service\":\"p\",\"address\":\"a:1\",\"state\":"
-			"\"draining\",\"capacity\":{\"cpu\":1},"
-			"\"remainingMs\":" +
-			std::string(left) + "}";
+		std::string text = "{\"service\":\"p\",\"address\":\"10.0.0.1:"
+				   "1\",\"state\":"
+				   "\"draining\",\"capacity\":{\"cpu\":1},"
+				   "\"remainingMs\":" +
+				   std::string(left) + "}";
 
 		EXPECT_EQ(worker_entry_parse(str_of("i-1"),
 					     str_of(text.c_str()), &e),
@@ -675,4 +677,28 @@
 	buf_finish(&error);
 }
 
+/*
+ * Against calls to no host and name lookups, which block: an address of another
+ * writer that is not an IP number and a port.
+ */
+TEST(WorkerEntry, RejectsAnAddressThatCannotBeCalled)
+{
+	worker_entry e;
+
+	for (const char *address :
+	     {"10.0.0.9", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:-1",
+	      "10.0.0.9:99999999999999999999", "10.0.0.9:80/x", "10.0.0.9: 80",
+	      "10.0.0.9:80x", "a.example:80", "10.0.0:80", "[::1]:80", ":80"}) {
+		std::string text = "{\"service\":\"p\",\"address\":\"" +
+				   std::string(address) +
+				   "\",\"state\":\"ready\",\"capacity\":{"
+				   "\"cpu\":1}}";
+
+		EXPECT_EQ(worker_entry_parse(str_of("i-1"),
+					     str_of(text.c_str()), &e),
+			  -EINVAL)
+			<< address;
+	}
+}
+
 } /* namespace */
