cluster: a record without contents does not end the reading of a topic

What could happen: one record of length 0 in a topic made each read that holds it unreadable, so that the host stopped following the topic.

Cause: store_record_take() took a length of 0 for a record that is not whole, although the next one can be found behind it.

Evidence: StoreRead.GoesOnBehindAnEmptyRecord, which failed before. Such a record is now passed over like one whose key does not fit.

--- a/src/ports/cluster.c
+++ b/src/ports/cluster.c
@@ -33,13 +33,13 @@
 
 	if (!rest->len)
 		return -ENOENT;
-	if (rest->len < sizeof(len) + 1)
+	if (rest->len < sizeof(len))
 		return -EBADMSG;
 	memcpy(&len, rest->data, sizeof(len));
 	len = ntohl(len);
-	if (!len || len > rest->len - sizeof(len))
+	if (len > rest->len - sizeof(len))
 		return -EBADMSG;
-	key = (unsigned char)rest->data[sizeof(len)];
+	key = len ? (unsigned char)rest->data[sizeof(len)] : 0;
 	memset(out, 0, sizeof(*out));
 	if (key + 1 <= len) {
 		out->key.data = rest->data + sizeof(len) + 1;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -677,6 +677,29 @@
 	buf_finish(&error);
 }
 
+/* Against a host that stops following a topic at a record without contents. */
+TEST(StoreRead, GoesOnBehindAnEmptyRecord)
+{
+	std::string body(16 + 4, '\0');
+	store_reply r = {};
+	buf b;
+	arena a;
+
+	arena_init(&a);
+	buf_init(&b);
+	store_record_add(&b, str_of("w"), str_of("v"));
+	body.append(b.data, b.len);
+	body.append(4, '\0');
+	ASSERT_EQ(store_read_parse({body.data(), body.size()}, 7, &r, &a), 0);
+	ASSERT_EQ(r.count, 3u);
+	EXPECT_EQ(r.records[0].key.len, 0u);
+	EXPECT_EQ(r.records[1].offset, 8u);
+	EXPECT_TRUE(str_eq(r.records[1].key, str_of("w")));
+	EXPECT_EQ(r.records[2].offset, 9u);
+	buf_finish(&b);
+	arena_finish(&a);
+}
+
 /*
  * Against calls to no host and name lookups, which block: an address of another
  * writer that is not an IP number and a port.
