platform: a record whose key holds control characters is passed over

What could happen: another writer deletes the key "w1", U+0000 and anything else, and the owner takes worker w1 for gone; or writes under it, and replaces the worker's entry. A key with a line end would have added a header to each call to the worker.

Cause: keys become strings that end at U+0000 (workers_apply(), apply_record(), operators_apply()).

Evidence: StoreRead.LeavesOutAKeyThatNamesNothing, which failed before.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -677,6 +677,32 @@
 	buf_finish(&error);
 }
 
+/* Against a worker that is taken for gone, as another writer deletes a key that
+ * begins with its name and U+0000. */
+TEST(StoreRead, LeavesOutAKeyThatNamesNothing)
+{
+	std::string body(16, '\0');
+	const char odd[] = "w\0x";
+	store_reply r = {};
+	buf b;
+	arena a;
+
+	arena_init(&a);
+	buf_init(&b);
+	store_record_add(&b, {odd, 3}, str_of("v"));
+	store_record_add(&b, str_of("w"), str_of("v"));
+	body[7] = 2;
+	body.append(b.data, b.len);
+	ASSERT_EQ(store_read_parse({body.data(), body.size()}, 0, &r, &a), 0);
+	ASSERT_EQ(r.count, 2u);
+	EXPECT_EQ(r.records[0].key.len, 0u);
+	EXPECT_EQ(r.records[0].value.len, 0u);
+	EXPECT_EQ(r.records[1].offset, 1u);
+	EXPECT_TRUE(str_eq(r.records[1].key, str_of("w")));
+	buf_finish(&b);
+	arena_finish(&a);
+}
+
 /* Against a host that stops following a topic at a record without contents. */
 TEST(StoreRead, GoesOnBehindAnEmptyRecord)
 {
