platform: one odd key does not hide the other workers

What was seen: with one key among those of the workers that JSON escapes as U+0000, the owner knew of no worker at all; jobs were accepted and none ran (LOST). The same holds for half of a surrogate pair and for a byte that is no UTF-8.

Cause: the library refuses a whole text for one such string, so that each listing of the registry failed and was tried again for ever. Odd values do no harm: they come in base64 and are decoded one by one.

Evidence: tools/host_test.sh publishes odd entries before the hosts start and while they run. The stand-in of the store escapes keys now, as the store does; before, the listing held them as they are.

--- a/standins/grid_store.c
+++ b/standins/grid_store.c
@@ -143,13 +143,37 @@
 	}
 }
 
+/* Return: the key, or an empty one for a record that does not hold its key. */
 static struct str record_key(const struct grid_record *r)
 {
-	struct str k = {r->bytes.data + 1, (unsigned char)r->bytes.data[0]};
-
+	struct str k = {r->bytes.data, 0};
+	size_t len;
+
+	if (!r->bytes.len)
+		return k;
+	len = (unsigned char)r->bytes.data[0];
+	if (1 + len > r->bytes.len)
+		return k;
+	k.data++;
+	k.len = len;
 	return k;
 }
 
+/* Escapes what a JSON string cannot hold; bytes that are no UTF-8 stay. */
+static void add_escaped(struct str s, struct buf *out)
+{
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		unsigned char c = (unsigned char)s.data[i];
+
+		if (c < ' ' || c == '"' || c == '\\')
+			buf_addf(out, "\\u%04x", c);
+		else
+			buf_add(out, &s.data[i], 1);
+	}
+}
+
 /* libb64 breaks its output into lines, which a JSON string cannot hold. */
 static int remove_newlines(char *text, int len)
 {
@@ -174,9 +198,10 @@
 	n = base64_encode_block(key.data + key.len, (int)len, text, &state);
 	n += base64_encode_blockend(text + n, &state);
 	n = remove_newlines(text, n);
-	buf_addf(out, "%s{\"key\":\"%.*s\",\"value\":\"%.*s\",\"offset\":%zu}",
-		 out->data[out->len - 1] == '[' ? "" : ",", (int)key.len,
-		 key.data, n, text, offset);
+	buf_adds(out, out->data[out->len - 1] == '[' ? "{\"key\":\""
+						     : ",{\"key\":\"");
+	add_escaped(key, out);
+	buf_addf(out, "\",\"value\":\"%.*s\",\"offset\":%zu}", n, text, offset);
 	free(text);
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -677,6 +677,71 @@
 	buf_finish(&error);
 }
 
+/* One page of a listing with an item whose key stands in JSON as @key, between
+ * two that can be used. Returns the keys that are listed. */
+std::vector<std::string> listed_beside(const std::string &key)
+{
+	std::string text =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"offset\":1},"
+		"{\"key\":\"" +
+		key +
+		"\",\"value\":\"eA==\",\"offset\":2},"
+		"{\"key\":\"z\",\"value\":\"eA==\",\"offset\":3}],"
+		"\"hasMore\":false,\"endOffset\":4}";
+	std::vector<std::string> keys;
+	store_reply r = {};
+	arena a;
+
+	arena_init(&a);
+	EXPECT_EQ(store_newest_parse({text.data(), text.size()}, &r, &a), 0)
+		<< key;
+	EXPECT_EQ(r.end, 4u);
+	for (size_t i = 0; i < r.count; i++)
+		keys.emplace_back(r.records[i].key.data, r.records[i].key.len);
+	arena_finish(&a);
+	return keys;
+}
+
+/*
+ * Against an owner that sees no worker: one key of another writer that JSON
+ * escapes as U+0000, as half of a surrogate pair, or that is not Unicode made
+ * the decoder refuse the whole listing.
+ */
+TEST(StoreNewest, LeavesOutAKeyThatNamesNothing)
+{
+	const std::vector<std::string> rest = {"a", "z"};
+	const char *const odd[] = {
+		"w\\u0000x",        /* U+0000 */
+		"\\u0000",          /* nothing else */
+		"w\\u001fx",        /* another control character */
+		"w\\r\\nHost: x",   /* would end a line of a header */
+		"w\x7f",            /* the last one in ASCII */
+		"w\\ud800x",        /* the first half of a pair */
+		"w\\udc00x",        /* the second half */
+		"w\\ud800\\ud800x", /* two first halves */
+		"w\\ud83d",         /* at the end */
+		"w\xff\xfex",       /* no UTF-8 at all */
+		"w\xc3",            /* a sequence that is cut off */
+		"w\xed\xa0\x80x",   /* half of a pair, in UTF-8 */
+		"\xf0\x9f\x98",     /* three bytes of four */
+	};
+
+	for (const char *key : odd)
+		EXPECT_EQ(listed_beside(key), rest) << key;
+}
+
+TEST(StoreNewest, KeepsAKeyOfOtherScripts)
+{
+	for (const char *key : {"b\xc3\xa9", "b\xf0\x9f\x98\x80", "b c"})
+		EXPECT_EQ(listed_beside(key),
+			  std::vector<std::string>({"a", key, "z"}));
+	EXPECT_EQ(listed_beside("b\\ud83d\\ude00"),
+		  std::vector<std::string>({"a", "b\xf0\x9f\x98\x80", "z"}));
+	/* An escaped backslash before a "u" begins no escape. */
+	EXPECT_EQ(listed_beside("b\\\\ud800"),
+		  std::vector<std::string>({"a", "b\\ud800", "z"}));
+}
+
 /* Against a worker that is taken for gone, as another writer deletes a key that
  * begins with its name and U+0000. */
 TEST(StoreRead, LeavesOutAKeyThatNamesNothing)
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -16,21 +16,44 @@
 }
 
 # grid_publish TOPIC KEY VALUE: appends one record in the format of the operators:
-# length of the rest (4 bytes, big-endian), length of the key (1 byte), key, value
+# length of the rest (4 bytes, big-endian), length of the key (1 byte), key, value.
+# KEY may hold the escapes of printf.
 grid_publish()
 {
-	local len=$((1 + ${#2} + ${#3}))
+	local key=$(printf %b "$2" | wc -c)
+	local len=$((1 + key + ${#3}))
 
 	{
 		printf "\\x$(printf %02x $((len >> 24 & 255)))"
 		printf "\\x$(printf %02x $((len >> 16 & 255)))"
 		printf "\\x$(printf %02x $((len >> 8 & 255)))"
 		printf "\\x$(printf %02x $((len & 255)))"
-		printf "\\x$(printf %02x ${#2})%s%s" "$2" "$3"
+		printf "\\x$(printf %02x "$key")%b%s" "$2" "$3"
 	} | curl -sf --data-binary @- \
 		"http://$STORE/api/log-append?topic=$1&part=0" >/dev/null
 }
 
+# grid_publish_odd_workers: entries of another writer among those of the workers;
+# the last one deletes a key that begins with the name of a worker
+grid_publish_odd_workers()
+{
+	local entry='"service":"desk","zone":"zone-1","state":"ready","born":5,
+		"capacity":{"cpu":1000,"memMb":100}}' deep
+
+	deep=$(printf '[%.0s' $(seq 5000))
+	grid_publish keyed.servers 'odd\x01' "{\"address\":\"127.0.0.1:9\",$entry"
+	grid_publish keyed.servers 'odd\0000' "{\"address\":\"127.0.0.1:9\",$entry"
+	grid_publish keyed.servers 'odd\xff\xfe' "{\"address\":\"127.0.0.1:9\",$entry"
+	grid_publish keyed.servers odd-port "{\"address\":\"127.0.0.1:99999\",$entry"
+	grid_publish keyed.servers odd-name "{\"address\":\"no.such.host:80\",$entry"
+	grid_publish keyed.servers odd-deep "$deep"
+	grid_publish keyed.servers odd-number "{\"born\":1e999,$entry"
+	grid_publish keyed.servers odd-integer "{\"born\":99999999999999999999,$entry"
+	printf '\0\0\0\0' | curl -sf --data-binary @- \
+		"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
+	grid_publish keyed.servers 'w1\0000' ''
+}
+
 # grid_config VERSION [TENANTS]: publishes a configuration with the queues check-in
 # and watch, the second of them public, and with client accounts if TENANTS is given
 grid_config()
--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -2,6 +2,8 @@
 # End-to-end test of real processes: hosts on stand-ins of the platform. One owner
 # of the cell is killed, the next one paused, a worker killed and the store down;
 # then keys of client accounts are withdrawn, the second one from a paused host.
+# Another writer has left odd entries among those of the workers before the hosts
+# start, and leaves them again while they run.
 set -u
 . tools/grid.sh
 PASSED=0
@@ -70,9 +72,20 @@
 		     END { n = 0; for (k in on) n++; exit n == 0 }'
 }
 
+# knows_workers COUNT: the owner of the cell knows of COUNT workers that are up
+knows_workers()
+{
+	local owner
+
+	owner=$(grid_owner) &&
+		curl -s -m 1 "http://127.0.0.1:${HOST_PROBE[$owner]}/metrics" |
+		grep -qx "basilshift_cell_workers_usable $1"
+}
+
 grid_start_store
 grid_config 3
 for w in 1 2 3 4 5 6; do grid_start_worker "w$w" "zone-$((w % 2))"; done
+grid_publish_odd_workers
 for h in a b c; do grid_start_host "host-$h" zone-1; done
 check "hosts become ready" grid_wait 10 grid_ready host-a
 check "a host owns the cell" grid_wait 10 grid_owned_by_other none
@@ -89,6 +102,12 @@
 	'{"spec":"run_ms=0","steps":[{"count":2,"cpu":1000,"memMb":100,
 	"longRunning":true}]}'
 
+check "the owner knows of the workers beside odd entries" \
+	grid_wait 10 knows_workers 6
+grid_publish_odd_workers
+sleep 1 # the owner reads the registry each 0.4 s
+check "the owner keeps them when odd entries follow" knows_workers 6
+
 owner=$(grid_owner)
 kill -9 "${HOST_PID[$owner]}"
 unset "HOST_PID[$owner]" "HOST_PORT[$owner]" "HOST_PROBE[$owner]"
