cell: a long-running task is not given up for crashes

No run ended as failed.

Cause: a task under which workers crash again and again is given up, also a long-running one, which has to be restarted however its runs end.

Change: no verdict on a long-running task. It is tried alone on its worker, as before, and pauses 1 s after the second crash and 2 s after each further one, in place of the hold for a verdict and for calm, up to 5 and 8 s.

--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -30,6 +30,10 @@
  * after CALM_WAIT_MAX_MS in any case. */
 #define CALM_MS 1500
 #define CALM_WAIT_MAX_MS 8000
+/* After each crash from the second one on, a long-running task waits for one
+ * step more, up to the longest pause, before it is tried again. */
+#define LONG_RUNNING_STEP_MS 1000
+#define LONG_RUNNING_PAUSE_MAX_MS 2000
 /* A worker takes no other tasks during a trial, as long as no more than one
  * worker in this many has one. */
 #define TRIAL_SHARE 4
@@ -166,11 +170,18 @@
 	return only == t->step->job && t->started_clock;
 }
 
+static bool is_long_running(const struct cell_task *t)
+{
+	return step_has_flag(t->step, STEP_LONG_RUNNING);
+}
+
+/* A long-running task is restarted however its runs end: it is never given up.
+ */
 static bool is_enough(const struct cell_task *t, bool alone)
 {
-	return t->crashes >= CRASHES_MAX ||
-	       t->crashes_seen >= CRASHES_SEEN_MAX ||
-	       (t->crashes >= CRASHES_MIN && alone);
+	return !is_long_running(t) && (t->crashes >= CRASHES_MAX ||
+				       t->crashes_seen >= CRASHES_SEEN_MAX ||
+				       (t->crashes >= CRASHES_MIN && alone));
 }
 
 static void give_up(struct cell *c, struct cell_task *t, bool alone,
@@ -190,8 +201,9 @@
 static void count_crash(struct cell *c, struct cell_task *t,
 			struct worker_loss *l, uint32_t i, bool alone)
 {
-	t->crashes++;
-	t->crashes_seen++;
+	t->crashes += t->crashes < UINT8_MAX;
+	t->crashes_seen += t->crashes_seen < UINT8_MAX;
+	t->crashed_ms = c->now_ms;
 	set_suspected(c, t, true);
 	if (!l)
 		return;
@@ -358,8 +370,18 @@
 		judge_pending(c, &c->losses[n]);
 }
 
+static int64_t long_running_pause_ms(const struct cell_task *t)
+{
+	int64_t ms = (t->crashes_seen - 1) * LONG_RUNNING_STEP_MS;
+
+	return ms < LONG_RUNNING_PAUSE_MAX_MS ? ms : LONG_RUNNING_PAUSE_MAX_MS;
+}
+
 bool cell_crash_is_held(const struct cell *c, const struct cell_task *t)
 {
+	if (is_long_running(t))
+		return t->crashes_seen >= CRASHES_MIN &&
+		       c->now_ms - t->crashed_ms < long_running_pause_ms(t);
 	return t->held || (t->crashes_seen >= CRASHES_MIN &&
 			   c->now_ms - c->lost_ms < CALM_MS &&
 			   c->now_ms - t->retry_at_ms < CALM_WAIT_MAX_MS);
--- a/src/cell/cell_crash.h
+++ b/src/cell/cell_crash.h
@@ -6,7 +6,8 @@
 /*
  * Tasks that crash the workers that start them: crashes are charged to the runs
  * that may have caused them, and a task with crashes is tried apart from others
- * until it has run for a while, or is given up.
+ * until it has run for a while, or is given up. A long-running task is not
+ * given up, but tried again at a bounded rate.
  */
 
 /**
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -109,6 +109,7 @@
  * @crashes: workers that crashed in a row soon after they started it, for no
  *	cause that others had in common with them
  * @crashes_seen: the same, whatever the cause, as far as this owner knows
+ * @crashed_ms: when the last of these crashes was noted by this owner
  * @suspected: a worker has crashed soon after it started it, and it has not
  *	settled since
  * @held: not placed before the evidence about its last crash is complete
@@ -155,6 +156,7 @@
 	int64_t stop_sent_ms;
 	int64_t stop_confirmed_ms;
 	int64_t retry_at_ms;
+	int64_t crashed_ms;
 	int64_t over_since_ms;
 	int64_t unproven_since_ms;
 	int64_t paced_ms;
