--- a/src/adapters/log_http.c
+++ b/src/adapters/log_http.c
@@ -14,8 +14,10 @@
 
 enum call_kind { CALL_APPEND, CALL_READ, CALL_HOSTS };
 
+/* @link points to the pointer to a call in flight. */
 struct log_call {
 	struct log_call *next;
+	struct log_call **link;
 	enum call_kind kind;
 	uint64_t token;
 	char url[NAME_SIZE * 8];
@@ -94,8 +96,25 @@
 	enqueue(l, c);
 }
 
+static void link_in_flight(struct log_http *l, struct log_call *c)
+{
+	c->next = l->in_flight;
+	c->link = &l->in_flight;
+	if (c->next)
+		c->next->link = &c->next;
+	l->in_flight = c;
+}
+
+static void unlink_in_flight(struct log_call *c)
+{
+	*c->link = c->next;
+	if (c->next)
+		c->next->link = c->link;
+}
+
 static void start_call(struct log_http *l, struct log_call *c)
 {
+	link_in_flight(l, c);
 	c->easy = curl_easy_init();
 	curl_easy_setopt(c->easy, CURLOPT_URL, c->url);
 	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, LOG_HTTP_TIMEOUT_MS);
@@ -241,6 +260,14 @@
 	free(c);
 }
 
+static void drop_call(struct log_http *l, struct log_call *c)
+{
+	unlink_in_flight(c);
+	curl_multi_remove_handle(l->multi, c->easy);
+	l->active--;
+	free_call(c);
+}
+
 static void finish_call(struct log_http *l, struct log_call *c, CURLcode code)
 {
 	long status = 0;
@@ -253,9 +280,7 @@
 		finish_read(l, c, status);
 	else
 		finish_hosts(l, c, status);
-	curl_multi_remove_handle(l->multi, c->easy);
-	l->active--;
-	free_call(c);
+	drop_call(l, c);
 }
 
 static void start_queued(struct log_http *l)
@@ -354,6 +379,8 @@
 		l->queue = c->next;
 		free_call(c);
 	}
+	while (l->in_flight)
+		drop_call(l, l->in_flight);
 	curl_multi_cleanup(l->multi);
 	curl_slist_free_all(l->headers);
 	curl_global_cleanup();
--- a/src/adapters/log_http.h
+++ b/src/adapters/log_http.h
@@ -52,6 +52,7 @@
 	CURLM *multi;
 	struct log_call *queue;
 	struct log_call **queue_tail;
+	struct log_call *in_flight;
 	struct curl_slist *headers;
 	bool stopping;
 	int64_t hosts_due_ms;
--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -195,6 +195,17 @@
 	__atomic_store_n(outcome, status, __ATOMIC_RELEASE);
 }
 
+static struct log_sink appends_to(int *outcome)
+{
+	struct log_sink sink = {};
+
+	sink.append = on_appended;
+	sink.hosts = [](void *, const struct listed_host *, size_t) {};
+	sink.hosts_unchanged = [](void *) {};
+	sink.ctx = outcome;
+	return sink;
+}
+
 static int append_and_wait(struct log_http *l, int *outcome)
 {
 	int64_t end = clock_mono_ms() + WAIT_MS;
@@ -217,14 +228,10 @@
 	ScriptedServer s({200, ScriptedServer::RESET, 503}, "{\"offset\":1}",
 			 "POST");
 	std::string url = "http://" + s.address;
-	struct log_sink sink = {};
-	struct log_http l;
 	int outcome;
+	struct log_sink sink = appends_to(&outcome);
+	struct log_http l;
 
-	sink.append = on_appended;
-	sink.hosts = [](void *, const struct listed_host *, size_t) {};
-	sink.hosts_unchanged = [](void *) {};
-	sink.ctx = &outcome;
 	ASSERT_EQ(log_http_start(&l, url.c_str(), "a@zone-1", &sink), 0);
 	EXPECT_EQ(append_and_wait(&l, &outcome), LOG_OK);
 	EXPECT_EQ(append_and_wait(&l, &outcome), LOG_NO_REPLY);
@@ -232,3 +239,23 @@
 	EXPECT_EQ(s.requests, 3);
 	log_http_stop(&l);
 }
+
+/* Against memory that is not freed: calls that were in flight at the stop. The
+ * address sanitizer tells. */
+TEST(LogHttp, FreesTheCallsInFlightWhenItStops)
+{
+	ScriptedServer s({ScriptedServer::HANG}, "[]", "POST");
+	std::string url = "http://" + s.address;
+	int64_t end = clock_mono_ms() + WAIT_MS;
+	int outcome = -1;
+	struct log_sink sink = appends_to(&outcome);
+	struct log_http l;
+
+	ASSERT_EQ(log_http_start(&l, url.c_str(), "a@zone-1", &sink), 0);
+	log_http_append(&l, 1, "jobs", str_of("line"));
+	while (!s.requests && clock_mono_ms() < end)
+		usleep(1000);
+	EXPECT_EQ(s.requests, 1);
+	log_http_stop(&l);
+	EXPECT_EQ(outcome, -1);
+}
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -13,13 +13,14 @@
 
 /*
  * An HTTP server that handles its requests by a script: each one is carried out
- * and answered with its status, or its connection ends without an answer.
+ * and answered with its status, or not answered.
  * Requests of a method other than @only are answered 200.
  */
 class ScriptedServer
 {
       public:
-	enum { RESET = -1, CLOSE = 0 }; /* instead of a status */
+	/* Instead of a status; after HANG the connection stays open. */
+	enum { HANG = -2, RESET = -1, CLOSE = 0 };
 
 	explicit ScriptedServer(std::vector<int> script,
 				std::string reply_body = "{}",
@@ -135,6 +136,8 @@
 		none.sa_family = AF_UNSPEC;
 		if (status == RESET) /* this connect() resets the connection */
 			connect(fd, &none, sizeof(none));
+		if (status == HANG)
+			return true;
 		return status > 0 &&
 		       send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) > 0;
 	}
