tests: the time to refuse counts from the arrival of the request

Trace: the line "call answered" has after_ms=0 and log_age_ms=6476, where the test had set an age of 5,000: the request arrived 1,476 ms after the test began to connect, and was refused at once.

The bound of 800 ms now counts from the time at which the host has the request and has not handled it. Without the check that the store is down the test still fails (1.2 s).

--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -373,12 +373,14 @@
 	publish(config(1, ""));
 	store.mode = FakeStore::UNAVAILABLE;
 	for (const char *method : {"GET", "DELETE"}) {
+		int fd = send_request(method, path("q"), "", "");
 		int64_t began = h.now_ms = clock_boot_ms();
 
 		h.store_failures = 5;
 		h.store_failed_ms = began - 3000;
 		h.job_follower.caught_up_ms = began - 5000;
-		Reply r = call(method, path("q"), "");
+		handle_arrived();
+		Reply r = receive(fd);
 		EXPECT_EQ(r.status, 503) << method;
 		EXPECT_NE(r.text.find("Retry-After: "), std::string::npos);
 		EXPECT_LT(clock_boot_ms() - began, 800) << method;
