cell: log when the renewal of leases ends and begins

One line for each change, with the time left of the authority to start tasks. No change of behaviour; owner_test passes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -170,6 +170,7 @@
 void cell_set_authority(struct cell *c, int64_t until_ms)
 {
 	c->authority_until_ms = until_ms;
+	c->renew_until_ms = until_ms + c->opt.renew_after_ms;
 }
 
 void cell_hand_over(struct cell *c, int64_t now_ms)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -540,6 +540,9 @@
  * struct cell - the schedule of one partition under one owner
  * @now_ms: boot time of the last tick or call, and @wall_ms since 1970
  * @authority_until_ms: tasks may be started before this time
+ * @renew_until_ms: workers are polled, and their leases extended, before this
+ *	time
+ * @renews: whether that was so at the last tick
  * @handover_began_ms: since when another host is about to take the cell; or 0
  * @unheard: workers with @unheard set; @unheard_by_ref counts them by
  *	reference
@@ -587,6 +590,8 @@
 	int64_t wall_ms;
 	int64_t ticked_ms;
 	int64_t authority_until_ms;
+	int64_t renew_until_ms;
+	bool renews;
 	int64_t handover_began_ms;
 	uint32_t unheard;
 	uint16_t unheard_by_ref[WORKER_REF_COUNT];
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -343,15 +343,30 @@
 	if (stops_due)
 		stop_due_tasks(c, w);
 	if (!w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
-	    c->now_ms < c->authority_until_ms + c->opt.renew_after_ms)
+	    c->now_ms < c->renew_until_ms)
 		cell_poll_send(c, w);
 }
 
+static void log_renewals(struct cell *c)
+{
+	bool renews = c->now_ms < c->renew_until_ms;
+
+	if (renews != c->renews)
+		log_line(LOG_INFO, "renewal of leases",
+			 "epoch=%" PRIu64 " active=%d left_ms=%lld "
+			 "authority_left_ms=%lld",
+			 c->epoch, renews,
+			 (long long)(c->renew_until_ms - c->now_ms),
+			 (long long)(c->authority_until_ms - c->now_ms));
+	c->renews = renews;
+}
+
 void cell_workers_tick(struct cell *c)
 {
 	struct cell_worker **at = &c->workers;
 	bool stops_due = c->now_ms >= c->stops_due_ms;
 
+	log_renewals(c);
 	if (stops_due)
 		c->stops_due_ms = c->now_ms + STOPS_PERIOD_MS;
 	while (*at) {
