--- a/deploy/random_days.awk
+++ b/deploy/random_days.awk
@@ -1,5 +1,6 @@
-# Writes random days from the table of random_days.sh (-v seeds, -v skip). A kind is
-# drawn first, then one of its rows, so that the number of rows has no weight.
+# Writes random days from the table of random_days.sh (-v seeds, -v skip, -v focus).
+# A kind is drawn first, then one of its rows, so that the number of rows has no
+# weight. Without a focus the draws stay as they are, as seeds are recorded.
 
 # Products stay below 2^53, so that each awk draws the same.
 function draw(n) {
@@ -33,19 +34,61 @@
 	return "  { " line " },\n"
 }
 
-function write_day(seed,    i, at, first, last, plan, faults) {
-	state = (seed * 69621 + 12345) % 2147483646 + 1
-	for (i = 0; i < 8; i++)
-		draw(1)
+# Part of the table for disruption @i, and for planned work @i, of a day.
+function fault_part(i) {
+	if (focus == "newer")
+		return i % 2 ? "newer" : "faults"
+	if (focus == "calls")
+		return i % 2 ? "calls" : draw(2) ? "owner" : "workers"
+	return "faults"
+}
+
+function plan_part(i) {
+	if (focus == "newer")
+		return i % 2 ? "newer_plan" : "plan"
+	return focus == "calls" ? "calls_plan" : "plan"
+}
+
+function draw_entries(    i, at, first, last) {
 	first = at = 20 + draw(41)
-	for (i = 4 + draw(4); i > 0; i--) {
-		faults = faults draw_entry("faults", at)
+	for (i = (focus == "calls" ? 7 : 4) + draw(4); i > 0; i--) {
+		faults = faults draw_entry(fault_part(i), at)
 		last = at
-		at += 3 + draw(38)
+		at += 3 + draw(focus == "calls" ? 28 : 38)
 	}
 	for (i = 1 + draw(3); i > 0; i--)
-		plan = plan draw_entry("plan", first + draw(last - first + 1))
-	printf "name = \"random-%d\"\n", seed
+		plan = plan draw_entry(plan_part(i),
+				       first + draw(last - first + 1))
+}
+
+# The owner is cut off, with its zone or alone beside cuts of workers, shortly
+# before the group is dealt anew, and stays so until its leases have ended.
+function draw_deals(    i, at, cut, leads) {
+	at = 50 + draw(41)
+	split("1 3 6 10 15", leads, " ")
+	for (i = 0; i < 2; i++) {
+		cut = at - leads[1 + draw(5)]
+		if (draw(2)) {
+			faults = faults draw_entry("deal", cut)
+		} else {
+			faults = faults draw_entry("deal_owner", cut)
+			faults = faults draw_entry("deal_workers", cut)
+		}
+		faults = faults draw_entry("deal_group", at)
+		at += 150 + draw(21)
+	}
+}
+
+function write_day(seed,    i) {
+	state = (seed * 69621 + 12345) % 2147483646 + 1
+	for (i = 0; i < 8; i++)
+		draw(1)
+	plan = faults = ""
+	if (focus == "deal")
+		draw_deals()
+	else
+		draw_entries()
+	printf "name = \"%s-%d\"\n", focus == "" ? "random" : focus, seed
 	printf "plan = [\n%s]\nfaults = [\n%s]\n", plan, faults
 }
 
--- a/deploy/random_days.sh
+++ b/deploy/random_days.sh
@@ -5,6 +5,9 @@
 #   random_days.sh play N [FIRST]     plays N days, from seed FIRST (1) on
 #   random_days.sh kinds              prints the kinds of disruptions
 #
+# FOCUS draws other days: `newer` has kinds that older sites don't list in each day,
+# `calls` loses, repeats and delays calls while owners change and workers come and
+# go, `deal` deals the group anew while its owner is cut off.
 # SKIP lists kinds to leave out, with commas. `play` needs BENCH (the bench's
 # program) and SITE (a site file); a day that broke or could not be played is kept
 # in OUT (build/days) with its output and printed: seed, result, file, kinds left
@@ -13,8 +16,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 
-# Part (plan or faults), kind, range of for_s in seconds, of x, of share, of gap_s in
-# seconds, other fields, variants of how. Ranges are LOW-HIGH; `-` is none.
+# Part (plan, faults, or one that FOCUS adds), kind, range of for_s in seconds, of x,
+# of share, of gap_s in seconds, other fields, variants of how. Ranges are LOW-HIGH;
+# `-` is none.
 table()
 {
 	cat <<'EOF'
@@ -67,13 +71,63 @@
 plan|add_nodes|-|-|.3-1|-||
 plan|replace_core|-|.5-4|-|-||planned
 plan|scale_in|2-6|1-3|.05-.2|-||;spot;reclaim;reclaim dry
+newer|srv_flap|4-8|-|.03-.15|1-2||
+newer|cold_return|3-6|-|-|-||;dark
+newer|srv_lying_health|4-8|-|.05-.15|-||errors;hang;reset;bad
+newer|hot_key|4-7|-|.4-.7|-||
+newer|shift|5-8|-|.3-.6|-||
+newer_plan|config_storm|3-5|-|-|.3-.4||
+newer_plan|scale_in|2-6|1-3|.03-.2|-||;spot;reclaim;reclaim dry
+newer_plan|roll_term|-|1-2|.3-1|.5-2||;busy;leader;starter
+newer_plan|release|-|1-1|.3-1|.3-2||
+calls|answer_lost|2-8|.05-.5|.3-.8|-||
+calls|reset_conns|-|.3-.8|.1-.5|-||
+calls|srv_grey|2-8|.3-1|.05-.3|-||reset;mute;hang;errors
+calls|srv_cut|1-6|.2-.6|.1-.5|-||;fronts;some;some lossy;one_way;reset
+calls|srv_cut|1-6|.2-.6|.1-.5|-||reborn;one_way reborn;some reborn
+calls|platform_lost|2-6|.1-.5|-|-||;late
+calls|applied_late|2-8|.05-.4|-|-||orders;grants;all
+owner|platform_compact|.5-3|1-6|-|-||rebalance;rewind;rebalance rewind
+owner|platform_down|.5-6|-|.2-.5|-||silent lapse;busy lapse;reset lapse
+owner|node_kill|.5-4|-|-|-|on = "core", count = 1|leader;power leader;leader race drain
+owner|node_freeze|.5-4|-|.1-.4|-||leader;leader renewed
+owner|core_cut|1-8|-|-|-|count = 1|leader;leader race
+owner|zone_cut|1-8|-|-|-||;drop;reset
+workers|srv_flap|4-8|-|.03-.15|.5-2||
+workers|cold_return|1-6|-|-|-||;dark
+workers|srv_crash|.3-4|-|.1-.4|-||;dark;gone;domain;rack;same;dark same
+calls_plan|scale_in|2-6|1-3|.05-.2|-||spot;reclaim
+calls_plan|roll_term|-|1-2|.3-1|.5-2||;leader;starter
+calls_plan|release|-|1-1|.3-1|.3-2||
+deal|zone_cut|11-14|-|-|-|zone = "@z0"|drop
+deal|zone_cut|11-14|-|-|-|zone = "@z1"|drop
+deal|zone_cut|11-14|-|-|-|zone = "@z2"|drop
+deal_owner|core_cut|11-14|-|-|-|count = 1|leader
+deal_owner|node_cut|11-14|-|-|-|count = 1|leader
+deal_workers|srv_cut|11-14|.5-.9|.3-.8|-||some;fronts
+deal_group|platform_compact|.5-1|1-6|-|-||rebalance
 EOF
 }
 
 # write_days SEED...
 write_days()
 {
-	table | awk -F '|' -v seeds="$*" -v skip="${SKIP:-}" -f deploy/random_days.awk
+	table | awk -F '|' -v seeds="$*" -v skip="${SKIP:-}" -v focus="${FOCUS:-}" \
+		-f deploy/random_days.awk
+}
+
+# kinds: those of the parts that FOCUS draws from.
+kinds()
+{
+	local parts
+
+	case ${FOCUS:-} in
+	'') parts='plan|faults' ;;
+	newer) parts='plan|faults|newer|newer_plan' ;;
+	calls) parts='calls|owner|workers|calls_plan' ;;
+	deal) parts='deal|deal_owner|deal_workers|deal_group' ;;
+	esac
+	table | grep -E "^($parts)\|" | cut -d'|' -f2 | sort -u
 }
 
 # result OUTPUT: `clean`, the broken rules, or nothing if the day was not played. The
@@ -107,7 +161,7 @@
 	while :; do
 		write_days "$1" >"$day"
 		"$BENCH" run "$SITE" "$day" --no-cpu --seed "$1" \
-			--why "${WHY:-random day, seed $1}" >"$out" 2>&1 || :
+			--why "${WHY:-random day${FOCUS:+ of FOCUS=$FOCUS}, seed $1}" >"$out" 2>&1 || :
 		got=$(result "$out")
 		kind=$(refused_kind "$out")
 		if [ -n "$got" ] || ! grep -q "kind = \"$kind\"" "$day"; then
@@ -126,7 +180,7 @@
 
 	: "${BENCH:?path of the bench}" "${SITE:?path of a site file}"
 	OUT=${OUT:-build/days}
-	name=$(basename "$SITE" .toml)
+	name=$(basename "$SITE" .toml)${FOCUS:+-$FOCUS}
 	mkdir -p "$OUT"
 	for ((seed = ${2:-1}; seed < ${2:-1} + $1; seed++)); do
 		play_seed "$seed"
@@ -142,9 +196,16 @@
 	[ $unplayed = 0 ] || return 2
 }
 
+case ${FOCUS:-} in
+'' | newer | calls | deal) ;;
+*)
+	echo "random_days.sh: FOCUS is '$FOCUS', expected newer, calls or deal" >&2
+	exit 2
+	;;
+esac
 case ${1:-} in
 write) shift && write_days "$@" ;;
-kinds) table | cut -d'|' -f2 | sort -u ;;
+kinds) kinds ;;
 play) play "${2:?number of days}" "${3:-1}" ;;
-*) sed -n '2,13s/^# \{0,1\}//p' "$0" >&2 && exit 2 ;;
+*) sed -n '2,16s/^# \{0,1\}//p' "$0" >&2 && exit 2 ;;
 esac
--- a/deploy/random_days_test.sh
+++ b/deploy/random_days_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Test of random_days.sh: a seed writes the same day each time, the days keep their
-# limits, and `play` tells clean, broken and unplayed days apart.
+# Test of random_days.sh: a seed writes the same day each time, with and without a
+# FOCUS, the days keep their limits, and `play` tells clean, broken and unplayed
+# days apart.
 set -u
 cd "$(dirname "$0")/.." || exit
 tmp=$(mktemp -d)
@@ -8,6 +9,7 @@
 days="bash deploy/random_days.sh"
 PASSED=0
 FAILED=0
+unset FOCUS SKIP WHY
 
 # expect WHAT GOT WANTED
 expect()
@@ -61,6 +63,108 @@
 expect "kinds left out" "$(SKIP=srv_cut,release $days write $(seq 200) |
 	grep -cE 'kind = "(srv_cut|release)"')" 0
 
+# Days recorded by their seed are lost if a row or a draw changes.
+expect "days of seeds 1 to 200" "$(cksum <"$tmp/all")" "2437782325 118005"
+
+# check_focus FOCUS GAP_MAX DISRUPTIONS_MIN DISRUPTIONS_MAX PLANNED_MIN: the same
+# checks for the days of a FOCUS.
+check_focus()
+{
+	export FOCUS=$1
+	$days write $(seq 200) >"$tmp/focus"
+	$days write $(seq 200) >"$tmp/again"
+	expect "$1: same seeds, same days" \
+		"$(cmp "$tmp/focus" "$tmp/again" 2>&1)" ""
+	expect "$1: seed 7 alone" "$($days write 7)" "$(awk -v name="\"$1-7\"" \
+		'/^name/ { on = $3 == name } on' "$tmp/focus")"
+	expect "$1: 200 different days" "$(awk '/^name/ { day = "" } { day = day $0 }
+		/^]/ && ++ends % 2 == 0 { sub(/^[^\n]*plan/, "", day); days[day] }
+		END { for (d in days) n++; print n }' "$tmp/focus")" 200
+	expect "$1: limits of days" "$(awk -v gap="$2" -v min="$3" -v max="$4" \
+		-v plan_min="$5" '
+		function check(what, value, low, high) {
+			if (value < low - 1e-9 || value > high + 1e-9)
+				print name, what, value
+		}
+		/^name/ { name = $3; n = 0; days++ }
+		/^plan/ { part = "plan" }
+		/^faults/ { check("planned", n, plan_min, 3); part = "faults"; n = 0 }
+		/^  / {
+			at = $4 + 0
+			if (part == "faults" && n > 0)
+				check("gap", at - before, .3, gap)
+			if (part == "faults" && n == 0)
+				check("start", at, 2, 6)
+			before = at
+			n++
+		}
+		/^]/ && part == "faults" {
+			check("disruptions", n, min, max)
+			part = ""
+		}
+		END { check("days", days, 200, 200) }' "$tmp/focus")" ""
+	check_focus_kinds "$1"
+	unset FOCUS
+}
+
+check_focus_kinds()
+{
+	expect "$1: kinds over 200 seeds" \
+		"$(grep -o 'kind = "[a-z_]*"' "$tmp/focus" | cut -d'"' -f2 | sort -u)" \
+		"$($days kinds)"
+}
+
+check_focus newer 4 4 7 1
+NEWER='srv_flap|cold_return|srv_lying_health|hot_key|shift'
+expect "newer: days with a newer kind" "$(awk -v kinds="$NEWER" '/^name/ { n = 0 }
+	$0 ~ "\"(" kinds ")\"" && !n++ { days++ } END { print days }' "$tmp/focus")" 200
+for kind in srv_flap cold_return srv_lying_health hot_key shift config_storm; do
+	expect "newer: older days without $kind" "$(grep -c "\"$kind\"" "$tmp/all")" 0
+done
+
+# Half of the disruptions of a day, or one less, take calls; at least two in each day
+# change the owner, or take or bring workers.
+check_focus calls 3 7 10 1
+CALLS='answer_lost|reset_conns|srv_grey|srv_cut|platform_lost|applied_late'
+expect "calls: share of the parts" "$(awk -v kinds="$CALLS" '
+	/^name/ { name = $3; calls = others = 0 }
+	/^faults/ { part = "faults" }
+	part == "faults" && /^  / { if ($0 ~ "\"(" kinds ")\"") calls++; else others++ }
+	/^]/ && part == "faults" {
+		if (calls < others || calls > others + 1 || others < 2)
+			print name, calls, others
+		part = ""
+	}' "$tmp/focus")" ""
+
+# A cut begins 0.1 to 1.5 s before the group is dealt anew and outlasts the 9.9 s for
+# which leases of the former owner may last.
+export FOCUS=deal
+$days write $(seq 200) >"$tmp/focus"
+expect "deal: same seeds, same days" \
+	"$($days write $(seq 200) | cmp - "$tmp/focus" 2>&1)" ""
+check_focus_kinds deal
+expect "deal: cuts and deals" "$(awk '
+	function field(name,    s) {
+		s = $0
+		sub(".*[{ ]" name " = ", "", s)
+		return s + 0
+	}
+	/^name/ { name = $3; deals = cuts = 0; days++ }
+	/_cut"/ { cut = field("at"); for_s = field("for_s"); cuts++ }
+	/_cut"/ && (for_s < 11 || for_s > 14) { print name, "cut for", for_s }
+	/"platform_compact"/ {
+		lead = field("at") - cut
+		if (!cuts || lead < .1 - 1e-9 || lead > 1.5 + 1e-9)
+			print name, "cuts", cuts, "lead", lead
+		deals++
+		cuts = 0
+	}
+	/^]/ && ++ends % 2 == 0 && deals != 2 { print name, "deals", deals }
+	END { if (days != 200) print "days", days }' "$tmp/focus")" ""
+unset FOCUS
+FOCUS=other $days write 1 >/dev/null 2>&1
+expect "status of another FOCUS" $? 2
+
 # A bench that offers neither srv_cut nor one_way, breaks a rule on seed 3, has a
 # fault on seed 4 and cannot play seed 5.
 cat >"$tmp/bench" <<'EOF'
@@ -90,6 +194,9 @@
 	tr ':,' '\n\n' | tr -d ' ' | tail -n +2 | sort | paste -sd,)" one_way,srv_cut
 expect "kept files" "$(ls "$OUT" | paste -sd' ')" \
 	"site-3.out site-3.toml site-4.out site-4.toml site-5.out site-5.toml"
+FOCUS=calls $days play 1 3 >/dev/null
+expect "kept files of a FOCUS" "$(ls "$OUT" | grep calls | paste -sd' ')" \
+	"site-calls-3.out site-calls-3.toml"
 $days play 1 5 >/dev/null
 expect "status of a day not played" $? 2
 $days play 2 >/dev/null
