owner: leases are renewed by evidence of ownership, not by the time to live

Cause: an owner counted on the cell for as long as its membership was certain (1.8 s after the sending of its last answered join), and renewed leases for 4 s more; the next owner waits 8.5 s after its takeover for workers that it does not reach. That holds only where the cell changes hands by a lapse of the time to live. The store may also assign all cells anew at any moment without a request. If the owner is cut off then, together with workers, its leases last until 9.9 s after that (4 s granted at 5.8 s, on a clock that may be 2 % slow).

Change: leases are extended only until lease and slow clock still end within takeover_ms of the sending of the last call whose answer shows that no other host had taken the cell: an append under its epoch, or a join that listed the cell. That is 4.28 s after it, and the wait of any next owner begins later. The bound for owners that had declined to pass on the cell was a special case of this one and goes. The authority to start tasks is unchanged: a start needs a stored intent, which the next owner reads. The clock of the worker of TwoOwners is now as slow as the platform allows.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -173,6 +173,12 @@
 	c->renew_until_ms = until_ms + c->opt.renew_after_ms;
 }
 
+void cell_limit_renewals(struct cell *c, int64_t until_ms)
+{
+	if (until_ms < c->renew_until_ms)
+		c->renew_until_ms = until_ms;
+}
+
 void cell_hand_over(struct cell *c, int64_t now_ms)
 {
 	c->handover_began_ms = now_ms;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -116,6 +116,22 @@
  */
 void cell_set_authority(struct cell *c, int64_t until_ms);
 
+/**
+ * cell_limit_renewals() - set a bound on the time for which leases are extended
+ * @until_ms: boot time
+ *
+ * Holds until cell_set_authority() is called again, which sets the time to
+ * options.renew_after_ms after the end of the authority.
+ */
+void cell_limit_renewals(struct cell *c, int64_t until_ms);
+
+/**
+ * cell_lease_bound_ms() - longest time for which a lease lasts by the clock of
+ * this host
+ * @lease_ms: its length on the worker's clock
+ */
+int64_t cell_lease_bound_ms(int64_t lease_ms);
+
 /**
  * cell_hand_over() - note that another host is about to take the cell
  *
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -26,9 +26,7 @@
 	return w->lease_end_ms;
 }
 
-/* Longest time for which a lease of @lease_ms lasts by the clock of this host.
- */
-static int64_t lease_bound_ms(int64_t lease_ms)
+int64_t cell_lease_bound_ms(int64_t lease_ms)
 {
 	return lease_ms + lease_ms * WORKER_CLOCK_SLOW_PERMILLE / 1000 +
 	       LEASE_MARGIN_MS;
@@ -56,7 +54,8 @@
 	log_line(LOG_INFO, "worker confirmed a start on another clock",
 		 "worker=%s clock=%lld expected_min=%lld", w->entry.addr.id,
 		 (long long)clock, (long long)least_clock(w, t->start_sent_ms));
-	w->new_clock_until_ms = c->now_ms + lease_bound_ms(c->opt.lease_max_ms);
+	w->new_clock_until_ms =
+		c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
 }
 
 void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
@@ -75,7 +74,7 @@
 
 	if (left < 0)
 		left = 0;
-	return lease_bound_ms(left) - (c->now_ms - w->clock_received_ms);
+	return cell_lease_bound_ms(left) - (c->now_ms - w->clock_received_ms);
 }
 
 int64_t cell_lease_left_ms(const struct cell *c, const struct cell_worker *w)
--- a/src/host/member.c
+++ b/src/host/member.c
@@ -71,6 +71,8 @@
 		decline_generation(m, r);
 	else
 		adopt_generation(m, r);
+	if (!(m->assigned & ~r->assigned))
+		m->listed_ms = r->sent_ms;
 	m->assigned_until_ms =
 		r->sent_ms + m->ttl_ms - m->ttl_ms / TTL_MARGIN_DIVISOR;
 	m->due_ms = r->sent_ms + (r->sent_ms < m->fast_until_ms
--- a/src/host/member.h
+++ b/src/host/member.h
@@ -17,7 +17,10 @@
  * @generation: last group generation received; 0 before the first reply and
  *	after a leave
  * @assigned: cells assigned to this member, as a bit set
- * @assigned_until_ms: time until which @assigned is valid
+ * @assigned_until_ms: time until which @assigned is valid, unless the store
+ *	assigns all cells anew
+ * @listed_ms: sending time of the last answered join whose answer lists all of
+ *	@assigned: no other member held them before
  * @retained: cells that this member gives up only with its membership, as a bit
  *	set: a cell that the group assigns to another member is handed over once
  *	this one has joined with the new generation, so it joins with the one
@@ -37,6 +40,7 @@
 	uint64_t generation;
 	uint64_t assigned;
 	int64_t assigned_until_ms;
+	int64_t listed_ms;
 	uint64_t retained;
 	uint64_t declined;
 	int64_t due_ms;
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -313,6 +313,18 @@
 	o->store->append(o->port, &a, done, o);
 }
 
+static void note_held(struct owner *o, int64_t sent_ms)
+{
+	if (sent_ms > o->held_ms)
+		o->held_ms = sent_ms;
+}
+
+static void note_stored(struct owner *o, int64_t sent_ms)
+{
+	o->stored_ms = sent_ms;
+	note_held(o, sent_ms);
+}
+
 static void on_fence_append(void *ctx, const struct store_reply *r)
 {
 	struct owner *o = ctx;
@@ -322,7 +334,7 @@
 		return;
 	if (r->status == STORE_OK) {
 		o->fence_offset = r->end;
-		o->stored_ms = r->sent_ms;
+		note_stored(o, r->sent_ms);
 		o->phase = OWNER_CATCHING_UP;
 		o->seq = 1;
 		follower_read_now(o->job_follower);
@@ -348,7 +360,7 @@
 				 "seq=%" PRIu64 " attempts=%u", o->seq,
 				 o->attempt + 1);
 		o->attempt = 0;
-		o->stored_ms = r->sent_ms;
+		note_stored(o, r->sent_ms);
 		o->seq++;
 		apply_peer_records(o, r->first);
 		buf_clear(&o->batch);
@@ -429,7 +441,6 @@
 	o->takeover_began_ms = o->now_ms;
 	o->append_due_ms = o->now_ms;
 	o->seq = 0;
-	o->has_declined = false;
 	o->job_follower->read_gap_ms = OWNER_READ_GAP_MS;
 	buf_clear(&o->batch);
 	log_line(LOG_INFO, "cell assigned to this host",
@@ -482,31 +493,34 @@
 	owner_append(o, on_batch_append);
 }
 
-/*
- * Until when tasks may be started; leases are extended for renew_after_ms more.
- * The next owner counts on takeover_ms from its takeover on. If this owner kept
- * the cell before, that takeover may have followed its last append at once.
- */
+/* Until when tasks may be started. A start needs a stored intent, so the next
+ * owner, which fences this one at the store, knows of it. */
 static int64_t authority_until_ms(const struct owner *o)
 {
-	const struct cell_options *opt = &o->options;
-	int64_t margin = opt->takeover_ms - opt->renew_after_ms - opt->lease_ms;
 	int64_t until = o->member_until_ms;
 
-	if (!o->handover_began_ms)
-		return until;
-	if (o->handover_began_ms < until)
+	if (o->handover_began_ms && o->handover_began_ms < until)
 		until = o->handover_began_ms;
-	if (o->has_declined && o->stored_ms + margin < until)
-		until = o->stored_ms + margin;
 	return until;
 }
 
+/*
+ * Until when leases may be extended, however certain the membership seems: the
+ * store may assign the cell to another host at any moment, without a request.
+ * That host then counts on takeover_ms for workers that it does not reach.
+ */
+static int64_t renewals_until_ms(const struct owner *o)
+{
+	return o->held_ms + o->options.takeover_ms -
+	       cell_lease_bound_ms(o->options.lease_ms);
+}
+
 static int64_t owner_run(struct owner *o, int64_t wall_ms)
 {
 	int64_t wait;
 
 	cell_set_authority(o->cell, authority_until_ms(o));
+	cell_limit_renewals(o->cell, renewals_until_ms(o));
 	wait = cell_tick(o->cell, o->now_ms, wall_ms);
 	owner_commit(o);
 	follower_tick(&o->worker_follower, o->now_ms);
@@ -519,8 +533,10 @@
 	bool is_assigned = m->assigned >> o->part & 1;
 
 	o->now_ms = now_ms;
-	if (is_assigned)
+	if (is_assigned) {
 		o->member_until_ms = m->assigned_until_ms;
+		note_held(o, m->listed_ms);
+	}
 	if (o->fenced_by_worker)
 		owner_step_down(o, "fenced by a worker");
 	if (o->handover_began_ms &&
@@ -528,8 +544,6 @@
 	     now_ms - o->handover_began_ms > o->options.renew_after_ms))
 		owner_step_down(o, is_assigned ? "assigned to this host again"
 					       : "handed over");
-	if (!is_assigned && !o->handover_began_ms)
-		o->has_declined = m->declined > o->epoch;
 	if (!is_assigned)
 		owner_hand_over(o, "assigned to another host");
 	else if (o->phase == OWNER_IDLE && m->generation > o->ended_epoch &&
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -39,7 +39,8 @@
  * @member_until_ms: boot time until which the membership was certain when the
  *	cell was last assigned to this host
  * @stored_ms: sending time of the last append that the store took
- * @has_declined: this host has kept the cell from another one before
+ * @held_ms: sending time of the last call whose answer shows that no other host
+ *	had taken the cell before: an append, or a join
  * @fence_offset: end of the partition after the fencing append; the job log has
  *	to be read up to it
  * @seq: sequence number of the current batch; 0 for the fencing append
@@ -80,7 +81,7 @@
 	int64_t handover_began_ms;
 	int64_t member_until_ms;
 	int64_t stored_ms;
-	bool has_declined;
+	int64_t held_ms;
 	uint64_t fence_offset;
 	uint64_t seq;
 	uint32_t attempt;
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -659,16 +659,19 @@
 				 const poll_request *q, poll_done d,
 				 void *ctx) {
 			TwoOwners *t = (TwoOwners *)port;
-			if (q->lease_deadline_ms > t->lease)
-				t->lease = q->lease_deadline_ms;
+			int64_t end = q->lease_deadline_ms * 50 / 49;
+			if (end > t->lease)
+				t->lease = end;
 			worker_addr addr = *w;
 			int64_t sent = t->now;
 			t->polls.push_back([=]() {
 				poll_reply r = {};
 				r.status = ORDER_OK;
 				r.born = 5;
-				r.clock = t->now;
+				r.clock = t->worker_clock();
 				r.sent_ms = sent;
+				r.running = t->runs.data();
+				r.running_count = t->runs.size();
 				d(ctx, &addr, &r);
 			});
 		};
@@ -678,8 +681,9 @@
 			worker_addr addr = *w;
 			task_ref ref = o->ref;
 			t->starts++;
+			t->runs.push_back({ref, "", 0, 0});
 			t->polls.push_back([=]() {
-				order_reply r = {ORDER_OK, t->now};
+				order_reply r = {ORDER_OK, t->worker_clock()};
 				d(ctx, &addr, &ref, &r);
 			});
 		};
@@ -742,6 +746,26 @@
 		buf_finish(&text);
 	}
 
+	/* The clock of w1 is as slow as the platform allows, 2 %. */
+	int64_t worker_clock() const
+	{
+		return now * 49 / 50;
+	}
+
+	/* Runs for 3 s, in which host a starts a task on w1. */
+	void start_task()
+	{
+		a.owner.parse_worker = worker_entry_parse;
+		store.put("keyed.servers", "w1",
+			  "{\"address\":\"10.0.0.1:1\",\"service\":\"pool\","
+			  "\"state\":\"ready\",\"born\":5,"
+			  "\"capacity\":{\"cpu\":1000,\"memMb\":100}}");
+		submit(1);
+		while (now < 3000)
+			step(false);
+		ASSERT_GT(starts, 0u);
+	}
+
 	void step(bool a_cut)
 	{
 		store.now = now;
@@ -765,8 +789,9 @@
 	store_ops ops;
 	Host a, b;
 	int64_t now = 0;
-	int64_t lease = 0;
+	int64_t lease = 0; /* boot time at which it ends on w1 */
 	size_t starts = 0;
+	std::vector<run_row> runs; /* on the worker */
 	int64_t b_began = 0;
 	bool b_up = false;
 	std::vector<std::function<void()>> polls;
@@ -813,20 +838,29 @@
 	EXPECT_LT(lease, b_began + 8500);
 }
 
+/* The store may assign the cell to another host without a request. An owner
+ * that was cut off from the store at that moment counted on its time to live,
+ * and extended leases for longer than the next owner waits. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongWhenTheCellIsReassignedDuringACut)
+{
+	start_task();
+	while (a.membership.assigned_until_ms < now + 1790)
+		step(false); /* the last join has just been answered */
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	while (now < 15000)
+		step(true);
+	ASSERT_GT(b_began, 0);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
 /* An owner whose cell had been given to another host went on starting tasks for
  * as long as its membership was certain, beside the next owner. */
 TEST_F(TwoOwners, StartsNothingOnceItHandsOver)
 {
 	a.retains = false;
-	a.owner.parse_worker = worker_entry_parse;
-	store.put("keyed.servers", "w1",
-		  "{\"address\":\"10.0.0.1:1\",\"service\":\"pool\",\"state\":"
-		  "\"ready\",\"born\":5,\"capacity\":{\"cpu\":1000,"
-		  "\"memMb\":100}}");
-	submit(1);
-	while (now < 3000)
-		step(false);
-	ASSERT_GT(starts, 0u);
+	start_task();
 	store.assignee = "b";
 	store.generation++;
 	while (!a.owner.handover_began_ms && now < 4000)
