cell: log and gauge of the long-running task that waits longest

Change: one line a second with the reason, the largest free capacity, how many workers are full, blocked or reserved, and from how many of them short work alone keeps the task; and a gauge of its wait. What a worker lacks for a step is decided in one place for placement and log.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -13,6 +13,7 @@
 #include "cell/cell_recovery.h"
 #include "cell/cell_sizes.h"
 #include "cell/cell_task.h"
+#include "cell/cell_wait.h"
 #include "cell/cell_worker.h"
 
 /* The host calls cell_tick() after each round of events. Loops over all workers
@@ -427,6 +428,7 @@
 		c->load_due_ms = now_ms + LOAD_PERIOD_MS;
 		log_load(c);
 		cell_recovery_log(c);
+		cell_wait_log(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
@@ -452,6 +454,7 @@
 	out->epoch = c->epoch;
 	out->in_doubt = cell_recovery_count_tasks(c);
 	out->unheard = c->unheard;
+	out->oldest_wait_ms = (uint64_t)cell_wait_oldest_ms(c);
 	for (w = c->workers; w; w = w->next) {
 		out->workers++;
 		out->usable += w->registered && w->confirmed &&
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -199,6 +199,8 @@
  * @in_doubt: tasks of which a former owner may have started a run that is
  *	still active
  * @unheard: workers on which there may be such runs
+ * @oldest_wait_ms: how long the long-running task has waited that could have
+ *	been placed longest ago
  * @starts: starts sent
  * @ends_other: runs that ended as neither done nor failed
  * @no_room: starts refused for lack of capacity
@@ -220,6 +222,7 @@
 	uint32_t unheard;
 	uint32_t accounts_blocked;
 	uint32_t waiting_quota;
+	uint64_t oldest_wait_ms;
 	uint64_t starts;
 	uint64_t ends_done;
 	uint64_t ends_failed;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -77,7 +77,7 @@
 	       !cell_crash_is_held(c, t) && !cell_task_is_in_doubt(c, t);
 }
 
-static uint64_t service_of(const struct cell *c, const struct cell_step *st)
+uint64_t cell_step_service(const struct cell *c, const struct cell_step *st)
 {
 	const char *name = c->ops->queue_service(c->ctx, st->job->spec->queue);
 
@@ -138,12 +138,13 @@
 static bool place_step(struct cell *c, struct cell_step *st, struct pass *p,
 		       bool within_share)
 {
-	uint64_t service = service_of(c, st);
+	uint64_t service = cell_step_service(c, st);
 	struct cell_demand demand = cell_step_demand(st, service);
 	bool is_filled = false, is_gang = step_has_flag(st, STEP_GANG);
 	uint64_t since_version;
 	uint32_t i;
 
+	st->tried_ms = c->now_ms;
 	if (within_share &&
 	    cell_quota_is_over_share(st, is_gang ? st->spec->count : 1))
 		return false;
--- a/src/cell/cell_place.h
+++ b/src/cell/cell_place.h
@@ -8,4 +8,9 @@
  */
 void cell_place(struct cell *c);
 
+/**
+ * cell_step_service() - name_hash() of the service whose pool runs a step
+ */
+uint64_t cell_step_service(const struct cell *c, const struct cell_step *st);
+
 #endif
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -37,9 +37,7 @@
 		       : 2;
 }
 
-/* Since when the longest-waiting task of a step could have been placed;
- * INT64_MAX if none waits. */
-static int64_t unplaced_since(const struct cell_step *st)
+int64_t cell_step_unplaced_since(const struct cell_step *st)
 {
 	int64_t since = INT64_MAX;
 	uint32_t i;
@@ -59,7 +57,7 @@
 bool cell_is_long_unplaced(const struct cell *c, const struct cell_step *st)
 {
 	return step_has_flag(st, STEP_LONG_RUNNING) &&
-	       c->now_ms - unplaced_since(st) >= UNPLACED_MAX_MS;
+	       c->now_ms - cell_step_unplaced_since(st) >= UNPLACED_MAX_MS;
 }
 
 /* Declared run time of the longest chain of steps that begins with @st. */
@@ -103,7 +101,7 @@
 
 	if (long_running && cell_is_long_unplaced(c, st)) {
 		r.long_running = 0;
-		r.deadline_ms = unplaced_since(st);
+		r.deadline_ms = cell_step_unplaced_since(st);
 	}
 	if (j->spec->repeat)
 		r.deadline_ms = j->occurrences[st->occurrence].opened_ms +
--- a/src/cell/cell_queue.h
+++ b/src/cell/cell_queue.h
@@ -20,6 +20,12 @@
  */
 bool cell_step_is_ready(const struct cell_step *st);
 
+/**
+ * cell_step_unplaced_since() - boot time since when the task of a step that has
+ * waited longest could have been placed; INT64_MAX if none waits
+ */
+int64_t cell_step_unplaced_since(const struct cell_step *st);
+
 /**
  * cell_is_long_unplaced() - whether a task of a long-running step has been
  * without a worker for too long
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -75,13 +75,28 @@
 	best->reserved_until_ms = c->now_ms + RESERVE_MS;
 }
 
-/* Whether a worker is in the pool, accepts tasks and has the capacity. */
+enum cell_obstacle cell_obstacle_of(const struct cell *c,
+				    const struct cell_worker *w,
+				    const struct cell_step *st,
+				    uint64_t service)
+{
+	if (w->service != service)
+		return OBSTACLE_SERVICE;
+	if (!w->accepts_tasks)
+		return OBSTACLE_BLOCKED;
+	if (!cell_fits(st, w))
+		return OBSTACLE_CAPACITY;
+	if (is_reserved_for_other(c, w, st))
+		return OBSTACLE_RESERVED;
+	if (!has_label(w, st->spec->worker_label))
+		return OBSTACLE_LABEL;
+	return OBSTACLE_NONE;
+}
+
 static bool may_take(const struct cell *c, const struct cell_worker *w,
 		     const struct cell_step *st, uint64_t service)
 {
-	return w->service == service && w->accepts_tasks && cell_fits(st, w) &&
-	       !is_reserved_for_other(c, w, st) &&
-	       has_label(w, st->spec->worker_label);
+	return cell_obstacle_of(c, w, st, service) == OBSTACLE_NONE;
 }
 
 struct cell_worker *cell_choose_worker(struct cell *c,
--- a/src/cell/cell_room.h
+++ b/src/cell/cell_room.h
@@ -3,6 +3,30 @@
 
 #include "cell/cell_types.h"
 
+/**
+ * enum cell_obstacle - what keeps the tasks of a step from a worker
+ */
+enum cell_obstacle {
+	OBSTACLE_NONE,
+	OBSTACLE_SERVICE,  /* it belongs to another pool */
+	OBSTACLE_BLOCKED,  /* it takes no tasks at present */
+	OBSTACLE_CAPACITY, /* too little is free, or the limit of tasks of the
+			      step on one worker is reached */
+	OBSTACLE_RESERVED, /* for another step */
+	OBSTACLE_LABEL,
+	OBSTACLE_KINDS,
+};
+
+/**
+ * cell_obstacle_of() - the first obstacle for tasks of a step on a worker
+ *
+ * Interference is not checked, nor whether a single task is kept from it.
+ */
+enum cell_obstacle cell_obstacle_of(const struct cell *c,
+				    const struct cell_worker *w,
+				    const struct cell_step *st,
+				    uint64_t service);
+
 /**
  * cell_choose_worker() - find the cheapest worker for a task
  * @rack: only workers in this rack, or NULL for any
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -207,6 +207,7 @@
  * @no_fit_version: no worker whose @version is not higher meets its demand, as
  *of
  *	@no_fit_at_ms; 0 if that is not known
+ * @tried_ms: when a placement pass last reached it; 0 before
  * @is_recovered: the stored progress of a former owner has been applied
  */
 struct cell_step {
@@ -221,6 +222,7 @@
 	struct load_curve *curve;
 	uint64_t no_fit_version;
 	int64_t no_fit_at_ms;
+	int64_t tried_ms;
 	bool is_recovered;
 	struct cell_task *tasks;
 };
