cell_poll: a listed run takes back a start that is not sent

A worker listed a run of a task that counted as over, while a start of the task was being stored for another worker, or for the same one, or while the task waited for a place. Callers would see the task run twice: the listed run was stopped, which takes up to the grace of a stop, and the start went out meanwhile.

How the owner can have come to believe that the run is over: a stop that a process confirmed, followed by a listing of it without the run; the end of a process or of its leases. All are newer than the order and of the process that the owner knew, but an order on its way is carried out by the process that listens when it arrives. A listing is newer than any of them.

The run is now adopted, also of a job that this owner has accepted, and a start that is not sent is withdrawn, that of a gang as a whole. Holding the task until a listing lacks the run was ruled out: it needs a state of its own, and throws the work away; an adopted run ends by the same evidence as any other. On the task's own worker, a start that was being stored was taken for the former run, as the number is given at the sending.

--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -52,16 +52,30 @@
 	return w->cpu_serving && w->cpu_best_effort;
 }
 
-/* Return: whether a run that a worker reports is the task's, or becomes it. */
+/*
+ * A listed run is active, whatever was concluded before: a start of its task
+ * that has not been sent is not sent.
+ *
+ * Return: whether a run that a worker reports is the task's, or becomes it.
+ */
 static bool is_run_of(struct cell *c, struct cell_task *t,
 		      struct cell_worker *w, const struct task_ref *ref,
 		      uint64_t clock)
 {
-	if (t && t->worker == w && t->run == ref->run)
+	if (!t || job_state_is_terminal(t->step->job->state))
+		return t && t->worker == w && t->run == ref->run;
+	if (t->state == TASK_STORING)
+		cell_task_withdraw(c, t);
+	if (t->worker == w && t->run == ref->run)
 		return true;
-	if (!t || t->state != TASK_WAITING || !t->step->job->recovered ||
-	    job_state_is_terminal(t->step->job->state))
+	if (t->state != TASK_WAITING)
 		return false;
+	if (!t->step->job->recovered)
+		log_line(LOG_WARN, "a run that counted as over is active",
+			 "job=%016" PRIx64 " step=%u index=%u run=%u last=%u "
+			 "worker=%s",
+			 ref->job, ref->step, ref->index, ref->run, t->run,
+			 w->entry.addr.id);
 	cell_task_adopt(c, t, w, ref->run);
 	cell_crash_started(t, clock);
 	return true;
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -251,9 +251,7 @@
 		intent_push(c, t);
 }
 
-/* Takes a start back before it is sent; the starts of a gang are taken back
- * together. */
-static void withdraw_start(struct cell *c, struct cell_task *t)
+void cell_task_withdraw(struct cell *c, struct cell_task *t)
 {
 	struct cell_step *st = t->step;
 	uint32_t i;
@@ -285,7 +283,7 @@
 		if (t->state != TASK_STORING)
 			continue;
 		if (!cell_quota_may_start(t)) {
-			withdraw_start(c, t);
+			cell_task_withdraw(c, t);
 			continue;
 		}
 		if (has_authority(c) && !t->worker->missed_polls &&
--- a/src/cell/cell_task.h
+++ b/src/cell/cell_task.h
@@ -16,6 +16,13 @@
  */
 void cell_start_stored(struct cell *c);
 
+/**
+ * cell_task_withdraw() - take a start back before it is sent
+ *
+ * The starts of a gang are taken back together.
+ */
+void cell_task_withdraw(struct cell *c, struct cell_task *t);
+
 /**
  * cell_task_stop() - stop a task; a task without a worker is left as it is
  *
@@ -40,7 +47,7 @@
 void cell_task_confirm(struct cell *c, struct cell_task *t);
 
 /**
- * cell_task_adopt() - take over a run that a former owner started on @w
+ * cell_task_adopt() - take over a run that @w lists; the task has no worker
  */
 void cell_task_adopt(struct cell *c, struct cell_task *t, struct cell_worker *w,
 		     uint32_t run);
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -113,6 +113,64 @@
 		w.run(50);
 	}
 
+	/* The start of the task of job 7 on "w1", the only worker, is held
+	 * back. */
+	Call hold_start()
+	{
+		w.begin({"w1"});
+		w.submit(7, {CellWorld::task_step(1)});
+		for (;;) {
+			w.now += 5;
+			cell_set_authority(w.c, w.now + 1000);
+			w.tick();
+			w.commit();
+			for (size_t i = 0; i < w.calls.size(); i++)
+				if (w.calls[i].kind == Call::START)
+					return w.take(i);
+			w.answer_all();
+		}
+	}
+
+	/* The held start gets no answer, and the run is stopped at "w1" and not
+	 * listed there: it counts as over. */
+	Call hold_start_until_stopped(const std::vector<std::string> &others)
+	{
+		Call late = hold_start();
+
+		for (auto &id : others)
+			w.add_worker(id);
+		w.run(200);
+		w.answer_as(late, ORDER_UNKNOWN);
+		w.storing = false;
+		w.run(200);
+		EXPECT_EQ(w.counts().placed, others.size());
+		late.done = [](void *, const worker_addr *, const task_ref *,
+			       const order_reply *) {};
+		return late;
+	}
+
+	/* A new process of "w1" has its id, and knows of no stop. */
+	void restart_w1()
+	{
+		w.workers["w1"] = FakeWorker();
+		w.workers["w1"].born = w.entries["w1"].born = 2000;
+		w.workers["w1"].ignores_stops = true;
+		w.announce("w1");
+	}
+
+	void expect_the_late_run_only()
+	{
+		ASSERT_EQ(w.runs(7), 1u);
+		w.storing = true;
+		w.run(500);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.starts.size(), 1u);
+		w.end_all(7, RUN_DONE);
+		w.run(500);
+		EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+		EXPECT_EQ(w.starts.size(), 1u);
+	}
+
 	CellWorld w;
 };
 
@@ -787,6 +845,47 @@
 	EXPECT_NE(w.state(7), (uint32_t)JOB_COMPLETED);
 }
 
+/* A run that counted as over was listed while a start of its task was being
+ * stored for another worker: the start was sent all the same. */
+TEST_F(CellRecovery, SendsNoStoredStartBesideARunThatAnotherWorkerLists)
+{
+	Call late = hold_start_until_stopped({"w2"});
+
+	restart_w1();
+	w.answer(late);
+	w.run(100);
+	expect_the_late_run_only();
+}
+
+/* The same with a start that was being stored for the same worker. */
+TEST_F(CellRecovery, SendsNoStoredStartBesideARunThatItsWorkerLists)
+{
+	Call late = hold_start_until_stopped({});
+
+	restart_w1();
+	w.storing = true;
+	w.run(1000);
+	w.storing = false;
+	w.run(2000);
+	ASSERT_EQ(w.counts().placed, 1u);
+	w.answer(late);
+	w.run(2000);
+	expect_the_late_run_only();
+}
+
+/* The same with a task that had no place yet. */
+TEST_F(CellRecovery, PlacesNoTaskBesideARunThatAWorkerLists)
+{
+	Call late = hold_start_until_stopped({});
+
+	restart_w1();
+	w.answer(late);
+	w.run(100);
+	w.add_worker("w2");
+	w.run(100);
+	expect_the_late_run_only();
+}
+
 /* Runs end with their lease, also on a worker that nobody calls. */
 class ExpiringWorld : public CellWorld
 {
