cell_poll: an end as done takes back a start that is not sent

A run that counted as over, or one of a former owner, ended as done while a start of its task was being stored. The end was dropped and acknowledged, and the task, which is done, ran again (TWICE: a start after an end that is taken note of). Ruled out: that the next listing tells it again, as the acknowledgement makes the worker forget it.

The start is withdrawn, and the task is done. An end that arrives once the start is sent is dropped as before: the later run decides.

Measured: the test fails before the change (starts 2, expected 1; the job is running, expected completed) and passes with it.

--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -146,6 +146,8 @@
 		return;
 	}
 	/* A run of a former owner, or one marked lost before. */
+	if (t->state == TASK_STORING && e->how == RUN_DONE)
+		cell_task_withdraw(c, t);
 	if (t->state == TASK_WAITING)
 		cell_task_apply_end(c, t, e->ref.run, e->how, e->checkpoint);
 	else if (e->how == RUN_FAILED)
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -886,6 +886,22 @@
 	expect_the_late_run_only();
 }
 
+/* A run that counted as over ended as done while a start of its task was being
+ * stored: the end was dropped and acknowledged, and the task ran again. */
+TEST_F(CellRecovery, StartsNoTaskWhoseFormerRunIsReportedDone)
+{
+	Call late = hold_start_until_stopped({"w2"});
+
+	restart_w1();
+	w.answer(late);
+	w.end_all(7, RUN_DONE);
+	w.run(100);
+	w.storing = true;
+	w.run(500);
+	EXPECT_EQ(w.starts.size(), 1u);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+}
+
 /* Runs end with their lease, also on a worker that nobody calls. */
 class ExpiringWorld : public CellWorld
 {
