cell_task: a run takes no number that a former owner may have used

After a run that was adopted from a former owner, the next run of the task had the number that follows. The former owner may have used it: a worker that had stopped or ended a run with it refuses the start as old, once for each number up to the highest it has seen; a failure of the second run with a number is not counted, so that a task may run once more than its job allows; and a start with it that is still on its way could not be told from this owner's.

Numbers now rise within an owner, from its own base on, whatever is adopted. Numbers past the end of an epoch's range (1000 starts of one task under one owner) are as before: the next epoch's range begins below them.

Measured: the test fails before the change (3 starts sent, expected 1: two were refused) and passes with it.

--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -31,13 +31,13 @@
 	for (i = 0; i < st->spec->count; i++) {
 		const struct cell_task *t = &st->tasks[i];
 
-		if (t->run > run)
-			run = t->run;
+		if (t->last_run > run)
+			run = t->last_run;
 		if (t->checkpoint[0])
 			checkpoint = t->checkpoint;
 	}
 	for (i = 0; i < st->spec->count; i++) {
-		st->tasks[i].run = run;
+		st->tasks[i].last_run = run;
 		if (checkpoint && st->tasks[i].checkpoint != checkpoint)
 			name_set(st->tasks[i].checkpoint, checkpoint);
 	}
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -187,8 +187,8 @@
 			cell_crash_recover(t, (uint8_t)p->crashes.data[i]);
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
-			t->run = (uint32_t)(c->epoch % RUN_EPOCHS) *
-				 RUNS_PER_EPOCH;
+			t->last_run = (uint32_t)(c->epoch % RUN_EPOCHS) *
+				      RUNS_PER_EPOCH;
 		}
 		if (!p->all_done && !has_bit(p->done, i)) {
 			if (t->ordered)
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -210,7 +210,7 @@
 	struct order o;
 
 	t->state = TASK_STARTING;
-	t->run++;
+	t->run = ++t->last_run;
 	t->start_sent_ms = c->now_ms;
 	t->confirmed_ms = 0;
 	order_init(c, t, &o);
@@ -395,6 +395,8 @@
 	task_attach(c, t, w);
 	t->ordered = true;
 	t->run = run;
+	if (run > t->last_run)
+		t->last_run = run;
 	t->pace_sent = PACE_UNKNOWN;
 	/* It may have been over its target for long under the former owner. */
 	t->over_since_ms = c->now_ms - c->opt.violation_ms;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -78,6 +78,8 @@
 
 /**
  * struct cell_task - one task of one occurrence
+ * @run: number of its current run; without a worker, of the one before
+ * @last_run: greatest number that a run of it may have had
  * @failed_runs: low 16 bits of the numbers of the runs counted in @failures
  * @ordered: an intent to start it is stored or waits to be stored, so it may
  *	have run
@@ -129,6 +131,7 @@
 	struct cell_task *next_intent;
 	uint32_t index;
 	uint32_t run;
+	uint32_t last_run;
 	uint16_t failed_runs[FAILURES_KEPT];
 	uint8_t state;
 	uint8_t failures;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -902,6 +902,23 @@
 	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
 }
 
+/* After a run of a former owner, the next one had the number that follows. That
+ * owner may have used it: a worker that had seen it refused the start. */
+TEST_F(CellRecovery, NumbersNoRunAsAFormerOwnerMayHave)
+{
+	start_on_w1();
+	w.workers["w2"].ended_runs[{7, 0, 0, 0}] = 3;
+	w.take_over(2);
+	w.run(200);
+	ASSERT_EQ(w.counts().placed, 1u);
+	w.entries["w1"].draining = true;
+	w.announce("w1");
+	w.end_all(7, RUN_STOPPED);
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.counts().starts, 1u);
+}
+
 /* Runs end with their lease, also on a worker that nobody calls. */
 class ExpiringWorld : public CellWorld
 {
