cell_recovery: a stored end of leases counts for its process only

A new owner read when the leases of a silent worker end. The worker had restarted under its id since, and the registry told of the new process, which the owner never heard. It had carried out a late start of the former owner, and its lease lasted longer than the stored end: the task started elsewhere meanwhile (two runs at the same time).

If the process is another one than that whose end is stored, the owner now waits as for a worker of which nothing is stored, from then on, unless the new process answers. Ruled out as proof: the registry alone, which says that the former process is gone, and nothing of what the new one has been told.

Measured: the test fails before the change (duplicates not empty) and passes with it.

--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -19,8 +19,11 @@
 			  int64_t leases_end_ms)
 {
 	w->former_leases_end_ms = c->now_ms + c->opt.takeover_ms;
-	if (leases_end_ms && leases_end_ms < w->former_leases_end_ms)
+	w->former_leases_born = 0;
+	if (leases_end_ms && leases_end_ms < w->former_leases_end_ms) {
 		w->former_leases_end_ms = leases_end_ms;
+		w->former_leases_born = w->entry.born;
+	}
 	if (w->unheard)
 		return;
 	w->unheard = true;
@@ -44,7 +47,12 @@
 
 void cell_recovery_expire(struct cell *c, struct cell_worker *w)
 {
-	if (!w->unheard || cell_lease_left_ms(c, w) >= 0)
+	if (!w->unheard)
+		return;
+	/* A new process may have carried out a late start of a former owner. */
+	if (w->former_leases_born && w->former_leases_born != w->entry.born)
+		cell_recovery_expect(c, w, 0);
+	if (cell_lease_left_ms(c, w) >= 0)
 		return;
 	log_line(LOG_WARN,
 		 "worker of the previous owner not reached; its leases have "
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -326,6 +326,8 @@
  *	latest
  * @former_leases_end_ms: boot time at which leases of former owners have ended;
  *	counts until it is @confirmed
+ * @former_leases_born: process that this end was stored of; 0 if it counts for
+ *	any
  * @recorded: its record is stored or waits to be stored
  * @storing_record: its record is part of the batch that is being stored
  * @stored: its record is stored, so a later owner will know of the worker
@@ -420,6 +422,7 @@
 	int64_t new_clock_until_ms;
 	bool is_new_clock;
 	int64_t former_leases_end_ms;
+	uint64_t former_leases_born;
 	int64_t frozen_ms;
 	int64_t answered_ms;
 	int64_t poll_due_ms;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -930,6 +930,43 @@
 	}
 };
 
+/* The stored end of a silent worker's leases is that of its former process. The
+ * new one, never heard, had carried out a late start of the former owner, and
+ * its lease lasted longer. */
+TEST_F(CellRecovery, CountsNoStoredEndOfLeasesForANewProcess)
+{
+	std::vector<Call> late;
+	ExpiringWorld x;
+
+	x.begin({"w1"});
+	x.submit(7, {CellWorld::task_step(1)});
+	while (late.empty()) {
+		x.now += 5;
+		cell_set_authority(x.c, x.now + 1000);
+		x.tick();
+		x.commit();
+		for (size_t i = 0; i < x.calls.size() && late.empty(); i++)
+			if (x.calls[i].kind == Call::START)
+				late.push_back(x.take(i));
+		x.answer_all();
+	}
+	x.workers["w1"].reachable = false;
+	x.add_worker("w2");
+	x.run(3000);
+	x.take_over(2);
+	x.workers["w1"] = FakeWorker();
+	x.workers["w1"].born = x.entries["w1"].born = 2000;
+	x.workers["w1"].clock_offset = -x.now;
+	x.announce("w1");
+	x.answer(late[0]);
+	x.workers["w1"].reachable = false;
+	x.run(x.opt.takeover_ms - 1000);
+	EXPECT_TRUE(x.duplicates.empty());
+	x.run(2000);
+	EXPECT_EQ(x.runs(7), 1u);
+	EXPECT_EQ(x.starts.size(), 2u);
+}
+
 /* Whatever is stored of the leases of a silent worker must hold until something
  * else is stored: workers that come and go, owners that change and a store that
  * stops, at random. */
