cell_poll: no acknowledgement to a process that may be new

A worker reported ends, which the store took late. Meanwhile the worker restarted under its id, carried out a start that was on its way, and ended that run as done. The acknowledgement, meant for the former process, reached the new one, which numbers its ends anew and forgot its own. Callers would see the task run again after it was done, with that end taken note of (TWICE).

Ruled out: a poll names no process, so that the worker cannot tell. That an acknowledgement overtook a restart was known of restarts within 5 ms; with a batch that takes 300 ms it needs no such speed.

An acknowledgement is now sent within 50 ms of an answer of the worker, else after one poll more, which is not held up by later ends. Batches that are stored within that time cost nothing; a worker that restarts faster may still take one that is not its own.

Measured: the test fails before the change (3 starts, expected 2; the job is running, expected completed) and passes with it.

--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -28,6 +28,8 @@
 /* Interval of polls while one of a former process is in flight. No poll waits
  * at the worker meanwhile: orders to it would have to wait as well. */
 #define POLL_STALE_MS 50
+/* A worker takes longer than this to restart. */
+#define ACK_FRESH_MS 50
 
 /* Context of a poll in flight. */
 struct cell_poll {
@@ -225,6 +227,8 @@
 		w->poll_due_ms += POLL_IDLE_MS;
 	else if (w->stale_polls)
 		w->poll_due_ms += POLL_STALE_MS;
+	if (w->ack_held && w->acked_end != w->forgotten_end)
+		w->poll_due_ms = c->now_ms;
 }
 
 static void on_poll_reply(void *ctx, const struct worker_addr *a,
@@ -276,6 +280,22 @@
 		 a->id, (int)r->status);
 }
 
+/*
+ * A new process numbers its ends anew, and would forget those up to an
+ * acknowledgement meant for the former one. It is therefore sent soon after an
+ * answer, else after one poll more.
+ */
+static uint64_t take_ack(struct cell *c, struct cell_worker *w)
+{
+	bool is_due = !w->missed_polls && w->acked_end != w->forgotten_end;
+	bool is_fresh =
+		w->ack_held || c->now_ms - w->answered_ms < ACK_FRESH_MS;
+
+	w->ack_held = is_due && !is_fresh;
+	w->sent_ack = is_due && is_fresh ? w->acked_end : 0;
+	return w->sent_ack;
+}
+
 void cell_poll_send(struct cell *c, struct cell_worker *w)
 {
 	struct cell_poll *p = xcalloc(1, sizeof(*p));
@@ -289,14 +309,10 @@
 	 * lease runs out and its runs end within a known time. */
 	if (!w->missed_polls && w->stored && !w->lease_frozen)
 		h.lease_deadline_ms = cell_lease_extend(c, w);
-	/* A new process numbers its ends anew, and would forget those up to an
-	 * acknowledgement meant for the former one. */
-	if (!w->missed_polls && w->acked_end != w->forgotten_end)
-		h.ack = w->acked_end;
-	w->sent_ack = h.ack;
+	h.ack = take_ack(c, w);
 	/* After a missed poll, tasks and leases wait for the reply. */
 	if (w->confirmed && w->task_count && !w->missed_polls &&
-	    !w->stale_polls && w->last_end == w->acked_end)
+	    !w->stale_polls && !w->ack_held && w->last_end == w->acked_end)
 		h.wait_ms = w->trials || has_mixed_load(w)
 				    ? POLL_SAMPLE_MS
 				    : c->opt.poll_wait_ms;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -382,6 +382,7 @@
  * @acked_end: ends up to this number are stored; sent to the worker, which then
  *	forgets them
  * @sent_ack: acknowledgement in the last poll; 0 for none
+ * @ack_held: it was left out of the last poll, see take_ack()
  * @forgotten_end: the worker has replied to a poll that acknowledged the ends
  *	up to this number
  */
@@ -440,6 +441,7 @@
 	uint64_t storing_end;
 	uint64_t acked_end;
 	uint64_t sent_ack;
+	bool ack_held;
 	uint64_t forgotten_end;
 	struct cell_orphan *orphans;
 	bool headroom_stale;
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -902,6 +902,30 @@
 	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
 }
 
+/* Ends were stored late. Their worker had restarted under its id meanwhile: the
+ * new process, unknown to the owner, took the acknowledgement for its own ends
+ * and forgot them, and a task that was done ran again. */
+TEST_F(CellRecovery, AcknowledgesNoEndToAProcessThatMayBeNew)
+{
+	Call late = hold_start();
+
+	w.submit(8, {CellWorld::task_step(1)});
+	w.run(200);
+	ASSERT_EQ(w.runs(8), 1u);
+	w.storing = false;
+	w.end_all(8, RUN_DONE);
+	w.run(100);
+	w.workers["w1"] = FakeWorker();
+	w.workers["w1"].born = w.entries["w1"].born = 2000;
+	w.answer(late);
+	w.end_all(7, RUN_DONE);
+	w.storing = true;
+	w.run(2000);
+	EXPECT_EQ(w.starts.size(), 2u);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
+	EXPECT_EQ(w.state(8), (uint32_t)JOB_COMPLETED);
+}
+
 /* After a run of a former owner, the next one had the number that follows. That
  * owner may have used it: a worker that had seen it refused the start. */
 TEST_F(CellRecovery, NumbersNoRunAsAFormerOwnerMayHave)
