tests: owners in series, batches in part and late orders in the restart model

The random model lacked owners that follow each other within moments, each of which hears some workers and stores a part of that; batches that take time, are cut, and may be stored after their owner has gone; orders of former owners that are carried out up to 12 s late; and workers that restart under their id meanwhile.

A new process keeps the fence of the former one here, as before.

--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -11,6 +11,9 @@
 /* Time-out of an order, and of a poll beyond its wait. */
 const int64_t CALL_TIMEOUT_MS = 900;
 const int64_t STOP_MAX_MS = 800;
+/* An order may be carried out this late. */
+const int64_t LATE_MAX_MS = 12000;
+const int64_t APPEND_MAX_MS = 300;
 
 /* A call on its way: it is carried out by the process that listens then. */
 struct Flight {
@@ -136,15 +139,43 @@
 			}
 	}
 
-	void change_owner(bool is_new_host)
+	/* A batch takes up to APPEND_MAX_MS, holds a few records, and may be
+	 * stored when its owner has gone without an answer. */
+	void commit() override
 	{
-		std::vector<std::unique_ptr<Flight>> old;
+		if (!slow_store) {
+			CellWorld::commit();
+			return;
+		}
+		if (!batch_open) {
+			buf_init(&batch);
+			batch_open = cell_take_batch(c, &batch);
+			stored_at = now + (int64_t)(rng() % APPEND_MAX_MS);
+			if (!batch_open)
+				buf_finish(&batch);
+		} else if (now >= stored_at) {
+			apply(batch);
+			end_batch();
+			cell_batch_stored(c);
+		}
+	}
 
+	void change_owner(bool is_new_host)
+	{
 		if (!c)
 			return;
 		take_calls();
 		cell_stop(c);
 		c = nullptr;
+		if (batch_open) {
+			if (rng() % 2)
+				apply(batch);
+			end_batch();
+		}
+		for (auto &fl : flights)
+			if (late_orders && !fl->done && rng() % 3 == 0 &&
+			    fl->call.kind != Call::POLL)
+				fl->at = now + (int64_t)(rng() % LATE_MAX_MS);
 		for (auto &fl : flights)
 			if (fl->open) {
 				fl->open = false;
@@ -210,6 +241,8 @@
 	std::mt19937 rng;
 	uint64_t epoch = 1;
 	bool calm = false;
+	bool slow_store = false;
+	bool late_orders = false;
 	std::map<std::string, Process> processes;
 	/* Jobs of the account, and the runs that it may have at once. */
 	std::set<uint64_t> account_jobs;
@@ -323,6 +356,24 @@
 		calls.clear();
 	}
 
+	void end_batch()
+	{
+		batch_open = false;
+		buf_finish(&batch);
+	}
+
+	/* A worker refuses a start whose lease has expired on its clock. */
+	bool is_expired(const Flight &fl)
+	{
+		FakeWorker &f = workers[fl.call.worker.id];
+		int64_t clock = now + f.clock_offset;
+
+		return late_orders && fl.call.kind == Call::START &&
+		       f.lease <= clock &&
+		       fl.call.sent.lease_deadline_ms <= clock &&
+		       fl.call.sent.fence >= f.fence;
+	}
+
 	/* Ends the call at the owner without a reply. */
 	void fail(Flight &fl)
 	{
@@ -376,6 +427,8 @@
 			current = &fl;
 			answer_poll(f, copy);
 			current = nullptr;
+		} else if (is_expired(fl)) {
+			fl.order_result = {ORDER_EXPIRED, now + f.clock_offset};
 		} else {
 			copy.done = record;
 			copy.ctx = &fl;
@@ -434,6 +487,9 @@
 			fl.done = true;
 	}
 
+	bool batch_open = false;
+	buf batch = {};
+	int64_t stored_at = 0;
 	Flight *current = nullptr;
 	std::vector<std::unique_ptr<Flight>> flights;
 	std::vector<Ending> endings;
@@ -443,6 +499,8 @@
 struct Options {
 	bool change_owners;
 	bool limit_account;
+	/* Owners follow each other within moments, see change_in_series(). */
+	bool change_in_series;
 };
 
 void submit_jobs(RestartWorld &x, uint64_t round, const Options &o)
@@ -457,6 +515,22 @@
 	x.account_name = "";
 }
 
+/* Up to four owners in a row: each may hear of some workers only, and store
+ * only a part of what it hears. Workers restart meanwhile. */
+void change_in_series(RestartWorld &x)
+{
+	for (size_t n = 1 + x.rng() % 4; n; n--) {
+		if (x.rng() % 3 == 0)
+			x.crash("w" + std::to_string(1 + x.rng() % 4),
+				x.rng() % 2, 20 + (int64_t)(x.rng() % 200),
+				(int64_t)(x.rng() % 2500));
+		x.pass((int64_t)(x.rng() % 60));
+		x.change_owner(x.rng() % 2);
+		x.take_over_next();
+		x.pass((int64_t)(x.rng() % (x.rng() % 2 ? 40 : 250)));
+	}
+}
+
 void disturb(RestartWorld &x, const Options &o)
 {
 	std::string id = "w" + std::to_string(1 + x.rng() % 4);
@@ -465,7 +539,9 @@
 	if (kind < 60)
 		x.crash(id, x.rng() % 2, 50 + (int64_t)(x.rng() % 400),
 			(int64_t)(x.rng() % 2500));
-	else if (kind < 75 && o.change_owners) {
+	else if (kind < 75 && o.change_in_series) {
+		change_in_series(x);
+	} else if (kind < 75 && o.change_owners) {
 		x.change_owner(x.rng() % 2);
 		x.take_over_next();
 	} else if (kind < 85) {
@@ -492,6 +568,10 @@
 		x.account_runs = 4;
 		x.set_accounts({{"small", 4000}});
 	}
+	x.slow_store = x.late_orders = o.change_in_series;
+	if (o.change_in_series)
+		x.opt.append_max_bytes = x.opt.record_max_bytes =
+			180 + x.rng() % 300;
 	x.take_over(1);
 	for (int i = 1; i <= 4; i++)
 		x.add_restartable("w" + std::to_string(i));
@@ -541,17 +621,25 @@
  * other way round: tasks ran twice. */
 TEST(CellRestartModel, RunsNoTaskTwiceUnderOneOwner)
 {
-	play_seeds(1, 40, {false, false});
+	play_seeds(1, 40, {false, false, false});
 }
 
 TEST(CellRestartModel, RunsNoTaskTwiceUnderOwnersThatChange)
 {
-	play_seeds(1, 40, {true, false});
+	play_seeds(1, 40, {true, false, false});
+}
+
+/* Against a task that runs twice after owners of which each stored a part of
+ * what it had heard, while orders of former ones are on their way. */
+TEST(CellRestartModel, RunsNoTaskTwiceUnderOwnersInSeries)
+{
+	play_seeds(1, 40, {true, false, true});
+	play(930, {true, false, true});
 }
 
 TEST(CellRestartModel, KeepsTheLimitsOfAccounts)
 {
-	play_seeds(1, 40, {true, true});
+	play_seeds(1, 40, {true, true, false});
 }
 
 } /* namespace */
