cell_lease: a new process may hold the longest lease

A worker restarts under its id, its new process starts a task, and then does not answer for some seconds. The task starts on another worker up to 2 s before the lease of the first one ends, where it still runs.

The poll that finds the new process carries a deadline on the clock of the former one. It is far ahead on the new clock, so that the worker takes the longest lease that it grants (6 s). The owner counted on that only if it had runs there at that moment; else, and after a takeover, on 4 s.

Ruled out: the deadlines sent afterwards. They follow the new clock.

The owner now counts on the longest lease from the first reply of any new process, and of any process younger than that lease, also under the next owner. It counts it beside the deadlines that it sends, so that these stay at 4 s (IgnoresAReplyOfAFormerProcess).

Both tests fail before: two runs at the same time in each.

--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -58,13 +58,22 @@
 		c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
 }
 
-void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
+/* A process this young may have taken an order with a deadline on the clock of
+ * its predecessor, also from a former owner. */
+static bool may_hold_longest_lease(const struct cell *c,
+				   const struct cell_worker *w, int64_t clock)
 {
-	int64_t ms = w->is_new_clock ? c->opt.lease_max_ms : c->opt.lease_ms;
+	return w->is_new_clock || clock < c->opt.lease_max_ms;
+}
 
+void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
+{
+	if (w->lease_end_ms < clock + c->opt.lease_ms)
+		w->lease_end_ms = clock + c->opt.lease_ms;
+	if (may_hold_longest_lease(c, w, clock))
+		w->new_clock_until_ms =
+			c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
 	w->is_new_clock = false;
-	if (w->lease_end_ms < clock + ms)
-		w->lease_end_ms = clock + ms;
 }
 
 static int64_t known_lease_left_ms(const struct cell *c,
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -341,6 +341,61 @@
 	}
 }
 
+/*
+ * The poll that finds a new process carries a deadline on the clock of the
+ * former one. While the worker had no tasks, the owner counted on its usual
+ * lease and not on the longest one that the worker grants: a task started there
+ * soon after ran elsewhere too early.
+ */
+TEST(CellWorker, WaitsForTheLongerLeaseOfANewProcessThatHadNoTask)
+{
+	CellWorld w;
+
+	w.begin({"w1"});
+	Call poll = take_call(&w, Call::POLL);
+	ASSERT_GT(poll.poll.lease_deadline_ms, 0);
+	restart(&w, "w1");
+	w.answer(poll);
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(100);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.add_worker("w2");
+	w.workers["w1"].reachable = false;
+	for (int i = 0; i < 80; i++) {
+		w.run(100);
+		w.expire_all();
+	}
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
+/* The next owner did so as well when the worker had restarted shortly before
+ * the takeover. */
+TEST(CellWorker, WaitsForTheLongerLeaseThatTheFormerOwnerMayHaveHeld)
+{
+	CellWorld w;
+
+	w.begin({"w1"});
+	Call poll = take_call(&w, Call::POLL);
+	restart(&w, "w1");
+	w.answer(poll);
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(100);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.take_over(2);
+	w.run(100);
+	w.add_worker("w2");
+	w.workers["w1"].reachable = false;
+	for (int i = 0; i < 80; i++) {
+		w.run(100);
+		w.expire_all();
+	}
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
 /* A worker had restarted at another address, and the worker that listens at its
  * former one answered a stop of before: the runs at the new address were taken
  * for lost. */
