cell_late: repeat the stop of a late start at a new process

A start gets no answer, its stop is confirmed, and the task starts on another worker. The first worker restarts under its id and then carries the start out: the task runs twice until the next listing leads to a stop.

The former process would have refused the start. The new one knows neither the stop nor the fence, and on its clock the deadline is far ahead.

Ruled out: waiting for 12 s, for as long as a start may be late, before a task starts elsewhere (jobs may not stand still for 3 s). A higher fence for each new process would also end late calls that extend leases, but an owner of an older build would be refused by all workers.

The cell keeps the newest 256 starts without an answer, each for 12 s. When a worker restarts, or comes back after it was removed, it is told to stop these runs, and their tasks are held, also those whose intent is being stored, until a listing sent after the confirmation lacks the run; at most for 2 s, unless a listing shows the run. A new owner does not know the list.

The three tests fail before: a second run beside the first in two of them, no wait in the third.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -7,6 +7,7 @@
 #include "cell/cell_account.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_job.h"
+#include "cell/cell_late.h"
 #include "cell/cell_place.h"
 #include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
@@ -435,6 +436,7 @@
 	cell_sizes_tick(c);
 	cell_recovery_tick(c);
 	cell_crash_tick(c);
+	cell_late_tick(c);
 	jobs_tick(c);
 	if (now_ms - c->placed_at_ms >= PLACE_RECHECK_MS)
 		c->place_due = true;
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -4,6 +4,7 @@
 
 #include "cell/cell_cost.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_late.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 #include "cell/cell_room.h"
@@ -100,7 +101,8 @@
 	for (i = 0; i < st->spec->count; i++)
 		if (c->now_ms < st->tasks[i].retry_at_ms ||
 		    cell_crash_is_held(c, &st->tasks[i]) ||
-		    cell_task_is_in_doubt(c, &st->tasks[i]))
+		    cell_task_is_in_doubt(c, &st->tasks[i]) ||
+		    cell_late_holds(c, &st->tasks[i]))
 			return;
 	if (!cell_quota_fits(c, st, st->spec->count))
 		return;
--- /dev/null
+++ b/src/cell/cell_late.h
@@ -0,0 +1,43 @@
+#ifndef CELL_CELL_LATE_H
+#define CELL_CELL_LATE_H
+
+#include "cell/cell_types.h"
+
+/*
+ * Starts without an answer. A worker may carry one out seconds later. Its
+ * process refuses one that has been stopped there, but a new process under the
+ * same id knows of no stop, and on its clock the deadline is far ahead. So the
+ * stop is repeated at each new process, and the task is not started elsewhere
+ * before that process has listed its runs.
+ */
+
+/**
+ * cell_late_note() - note a start that got no answer
+ * @worker: id of the worker that it was sent to
+ */
+void cell_late_note(struct cell *c, const char *worker,
+		    const struct task_ref *ref);
+
+/**
+ * cell_late_restarted() - stop starts to former processes at a worker's new one
+ */
+void cell_late_restarted(struct cell *c, const struct cell_worker *w);
+
+/**
+ * cell_late_listed() - account for a complete listing of a worker's runs
+ */
+void cell_late_listed(struct cell *c, const struct cell_worker *w,
+		      const struct poll_reply *r);
+
+/**
+ * cell_late_holds() - whether a task waits for a new process that may have
+ * carried out a start of it
+ */
+bool cell_late_holds(const struct cell *c, const struct cell_task *t);
+
+/**
+ * cell_late_tick() - send the stops that are due
+ */
+void cell_late_tick(struct cell *c);
+
+#endif
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -2,6 +2,7 @@
 
 #include "cell/cell_crash.h"
 #include "cell/cell_gang.h"
+#include "cell/cell_late.h"
 #include "cell/cell_queue.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -74,7 +75,8 @@
 static bool is_placeable(const struct cell *c, const struct cell_task *t)
 {
 	return t->state == TASK_WAITING && c->now_ms >= t->retry_at_ms &&
-	       !cell_crash_is_held(c, t) && !cell_task_is_in_doubt(c, t);
+	       !cell_crash_is_held(c, t) && !cell_task_is_in_doubt(c, t) &&
+	       !cell_late_holds(c, t);
 }
 
 uint64_t cell_step_service(const struct cell *c, const struct cell_step *st)
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -6,6 +6,7 @@
 #include "base/logger.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_job.h"
+#include "cell/cell_late.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_pace.h"
 #include "cell/cell_quota.h"
@@ -212,6 +213,7 @@
 		apply_end(c, w, &r->ended[i]);
 	if (r->ended_count < ENDED_PAGE_MAX) {
 		mark_missing_runs_lost(c, w, r->sent_ms);
+		cell_late_listed(c, w, r);
 		cell_recovery_resolve(c, w);
 	}
 	if (!w->confirmed) {
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -5,6 +5,7 @@
 #include "base/logger.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_job.h"
+#include "cell/cell_late.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -197,6 +198,7 @@
 		return;
 	}
 	c->counts.unanswered++;
+	cell_late_note(c, w->id, ref);
 	t->worker->backoff_until_ms = c->now_ms + UNANSWERED_BACKOFF_MS;
 	log_line(LOG_WARN, "start not answered",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s",
@@ -282,7 +284,7 @@
 		}
 		if (t->state != TASK_STORING)
 			continue;
-		if (!cell_quota_may_start(t)) {
+		if (!cell_quota_may_start(t) || cell_late_holds(c, t)) {
 			cell_task_withdraw(c, t);
 			continue;
 		}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -486,6 +486,28 @@
 	struct task_ref tasks[LOSS_TASKS_MAX];
 };
 
+/* Starts without an answer that are kept, the newest ones. */
+#define LATE_STARTS_MAX 256
+
+/**
+ * struct late_start - a start without an answer, see cell_late.h
+ * @worker: id of the worker that it was sent to; 0 for an empty entry
+ * @until_ms: it may be carried out until then
+ * @held_until_ms: until then, the task is not placed; 0 for no such time
+ * @stop_due: a new process of the worker has to be told to refuse it
+ * @stop_sent_ms: when that was sent last; 0 before
+ * @stop_confirmed_ms: when that process confirmed it; 0 before
+ */
+struct late_start {
+	struct task_ref ref;
+	uint64_t worker;
+	int64_t until_ms;
+	int64_t held_until_ms;
+	int64_t stop_sent_ms;
+	int64_t stop_confirmed_ms;
+	bool stop_due;
+};
+
 /* Size of the cache of demands that no worker met. */
 #define NO_FIT_MAX 64
 
@@ -574,6 +596,8 @@
  * @losses: the newest losses of workers, overwritten in turn at @losses_noted,
  *	the last one noted at @lost_ms
  * @verdicts: sum of the tasks in @pending of all losses
+ * @late_starts: overwritten in turn at @late_noted; none may be carried out
+ *	after @late_until_ms, and none holds a task after @late_held_until_ms
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
@@ -619,6 +643,10 @@
 	int64_t lost_ms;
 	int64_t verdicts_due_ms;
 	struct worker_loss losses[LOSSES_MAX];
+	size_t late_noted;
+	int64_t late_until_ms;
+	int64_t late_held_until_ms;
+	struct late_start late_starts[LATE_STARTS_MAX];
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
 	int64_t jobs_due_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -7,6 +7,7 @@
 #include "base/logger.h"
 #include "cell/cell_crash.h"
 #include "cell/cell_job.h"
+#include "cell/cell_late.h"
 #include "cell/cell_lease.h"
 #include "cell/cell_loss.h"
 #include "cell/cell_poll.h"
@@ -178,6 +179,7 @@
 	w->backoff_level = 0;
 	w->fail_streak = 0;
 	cell_crash_restarted(w);
+	cell_late_restarted(c, w);
 }
 
 struct cell_worker *cell_worker_recover(struct cell *c,
@@ -230,6 +232,8 @@
 	if (!w) {
 		w = worker_add(c, e->addr.id);
 		w->entry.born = e->born;
+		/* Removed after its leases had ended, it may have restarted. */
+		cell_late_restarted(c, w);
 	}
 	if (e->born < w->entry.born)
 		return;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -503,3 +503,93 @@
 	EXPECT_TRUE(w.duplicates.empty());
 	EXPECT_EQ(w.runs(7), 1u);
 }
+
+/* A start of job 7 to w1 that gets no answer. Its stop is confirmed. */
+Call lose_start(CellWorld *w)
+{
+	order_reply lost = {ORDER_UNKNOWN, 0};
+
+	w->begin({"w1"}, 50);
+	w->submit(7, {CellWorld::task_step(1)});
+	Call late = take_call(w, Call::START);
+	late.done(late.ctx, &late.worker, &late.sent.ref, &lost);
+	late.done = [](void *, const worker_addr *, const task_ref *,
+		       const order_reply *) {};
+	w->closed_zones.insert("z1");
+	w->run(1000);
+	return late;
+}
+
+/* A worker restarted after it had confirmed the stop of a start without an
+ * answer. The new process knew of no stop and carried the start out late, while
+ * the task ran elsewhere. */
+TEST(CellWorker, StopsALateStartAtTheNewProcess)
+{
+	for (bool was_removed : {false, true}) {
+		CellWorld w;
+		Call late = lose_start(&w);
+
+		w.add_worker("w2", 16000, "z2");
+		if (was_removed) {
+			cell_worker_gone(w.c, "w1");
+			w.workers["w1"].reachable = false;
+			w.run(6000);
+			EXPECT_EQ(w.counts().workers, 1u);
+		}
+		w.run(1000);
+		EXPECT_EQ(w.runs(7), 1u);
+		restart(&w, "w1");
+		w.announce("w1");
+		w.run(50);
+		w.answer(late);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+	}
+}
+
+/* The new process had carried the start out before the owner knew of that
+ * process, and the task was started elsewhere meanwhile. */
+TEST(CellWorker, StartsElsewhereOnlyOnceANewProcessRunsNoLateStart)
+{
+	for (bool is_placed : {false, true}) {
+		CellWorld w;
+		Call late = lose_start(&w);
+
+		w.closed_zones.insert("z2");
+		w.add_worker("w2", 16000, "z2");
+		w.run(200);
+		w.storing = false;
+		if (is_placed)
+			w.closed_zones.erase("z2");
+		w.run(100);
+		EXPECT_EQ(w.counts().placed, (uint32_t)is_placed);
+		restart(&w, "w1");
+		w.workers["w1"].ignores_stops = true;
+		w.answer(late);
+		w.announce("w1");
+		w.closed_zones.erase("z2");
+		w.storing = true;
+		w.run(3000);
+		EXPECT_TRUE(w.duplicates.empty());
+		ASSERT_EQ(w.workers["w1"].running.size(), 1u);
+		w.end(7, RUN_STOPPED);
+		w.run(200);
+		EXPECT_EQ(w.workers["w2"].running.size(), 1u);
+	}
+}
+
+/* A task must not wait long for a new process that does not answer. */
+TEST(CellWorker, WaitsForTwoSecondsForANewProcessThatIsSilent)
+{
+	CellWorld w;
+
+	lose_start(&w);
+	restart(&w, "w1");
+	w.workers["w1"].reachable = false;
+	w.add_worker("w2", 16000, "z2");
+	w.announce("w1");
+	w.run(1500);
+	EXPECT_EQ(w.runs(7), 0u);
+	w.run(700);
+	EXPECT_EQ(w.runs(7), 1u);
+}
