tests: calls that are carried out 2 to 12 s late

The model of workers that restart had orders that are up to 2.5 s late, no late polls, and no workers that are cut off while their runs go on. Now 5 % of all calls may be carried out 2 to 12 s late, after newer ones. They end with the process at which they wait (with cuts of 0.5 to 8 s), or reach the next one (without cuts); a start whose deadline has passed is refused.

Not part of the tests: new processes without that memory (CELL_RESTART_FORGETS), and cuts beside calls that reach the next process.

--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -25,6 +25,7 @@
 	bool open = true;  /* the owner waits for it */
 	bool done = false; /* carried out */
 	bool lost = false; /* its reply is */
+	bool late = false; /* carried out also once the owner has given up */
 	order_reply order_result = {};
 	poll_reply poll_result = {};
 	std::vector<run_row> rows;
@@ -40,12 +41,26 @@
 	run_end how;
 };
 
+/* Calls that are carried out 2 to 12 s late, after newer ones. A start whose
+ * deadline has passed is refused. */
+enum LateCalls {
+	NO_LATE_CALLS,
+	/* They wait at the process, and end with it. */
+	AT_PROCESS,
+	/* They reach whichever process is up. On a new one they extend the
+	 * lease to the longest one, on a deadline of the former clock; how long
+	 * a worker that is cut off then keeps its runs is not known. */
+	ON_THE_WAY,
+};
+
 struct Process {
 	bool up = true;
 	/* Down without a sign: connections get no answer. */
 	bool dark = false;
 	int64_t up_at = 0;
 	int64_t announce_at = 0;
+	/* Until then, calls get no answer, while runs go on. */
+	int64_t cut_until = 0;
 };
 
 /*
@@ -53,9 +68,11 @@
  * time, get lost or are carried out late, entries that arrive late, stops that
  * take time and owners that change, all at random.
  *
- * A new process keeps the fence and the ended runs of the former one here: a
- * start that the former process would have refused, and that arrives at the
- * new one, is carried out by a real worker, and no order can prevent it.
+ * A new process keeps the fence and the ended runs of the former one here
+ * unless
+ * @forgets is set: a start that the former process would have refused, and that
+ * arrives at the new one before any call of the owner that knows of it, is
+ * carried out by a real worker, and no order can prevent it.
  */
 class RestartWorld : public CellWorld
 {
@@ -131,7 +148,11 @@
 		p.up_at = now + down_ms;
 		p.announce_at = now + down_ms + told_ms;
 		for (auto &fl : flights)
-			if (fl->call.worker.id == id && fl->born && !fl->done) {
+			if (fl->call.worker.id == id && fl->late &&
+			    late_calls == AT_PROCESS)
+				fl->done = true;
+			else if (fl->call.worker.id == id && fl->born &&
+				 !fl->done) {
 				fl->done = true;
 				fl->lost = true;
 				if (!dark)
@@ -160,6 +181,11 @@
 		}
 	}
 
+	void cut(const std::string &id, int64_t ms)
+	{
+		processes[id].cut_until = now + ms;
+	}
+
 	void change_owner(bool is_new_host)
 	{
 		if (!c)
@@ -243,6 +269,10 @@
 	bool calm = false;
 	bool slow_store = false;
 	bool late_orders = false;
+	LateCalls late_calls = NO_LATE_CALLS;
+	/* A new process knows neither fence nor stops. */
+	bool forgets = false;
+	size_t late_starts = 0;
 	std::map<std::string, Process> processes;
 	/* Jobs of the account, and the runs that it may have at once. */
 	std::set<uint64_t> account_jobs;
@@ -293,6 +323,10 @@
 				f.ends = 0;
 				f.lease = 0;
 				f.clock_offset = -now;
+				if (forgets) {
+					f.fence = 0;
+					f.ended_runs.clear();
+				}
 				restarts++;
 			}
 			if (p.second.announce_at &&
@@ -351,6 +385,8 @@
 			else if (!calm && rng() % 100 < 4)
 				fl->at += (int64_t)(rng() % 2500);
 			fl->lost = !calm && rng() % 100 < 3;
+			if (late_calls && !calm && rng() % 100 < 5)
+				delay(*fl);
 			flights.push_back(std::move(fl));
 		}
 		calls.clear();
@@ -374,6 +410,13 @@
 		       fl.call.sent.fence >= f.fence;
 	}
 
+	void delay(Flight &fl)
+	{
+		fl.at = now + 2000 + (int64_t)(rng() % 10000);
+		fl.late = true;
+		fl.lost = true;
+	}
+
 	/* Ends the call at the owner without a reply. */
 	void fail(Flight &fl)
 	{
@@ -405,12 +448,26 @@
 					 id, f.born, r.ref, RUN_STOPPED});
 	}
 
+	bool is_start_too_late(const Flight &fl, const FakeWorker &f) const
+	{
+		return late_calls && fl.call.kind == Call::START &&
+		       fl.call.sent.fence >= f.fence &&
+		       fl.call.sent.lease_deadline_ms <= now + f.clock_offset;
+	}
+
 	void carry_out(Flight &fl)
 	{
 		std::string id = fl.call.worker.id;
 		FakeWorker &f = workers[id];
 		Call copy = fl.call;
 
+		if (is_start_too_late(fl, f)) {
+			fl.order_result = {ORDER_EXPIRED, now + f.clock_offset};
+			fl.done = true;
+			fl.reply = now + (int64_t)(rng() % 15);
+			return;
+		}
+		late_starts += fl.late && fl.call.kind == Call::START;
 		if (fl.call.kind == Call::POLL) {
 			bool is_fenced = fl.call.poll.fence < f.fence;
 
@@ -419,7 +476,7 @@
 				f.extend_lease(fl.call.poll.lease_deadline_ms,
 					       now + f.clock_offset);
 			fl.born = f.born;
-			if (f.ended.empty() &&
+			if (f.ended.empty() && !fl.late &&
 			    now < fl.call.at + fl.call.poll.wait_ms)
 				return;
 			if (!is_fenced)
@@ -468,14 +525,20 @@
 	{
 		Process &p = processes[fl.call.worker.id];
 
-		if (!fl.done && now >= fl.at) {
-			if (p.up)
+		bool is_cut = now < p.cut_until;
+
+		/* A late call may wait at the worker, or on its way for a
+		 * process that is not up yet. */
+		if (!fl.done && now >= fl.at && !(fl.late && !p.up)) {
+			if (p.up && (!is_cut || fl.late))
 				carry_out(fl);
-			else if (p.dark || !fl.open)
+			else if (is_cut || p.dark || !fl.open)
 				fl.done = fl.lost = true;
 			else
 				refuse(fl);
 		}
+		if (is_cut && fl.reply && now >= fl.reply)
+			fl.lost = true;
 		if (fl.open && fl.reply && now >= fl.reply && !fl.lost)
 			deliver(fl);
 		if (fl.open && now >= fl.due) {
@@ -483,7 +546,7 @@
 			fail(fl);
 		}
 		/* The host of a poll that timed out has closed it. */
-		if (!fl.open && fl.call.kind == Call::POLL)
+		if (!fl.open && fl.call.kind == Call::POLL && !fl.late)
 			fl.done = true;
 	}
 
@@ -500,7 +563,8 @@
 	bool change_owners;
 	bool limit_account;
 	/* Owners follow each other within moments, see change_in_series(). */
-	bool change_in_series;
+	bool change_in_series = false;
+	LateCalls late_calls = NO_LATE_CALLS;
 };
 
 void submit_jobs(RestartWorld &x, uint64_t round, const Options &o)
@@ -557,13 +621,19 @@
 		if (job_view_get(&x.view, job))
 			x.cancel(job);
 	}
+	if (o.late_calls == AT_PROCESS && x.rng() % 100 < 15)
+		x.cut("w" + std::to_string(1 + x.rng() % 4),
+		      500 + (int64_t)(x.rng() % 7500));
 }
 
-void play(unsigned seed, const Options &o)
+/* Returns the number of starts that were carried out late. */
+size_t play(unsigned seed, const Options &o)
 {
 	RestartWorld x(seed);
 	uint64_t round, id, last = RestartWorld::LASTING + 4;
 
+	x.late_calls = o.late_calls;
+	x.forgets = getenv("CELL_RESTART_FORGETS");
 	if (o.limit_account) {
 		x.account_runs = 4;
 		x.set_accounts({{"small", 4000}});
@@ -588,6 +658,8 @@
 		x.pass((int64_t)(x.rng() % 400));
 	}
 	x.calm = true;
+	if (o.late_calls)
+		x.pass(12000);
 	x.pass(4000);
 	for (auto &e : x.entries)
 		x.announce(e.first);
@@ -604,17 +676,22 @@
 			  job_state_is_terminal(x.state(id)) ? 0u : 1u)
 			<< "seed " << seed << " job " << id;
 	EXPECT_EQ(x.running_rows(), x.counts().placed) << "seed " << seed;
+	return x.late_starts;
 }
 
-/* CELL_RESTART_SEEDS=FIRST-LAST plays other seeds than those of CI. */
+/* CELL_RESTART_SEEDS=FIRST-LAST plays other seeds than those of CI, and
+ * CELL_RESTART_FORGETS=1 new processes that know neither fences nor stops:
+ * tasks run twice in some of these plays. */
 void play_seeds(unsigned first, unsigned last, const Options &o)
 {
 	const char *text = getenv("CELL_RESTART_SEEDS");
+	size_t late_starts = 0;
 
 	if (text && sscanf(text, "%u-%u", &first, &last) != 2)
 		FAIL() << "CELL_RESTART_SEEDS=" << text << ", not FIRST-LAST";
 	for (unsigned seed = first; seed <= last; seed++)
-		play(seed, o);
+		late_starts += play(seed, o);
+	EXPECT_EQ(late_starts > 0, o.late_calls != NO_LATE_CALLS);
 }
 
 /* Runs of a former process were taken for those of the present one, and the
@@ -642,4 +719,28 @@
 	play_seeds(1, 40, {true, true, false});
 }
 
+/* A start or a poll was carried out late, after its stop, after newer calls or
+ * once the owner had counted the lease out: tasks ran twice. */
+TEST(CellRestartModel, RunsNoTaskTwiceBesideLateCalls)
+{
+	play_seeds(1, 40, {false, false, false, AT_PROCESS});
+}
+
+TEST(CellRestartModel, RunsNoTaskTwiceBesideLateCallsUnderOwnersThatChange)
+{
+	play_seeds(1, 40, {true, false, false, AT_PROCESS});
+}
+
+/* A new process carried out a start that the former one had been told to
+ * refuse. */
+TEST(CellRestartModel, RunsNoTaskTwiceBesideCallsToFormerProcesses)
+{
+	play_seeds(1, 40, {false, false, false, ON_THE_WAY});
+}
+
+TEST(CellRestartModel, RunsNoTaskTwiceBesideCallsToFormerProcessesAndOwners)
+{
+	play_seeds(1, 40, {true, false, false, ON_THE_WAY});
+}
+
 } /* namespace */
