cell_late: a run that its task has adopted needs no stop

A start carried out late by a new process was adopted by its task when a listing showed it, and stopped all the same, as its stop was to be repeated there. The entry ends with the adoption. The line about the long-running task that waits longest names the wait for such a process.

SendsNoStoredStartBesideARunThatItsWorkerLists: its late start now arrives after the 12 s in which the stop of a start without an answer is repeated, as the process would have been told of it before.

--- a/src/cell/cell_late.c
+++ b/src/cell/cell_late.c
@@ -78,6 +78,11 @@
 
 		if (s->worker != w->id || !s->stop_due)
 			continue;
+		if (is_current_run(c, s)) {
+			s->stop_due = false;
+			s->held_until_ms = 0;
+			continue;
+		}
 		for (i = 0; i < r->running_count; i++)
 			if (is_same_run(&r->running[i].ref, &s->ref))
 				break;
--- a/src/cell/cell_wait.c
+++ b/src/cell/cell_wait.c
@@ -4,6 +4,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_late.h"
 #include "cell/cell_place.h"
 #include "cell/cell_queue.h"
 #include "cell/cell_recovery.h"
@@ -21,6 +22,8 @@
 		return "in_doubt";
 	if (cell_crash_is_held(c, t))
 		return "held";
+	if (cell_late_holds(c, t))
+		return "late_start";
 	if (t->step->job->quota && t->step->job->quota->is_blocked)
 		return "limit";
 	return "workers";
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -154,6 +154,7 @@
 	{
 		w.workers["w1"] = FakeWorker();
 		w.workers["w1"].born = w.entries["w1"].born = 2000;
+		w.workers["w1"].clock_offset = 100 - w.now;
 		w.workers["w1"].ignores_stops = true;
 		w.announce("w1");
 	}
@@ -862,10 +863,14 @@
 {
 	Call late = hold_start_until_stopped({});
 
+	/* The stop of a start without an answer is repeated for 12 s. */
+	w.closed_zones.insert("z1");
+	w.run(12500);
 	restart_w1();
 	w.storing = true;
-	w.run(1000);
+	w.run(1000); /* its record is stored */
 	w.storing = false;
+	w.closed_zones.clear();
 	w.run(2000);
 	ASSERT_EQ(w.counts().placed, 1u);
 	w.answer(late);
