relay: make no call that its owner has given up

In a deployment of 150 workers or more, a task could run twice after a host was paused: a start that the host had been asked to make reached the worker seconds later.

The call waits in the socket of the paused host, also after the owner has closed the connection, and is made once the host goes on. The owner has ended it as a call without an answer after 1.4 s, and the worker has confirmed the stop of that run. The same process refuses the start. If it has been replaced under its id meanwhile, the new one knows neither of the stop nor of the clock that the deadline is for.

Ruled out: refusing what arrives soon after a pause of the loop. The calls may be read long after that, and a link may hold them as well.

Answers now carry the clock of their host, and a batch of calls the time on that clock until which the owner waits for them. The owner takes the clock to be no further ahead than the answers have shown, so that no call is valid for longer than it is waited for. Older calls are answered as not sent. A host of an earlier build ignores the limit.

Relay.MakesNoCallThatItsOwnerHasGivenUp failed before: the start was made 1.5 s after it was sent. relay_test, codec_test and decoder_test pass.

--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -27,7 +27,7 @@
 {
 	enum activity before =
 		activity_enter(&h->loop.activity, ACTIVITY_PEERS);
-	struct relay_batch batch = {{NULL, 0}, {NULL, 0}};
+	struct relay_batch batch = {0};
 	struct arena a;
 
 	arena_init(&a);
--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -31,6 +31,8 @@
  * rest is for the transfer of the call and the answer. */
 #define ORDER_TIMEOUT_MS 1400
 #define CHECK_PERIOD_MS 50
+/* Period after which older answers do not tell a peer's clock any more. */
+#define AHEAD_PERIOD_MS 60000
 /* The connection is closed after more unanswered pings than this. */
 #define UNANSWERED_PINGS_MAX 6
 #define CALLS_INITIAL_CAP 16
@@ -169,6 +171,7 @@
 		*at = p;
 	}
 	if (strcmp(p->address, address)) {
+		p->is_clock_known = false;
 		p->last_contact_ms = 0;
 		p->avoid_until_ms = 0;
 	}
@@ -298,12 +301,53 @@
 	index_finish(&r->suspects);
 }
 
+/*
+ * A peer that is paused reads the calls of that time once it goes on. By then
+ * they have ended here, and so may the process of the worker that has confirmed
+ * the stop of a run: the next one knows neither of it nor of the deadline.
+ *
+ * An answer takes some time, so its clock is ahead by more than it tells: no
+ * call is valid for longer than it is waited for.
+ */
+static int64_t calls_valid_until(const struct relay_peer *p)
+{
+	if (!p->is_clock_known)
+		return 0;
+	return clock_boot_ms() + p->clock_ahead_ms + ORDER_TIMEOUT_MS;
+}
+
+static void note_clock(struct relay_peer *p, int64_t clock, int64_t now_ms)
+{
+	int64_t ahead = clock - now_ms;
+
+	if (clock <= 0 || clock > RELAY_CLOCK_MAX_MS)
+		return;
+	if (!p->is_clock_known) {
+		p->is_clock_known = true;
+		p->clock_ahead_ms = ahead;
+		p->next_ahead_ms = ahead;
+		p->ahead_since_ms = now_ms;
+	}
+	if (now_ms - p->ahead_since_ms >= AHEAD_PERIOD_MS) {
+		p->clock_ahead_ms = p->next_ahead_ms;
+		p->next_ahead_ms = ahead;
+		p->ahead_since_ms = now_ms;
+	}
+	if (ahead > p->clock_ahead_ms)
+		p->clock_ahead_ms = ahead;
+	if (ahead > p->next_ahead_ms)
+		p->next_ahead_ms = ahead;
+}
+
 static void flush_calls(struct relay *r, struct relay_peer *p)
 {
-	struct relay_batch batch = {{p->calls, p->count}, {NULL, 0}};
+	struct relay_batch batch = {0};
 	struct str text;
 	struct buf b;
 
+	batch.calls.items = p->calls;
+	batch.calls.count = p->count;
+	batch.valid_until = p->count ? calls_valid_until(p) : 0;
 	buf_init(&b);
 	shape_write(&relay_batch_shape, &batch, &b);
 	text.data = b.data;
@@ -589,6 +633,7 @@
 	size_t i;
 
 	if (p) {
+		note_clock(p, b->clock, clock_boot_ms());
 		p->last_contact_ms = clock_boot_ms();
 		p->unanswered_pings = 0;
 	}
--- a/src/host/relay.h
+++ b/src/host/relay.h
@@ -30,6 +30,9 @@
  *	after a new address and after a call that timed out
  * @last_sent_ms: time of the last batch to it
  * @unanswered_pings: pings sent since the last contact
+ * @is_clock_known: @clock_ahead_ms holds by how much its boot time is ahead of
+ *	this host's at least, by the answers since one or two periods ago;
+ *	@next_ahead_ms by those since @ahead_since_ms
  * @is_draining: the peer leaves the deployment and gets no new calls
  * @avoid_until_ms: the peer gets no calls and no pings before this time
  * @is_active: it gets calls
@@ -47,6 +50,10 @@
 	int64_t last_contact_ms;
 	int64_t last_sent_ms;
 	uint32_t unanswered_pings;
+	bool is_clock_known;
+	int64_t clock_ahead_ms;
+	int64_t next_ahead_ms;
+	int64_t ahead_since_ms;
 	bool is_draining;
 	int64_t avoid_until_ms;
 	bool is_active;
--- a/src/host/relay_server.c
+++ b/src/host/relay_server.c
@@ -1,7 +1,9 @@
 #include "host/relay_server.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 
+#include "adapters/clock.h"
 #include "base/logger.h"
 
 /* How long an answer waits for others that share its batch: each batch wakes
@@ -109,18 +111,33 @@
 	free(c);
 }
 
+static struct served_call *call_add(struct relay_server *s,
+				    struct relay_source *from, uint64_t seq)
+{
+	struct served_call *c = xcalloc(1, sizeof(*c));
+
+	c->server = s;
+	c->source = from;
+	c->seq = seq;
+	s->calls_in_flight++;
+	return c;
+}
+
+/* Answers a call that is not made. */
+static void refuse_call(struct served_call *c, enum order_status status)
+{
+	answer_add(c)->status = status;
+	free(c);
+}
+
 static void make_call(struct relay_server *s, struct relay_source *from,
 		      const struct relay_call *r)
 {
+	struct served_call *c = call_add(s, from, r->seq);
 	struct poll_request q = {r->fence, r->deadline, r->ack, r->wait_ms};
-	struct served_call *c = xcalloc(1, sizeof(*c));
 	struct worker_addr w = {0};
 	struct order o = {0};
 
-	c->server = s;
-	c->source = from;
-	c->seq = r->seq;
-	s->calls_in_flight++;
 	name_set(w.id, r->worker);
 	name_set(w.address, r->address);
 	relay_call_ref(r, &o.ref);
@@ -145,8 +162,7 @@
 	default:
 		log_line(LOG_ERROR, "unknown op in a relayed call", "op=%u",
 			 r->op);
-		answer_add(c)->status = ORDER_INVALID;
-		free(c);
+		refuse_call(c, ORDER_INVALID);
 	}
 }
 
@@ -155,20 +171,33 @@
 {
 	const struct relay_call *rows = b->calls.items;
 	struct relay_source *src = get_source(s, from);
+	int64_t late_ms =
+		b->valid_until > 0 ? clock_boot_ms() - b->valid_until : 0;
 	size_t i;
 
 	if (!b->calls.count)
 		src->ping_pending = !s->leaving;
+	if (late_ms > 0)
+		log_line(LOG_WARN, "calls of another host not made: too old",
+			 "from=%016" PRIx64 " calls=%zu late_ms=%" PRId64, from,
+			 b->calls.count, late_ms);
 	for (i = 0; i < b->calls.count; i++)
-		make_call(s, src, &rows[i]);
+		if (late_ms > 0)
+			refuse_call(call_add(s, src, rows[i].seq),
+				    ORDER_NOT_SENT);
+		else
+			make_call(s, src, &rows[i]);
 }
 
 static void flush_answers(struct relay_server *s, struct relay_source *src)
 {
-	struct relay_batch batch = {{NULL, 0}, {src->answers, src->count}};
+	struct relay_batch batch = {0};
 	struct str text;
 	struct buf b;
 
+	batch.answers.items = src->answers;
+	batch.answers.count = src->count;
+	batch.clock = clock_boot_ms();
 	buf_init(&b);
 	shape_write(&relay_batch_shape, &batch, &b);
 	text.data = b.data;
--- a/src/host/relay_wire.c
+++ b/src/host/relay_wire.c
@@ -40,6 +40,8 @@
 static const struct field batch_rows[] = {
 	FIELD_LIST_OF(relay_batch, calls, &call_shape),
 	FIELD_LIST_OF(relay_batch, answers, &answer_shape),
+	FIELD_OF(I64, relay_batch, clock),
+	FIELD_OF(I64, relay_batch, valid_until),
 };
 
 const struct shape relay_batch_shape = SHAPE_OF(batch_rows, relay_batch);
--- a/src/host/relay_wire.h
+++ b/src/host/relay_wire.h
@@ -85,12 +85,20 @@
  * struct relay_batch - calls or answers that are sent in one message
  *
  * An empty batch is a ping, or the reply to one.
+ * @clock: boot time at the host that sends answers, or 0
+ * @valid_until: boot time at the host that receives calls, after which it makes
+ *	none of them; 0 for no limit
  */
 struct relay_batch {
 	struct list calls;   /* struct relay_call */
 	struct list answers; /* struct relay_answer */
+	int64_t clock;
+	int64_t valid_until;
 };
 
+/* Greatest boot time in a batch. */
+#define RELAY_CLOCK_MAX_MS (INT64_MAX / 4)
+
 extern const struct shape relay_batch_shape;
 
 /**
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "adapters/clock.h"
 #include "host/relay_server.h"
 
@@ -125,6 +127,10 @@
 
 		if (lose_batches)
 			return;
+		if (hold_batches) {
+			held.emplace_back(to, std::string(text.data, text.len));
+			return;
+		}
 		arena_init(&a);
 		ASSERT_EQ(shape_read(&relay_batch_shape, text, &b, &a), 0);
 		relay_server_receive(&hosts[to], OWNER, &b);
@@ -233,6 +239,8 @@
 	int64_t now = 0;
 	int64_t started_wall_ms = 0;
 	bool lose_batches = false;
+	bool hold_batches = false;
+	std::vector<std::pair<uint64_t, std::string>> held;
 	int disconnects = 0;
 	std::vector<order_status> statuses;
 	task_ref last_ref = {};
@@ -495,6 +503,55 @@
 	EXPECT_EQ(statuses.size(), 1u);
 }
 
+/*
+ * A host that was paused read the calls that had come meanwhile, and made them
+ * long after their owner had given them up: a start reached the next process
+ * of a worker whose former one had confirmed the stop of that run.
+ */
+TEST_F(Relay, MakesNoCallThatItsOwnerHasGivenUp)
+{
+	add_host("h1", 4000);
+	activate_peers();
+	hold_batches = true;
+	start("i-1");
+	relay_tick(&r, now);
+	ASSERT_EQ(held.size(), 1u);
+	usleep(1500 * 1000);
+	hold_batches = false;
+	to_host(held[0].first, {held[0].second.data(), held[0].second.size()});
+	EXPECT_TRUE(relayed.calls.empty());
+	start("i-1");
+	run(20);
+	EXPECT_EQ(relayed.calls.size(), 1u);
+}
+
+/* A host whose clock is ahead by the time since its start took all calls for
+ * old ones. */
+TEST_F(Relay, GivesTheTimeLimitOfCallsOnTheClockOfTheirHost)
+{
+	const int64_t ahead = 100000000;
+	relay_batch b = {};
+	arena a;
+
+	add_host("h1", 4000);
+	activate_peers();
+	b.clock = clock_boot_ms() + ahead;
+	relay_receive(&r, name_hash("h1"), &b);
+	hold_batches = true;
+	start("i-1");
+	relay_tick(&r, now);
+	ASSERT_EQ(held.size(), 1u);
+	b = {};
+	arena_init(&a);
+	ASSERT_EQ(shape_read(&relay_batch_shape,
+			     {held[0].second.data(), held[0].second.size()}, &b,
+			     &a),
+		  0);
+	arena_finish(&a);
+	EXPECT_GT(b.valid_until - ahead, clock_boot_ms() + 900);
+	EXPECT_LE(b.valid_until - ahead, clock_boot_ms() + 1400);
+}
+
 /* A host that restarted under its name numbered its calls anew, and the answers
  * to calls of its former process were taken for answers to its own. */
 TEST_F(Relay, NumbersNoCallAsItsFormerProcessDid)
