relay: drop the waiting calls of a host that has failed

A start that had ended without an answer was sent after that, behind the stop of its run.

When a call to another host times out, all calls to it end without an answer, also those that wait for the next batch. The batch was sent to the host all the same, at the end of the same tick, over a new connection if the old one was closed by then.

The calls that wait are dropped. They still end as calls without an answer.

Relay.SendsNoCallThatHasEndedWithItsHost failed before: the call that had ended was carried out. The 17 tests of relay_test pass.

--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -301,6 +301,13 @@
 	index_finish(&r->suspects);
 }
 
+static void drop_waiting_calls(struct relay_peer *p)
+{
+	p->count = 0;
+	arena_finish(&p->memory);
+	arena_init(&p->memory);
+}
+
 /*
  * A peer that is paused reads the calls of that time once it goes on. By then
  * they have ended here, and so may the process of the worker that has confirmed
@@ -354,12 +361,12 @@
 	text.len = b.len;
 	r->net.send(r->net.ctx, p->id, text);
 	buf_finish(&b);
-	p->count = 0;
-	arena_finish(&p->memory);
-	arena_init(&p->memory);
+	drop_waiting_calls(p);
 	p->last_sent_ms = r->now_ms;
 }
 
+/* All its calls end here, so those that wait for the next batch are not sent.
+ */
 static void fail_peer(struct relay *r, struct relay_peer *p)
 {
 	log_line(LOG_WARN, "relayed call timed out; peer is avoided",
@@ -370,6 +377,7 @@
 	if (p->is_active)
 		select_active(r);
 	r->net.disconnect(r->net.ctx, p->id);
+	drop_waiting_calls(p);
 	fail_pending_of(r, p);
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -503,6 +503,25 @@
 	EXPECT_EQ(statuses.size(), 1u);
 }
 
+/* The calls of a host that had failed ended without an answer, and those that
+ * waited for its next batch were sent to it all the same: a start arrived after
+ * the stop of its run. */
+TEST_F(Relay, SendsNoCallThatHasEndedWithItsHost)
+{
+	add_host("h1", 4000);
+	activate_peers();
+	lose_batches = true;
+	start("i-1");
+	run(1300);
+	lose_batches = false;
+	now += 500;
+	start("i-2");
+	relay_tick(&r, now);
+	EXPECT_EQ(statuses,
+		  std::vector<order_status>({ORDER_UNKNOWN, ORDER_UNKNOWN}));
+	EXPECT_TRUE(relayed.calls.empty());
+}
+
 /*
  * A host that was paused read the calls that had come meanwhile, and made them
  * long after their owner had given them up: a start reached the next process
