--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -261,6 +261,41 @@
 	http_server_stop(&s);
 }
 
+/* Against a reply that arrives after the time limit of its call, and is read as
+ * the reply to the next call on the connection. */
+TEST_F(Loop, ReadsNoLateReplyAsThatToTheNextCall)
+{
+	std::string url = "http://127.0.0.1:";
+	http_server s = {};
+	struct fetch f = {};
+
+	s.threads = 1;
+	s.handle = [](void *, http_request *r) {
+		std::string body = std::to_string(++requests);
+
+		usleep(requests == 2 ? 300000 : 0);
+		http_reply(r, 200, 0, body.data(), body.size());
+	};
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	url += std::to_string(s.port) + "/x";
+	f.url = url.c_str();
+	f.post = true;
+	f.content_type = "text/plain";
+	f.body = str_of("order");
+	requests = 0;
+	for (const char *body : {"1", "", "3", "4"}) {
+		Results a = {&l, 1, {}, {}, ""};
+
+		f.timeout_ms = *body ? 4000 : 100;
+		loop_fetch(&l, &f, on_result, &a);
+		l.stopping = false;
+		loop_run(&l);
+		EXPECT_EQ(a.body, body);
+		EXPECT_FALSE(a.not_sent[0]);
+	}
+	http_server_stop(&s);
+}
+
 TEST_F(Loop, FailsACallWithoutAReplyAfterItsTimeout)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
