tests: a stop and a renewal without an answer are not refused

Each test was run on a scratch build that takes "no answer" for the other outcome:

- StartsElsewhereOnlyOnceAStopIsAnswered: fails with stops that count as confirmed without an answer, as no further stop is sent.
No other test of cell_worker_test, cell_recovery_test and cell_test failed with that.
- CountsALeaseThatAPollWithoutAnAnswerMayHaveExtended: fails with a lease that counts 1 s, one poll, less after a poll without an answer.

Both pass on the code as it is.

--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -120,6 +120,59 @@
 	EXPECT_TRUE(w.duplicates.empty());
 }
 
+/* Stops that got no answer counted as confirmed: the task was started elsewhere
+ * as the worker did not list the run, and the start arrived then. */
+TEST(CellWorker, StartsElsewhereOnlyOnceAStopIsAnswered)
+{
+	order_reply lost = {ORDER_UNKNOWN, 0};
+	CellWorld w;
+
+	w.begin({"w1"}, 50);
+	w.submit(7, {CellWorld::task_step(1)});
+	Call late = take_call(&w, Call::START);
+	late.done(late.ctx, &late.worker, &late.sent.ref, &lost);
+	w.add_worker("w2");
+	for (int i = 0; i < 3; i++) {
+		Call stop = take_call(&w, Call::STOP);
+
+		ASSERT_NE(stop.done, nullptr);
+		w.answer_as(stop, ORDER_UNKNOWN);
+	}
+	w.run(150);
+	EXPECT_EQ(w.starts.size(), 0u);
+	late.done = [](void *, const worker_addr *, const task_ref *,
+		       const order_reply *) {};
+	w.answer(late);
+	w.run(1000);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_TRUE(w.duplicates.empty());
+}
+
+/* A poll that extended the lease of a worker got no answer, and counted as not
+ * carried out: the task was started elsewhere before the lease ended. */
+TEST(CellWorker, CountsALeaseThatAPollWithoutAnAnswerMayHaveExtended)
+{
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(3000);
+	ASSERT_EQ(w.runs(7), 1u);
+	Call poll = take_call(&w, Call::POLL);
+	FakeWorker &f = w.workers["w1"];
+	f.extend_lease(poll.poll.lease_deadline_ms, w.now + f.clock_offset);
+	f.reachable = false;
+	w.answer_as(poll, ORDER_UNKNOWN);
+	w.add_worker("w2");
+	for (int i = 0; i < 60; i++) {
+		w.run(100);
+		w.expire_all();
+	}
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
 /* A listing that was written before a run started lacks it: the run was taken
  * for lost and started again. */
 TEST(CellWorker, KeepsARunThatAnOlderListingLacks)
