owner: a fence that was carried out without an answer is no dead end

What callers would see: jobs stay queued or running, and nothing starts, for as long as the group leaves the cell with one host. The append log of the store holds the fence of that epoch, with number 0, 3 ms after the assignment.

Cause: the store's answer to the empty append that sets the epoch is lost. The append is sent again with the same number, and a store that takes that for a gap in the numbers answers 409 "seq" each time: an append with the epoch in force has to follow the last one. on_fence_append() treated that as any refusal, wrote no log line, and sent the same number for ever.

Ruled out: the store's down time (reads of the same host succeeded), and the lost call itself (the proxy was back at "pass" for 45 s). Two empty appends to standin-gridstore with one epoch and number give 200, then 409 with seq=1.

Change: after 409 "seq" the fence is sent with the number that the store expects. Such an answer is given only for the epoch in force, so that no other owner has come in between, and the log is read up to the end of the later fence. The first failure of a fence is logged.

Evidence: Owner.TakesOverAfterAFenceWhoseAnswerIsLost failed before (phase 1, fencing, instead of 3, active; 0 records stored). owner_test 23 of 23.

--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -336,11 +336,20 @@
 		o->fence_offset = r->end;
 		note_stored(o, r->sent_ms);
 		o->phase = OWNER_CATCHING_UP;
-		o->seq = 1;
+		o->seq++;
+		o->attempt = 0;
 		follower_read_now(o->job_follower);
 	} else if (r->status == STORE_FENCED) {
 		owner_step_down(o, "fenced by a higher epoch");
 	} else {
+		if (!o->attempt++)
+			log_line(LOG_WARN, "append of fence failed",
+				 "part=%u epoch=%" PRIu64 " seq=%" PRIu64
+				 " status=%d",
+				 o->part, o->epoch, o->seq, (int)r->status);
+		/* An earlier try, whose answer was lost, has set the epoch. */
+		if (r->status == STORE_BAD_SEQ)
+			o->seq = r->seq;
 		o->append_due_ms = o->now_ms + APPEND_RETRY_MS;
 	}
 }
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -43,8 +43,9 @@
  *	had taken the cell before: an append, or a join
  * @fence_offset: end of the partition after the fencing append; the job log has
  *	to be read up to it
- * @seq: sequence number of the current batch; 0 for the fencing append
- * @attempt: number of failed appends of the current batch
+ * @seq: sequence number of the current batch; 0 for the fencing append, unless
+ *	the store expects another
+ * @attempt: number of failed appends of the current batch or fence
  * @fenced_by_worker: a worker has seen a higher epoch; the next tick steps down
  * @append_due_ms: earliest boot time of the next append
  * @takeover_began_ms: boot time at which the takeover began
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -153,6 +153,26 @@
 	EXPECT_EQ(store.epoch, a.owner.epoch);
 }
 
+/* The store answers 409 to a fence that it has carried out before. The owner
+ * sent the same one for ever, and the cell had no owner until the group
+ * assigned it anew. */
+TEST_F(Owner, TakesOverAfterAFenceWhoseAnswerIsLost)
+{
+	Host a(&store, "a");
+
+	while (!a.membership.assigned || !a.jobs.loaded)
+		run({&a}, 10);
+	ASSERT_EQ(a.owner.phase, OWNER_IDLE);
+	store.mode = FakeStore::LOSE_REPLIES;
+	run({&a}, 20);
+	ASSERT_EQ(a.owner.phase, OWNER_FENCING);
+	ASSERT_EQ(store.epoch, a.owner.epoch);
+	store.mode = FakeStore::SERVE;
+	run({&a}, 500);
+	EXPECT_EQ(a.owner.phase, OWNER_ACTIVE);
+	EXPECT_GE(store.topics[TOPIC_JOBS].size(), 1u);
+}
+
 /* With a slow store, three seconds passed between the former owner and the next
  * one, and the leases of 490 workers expired. */
 TEST_F(Owner, RenewsLeasesUntilTheNextOwnerTakesOver)
