owner: the answer to an earlier fence is not that to its own

What callers would see: TWICE. A host takes the cell over without a fence at the store, and without having read what the owner in between has stored, such as where tasks were started.

Cause: on_fence_append() looked at the phase only. A host that was assigned the cell, lost it and was assigned it again while the answer to its first fence was on its way (1.5 s at most) took that answer for the answer to the second one: the log was read up to the end that the first one named, and its own epoch was never sent. An answer counted for an order that is newer than it.

Ruled out: batches. A batch in flight keeps the fence of the next takeover back, and its answer is dropped outside of the active phase.

Change: an append notes its epoch, and only the answer to the fence of the present epoch counts.

Evidence: Owner.TakesNoAnswerToAnEarlierFenceForThatToItsOwn failed before (phase 2, catching up, instead of 1, fencing).

--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -309,6 +309,7 @@
 	a.epoch = o->epoch;
 	a.seq = o->seq;
 	o->append_in_flight = true;
+	o->append_epoch = o->epoch;
 	o->appends++;
 	o->store->append(o->port, &a, done, o);
 }
@@ -330,7 +331,7 @@
 	struct owner *o = ctx;
 
 	o->append_in_flight = false;
-	if (o->phase != OWNER_FENCING)
+	if (o->phase != OWNER_FENCING || o->append_epoch != o->epoch)
 		return;
 	if (r->status == STORE_OK) {
 		o->fence_offset = r->end;
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -46,6 +46,8 @@
  * @seq: sequence number of the current batch; 0 for the fencing append, unless
  *	the store expects another
  * @attempt: number of failed appends of the current batch or fence
+ * @append_epoch: epoch of the append in flight, which may be that of an earlier
+ *	takeover
  * @fenced_by_worker: a worker has seen a higher epoch; the next tick steps down
  * @append_due_ms: earliest boot time of the next append
  * @takeover_began_ms: boot time at which the takeover began
@@ -87,6 +89,7 @@
 	uint64_t seq;
 	uint32_t attempt;
 	bool append_in_flight;
+	uint64_t append_epoch;
 	bool fenced_by_worker;
 	int64_t append_due_ms;
 	int64_t takeover_began_ms;
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -173,6 +173,38 @@
 	EXPECT_GE(store.topics[TOPIC_JOBS].size(), 1u);
 }
 
+/* The answer to the fence of an earlier takeover arrived during the next one,
+ * and was taken for the answer to its fence: nothing was sent to the store, and
+ * what another owner had stored in between was not read. */
+TEST_F(Owner, TakesNoAnswerToAnEarlierFenceForThatToItsOwn)
+{
+	Host a(&store, "a"), b(&store, "b");
+	std::function<void()> answer;
+
+	while (!a.membership.assigned || !a.jobs.loaded)
+		run({&a}, 10);
+	store.now = now;
+	a.tick(now);
+	ASSERT_EQ(a.owner.phase, OWNER_FENCING);
+	answer =
+		store.pending.back(); /* the fence is the last call of a tick */
+	store.pending.pop_back();
+	store.assignee = "b";
+	store.generation++;
+	run({&a, &b}, 1500);
+	ASSERT_EQ(a.owner.phase, OWNER_IDLE);
+	ASSERT_EQ(b.owner.phase, OWNER_ACTIVE);
+	store.assignee = "a";
+	store.generation++;
+	while (a.owner.phase != OWNER_FENCING)
+		run({&a}, 10);
+	answer();
+	EXPECT_EQ(a.owner.phase, OWNER_FENCING);
+	run({&a}, 500);
+	EXPECT_EQ(a.owner.phase, OWNER_ACTIVE);
+	EXPECT_EQ(store.epoch, a.owner.epoch);
+}
+
 /* With a slow store, three seconds passed between the former owner and the next
  * one, and the leases of 490 workers expired. */
 TEST_F(Owner, RenewsLeasesUntilTheNextOwnerTakesOver)
