soak: the store's append log is judged

What callers would see: nothing.

Change: standin-gridstore writes a line for each append that it stores or takes for a repeat (--append-log). judge_store.awk finds in it an accepted job that is not stored, a refused job that is stored, a batch of jobs' records under two numbers of one owner, another batch under a number in use, and a call of a host that is carried out twice: a host appends a record again after 60 ms at the earliest, so that equal records within 40 ms are one call. Copies of a record that hosts append again on purpose are counted and printed ("stored again"); of these the first one counts.

Ruled out as a check: that an owner stores the record of a job once.

--- a/standins/gridstore.c
+++ b/standins/gridstore.c
@@ -2,9 +2,11 @@
 #include "adapters/http_server.h"
 #include "base/lock.h"
 #include "base/logger.h"
+#include "ports/cluster.h"
 #include "standins/grid_store.h"
 #include "standins/standin.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <signal.h>
@@ -27,6 +29,9 @@
 	 "file that receives the port", false},
 	{"partitions", "partitions", SETTING_NUMBER, 1, 64, "24",
 	 "partitions of a topic that a group assigns", false},
+	{"append-log", "path", SETTING_TEXT, 0, 512, "",
+	 "file that receives a line for each append that is stored or repeated",
+	 false},
 };
 
 /**
@@ -47,6 +52,7 @@
 	struct waiter waiters[WAITERS_MAX];
 	size_t waiter_count;
 	bool down;
+	FILE *append_log;
 };
 
 static volatile sig_atomic_t down_requested;
@@ -78,10 +84,42 @@
 	buf_finish(b);
 }
 
+/*
+ * Line: time in ms, partition, "new" or "again", epoch and number of the
+ * producer or "- -", hash of the records, and their keys.
+ */
+static void log_append(struct store_server *s, struct http_request *r,
+		       const struct grid_partition *p, size_t count_before)
+{
+	struct str body = {r->body.data, r->body.len};
+	bool has_seq = http_query(r, "producer") != NULL;
+	bool is_repeat = body.len && p->count == count_before;
+	struct store_record record;
+	size_t i;
+
+	if (!s->append_log)
+		return;
+	fprintf(s->append_log, "%" PRId64 " %s %s %s %s %016" PRIx64,
+		clock_wall_ms(), p->name, is_repeat ? "again" : "new",
+		has_seq ? http_query(r, "epoch") : "-",
+		has_seq ? http_query(r, "seq") : "-", bytes_hash(body));
+	while (!store_record_take(&body, &record)) {
+		fputc(' ', s->append_log);
+		for (i = 0; i < record.key.len; i++)
+			fputc(isgraph((unsigned char)record.key.data[i])
+				      ? record.key.data[i]
+				      : '?',
+			      s->append_log);
+	}
+	fputc('\n', s->append_log);
+	fflush(s->append_log);
+}
+
 static void do_append(struct store_server *s, struct http_request *r)
 {
 	struct str body = {r->body.data, r->body.len};
 	struct grid_partition *p = request_partition(s, r);
+	size_t count_before = p->count;
 	enum grid_status status;
 	uint64_t first = 0;
 	struct buf b;
@@ -93,6 +131,7 @@
 				       query_number(r, "seq"), &first);
 	switch (status) {
 	case GRID_OK:
+		log_append(s, r, p, count_before);
 		buf_addf(&b, "{\"offset\":%" PRIu64 ",\"endOffset\":%zu}",
 			 first, p->count);
 		reply_buf(r, 200, &b);
@@ -259,6 +298,8 @@
 	lock_init(&s->lock);
 	grid_store_init(&s->store,
 			(uint32_t)settings_number(&set, "partitions"));
+	if (settings_text(&set, "append-log")[0])
+		s->append_log = fopen(settings_text(&set, "append-log"), "a");
 	http.handle = on_request;
 	http.ctx = s;
 	code = EXIT_CODE_OK;
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -9,7 +9,8 @@
 
 grid_start_store()
 {
-	"$BIN/standin-gridstore" --port-file="$GRID/store.port" &
+	"$BIN/standin-gridstore" --port-file="$GRID/store.port" \
+		--append-log="$GRID/appends" &
 	STORE_PID=$!
 	until [ -s "$GRID/store.port" ]; do sleep 0.05; done
 	STORE=127.0.0.1:$(cat "$GRID/store.port")
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Fault soak of real processes on stand-ins of the platform. Signals and loopback
 # proxies inject faults drawn from the seed, one after another and overlapping,
-# while callers submit jobs. Checks that every accepted job completes, once, that
-# no host denies it, and that no refused job runs.
+# while callers submit jobs. Checks that every accepted job is stored and completes,
+# once, that no host denies it, that no refused job is stored or runs, and that no
+# record is stored twice by a repeated call.
 set -u
 SEED=1
 LENGTH=30
@@ -207,11 +208,14 @@
 [ -s "$GRID/faults.bad" ] && { cat "$GRID/faults.bad"; FAILED=1; }
 cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -v killed_workers="$KILLED_WORKERS" -f tools/judge_runs.awk \
 	>"$GRID/judged" || { echo "seed $SEED: $(head -3 "$GRID/judged")"; FAILED=1; }
+awk -f tools/judge_store.awk "$GRID/accepted" "$GRID/refused" "$GRID/appends" \
+	>"$GRID/judged-store" || { echo "seed $SEED: $(head -3 "$GRID/judged-store")"; FAILED=1; }
 for id in $(cat "$GRID/refused"); do
 	grep -q " $id\." "$GRID"/runs.* && { echo "seed $SEED: refused, but ran: $id"; FAILED=1; }
 done
 echo "seed $SEED: $(wc -l <"$GRID/faults.log") faults, $(wc -l <"$GRID/accepted") accepted," \
-	"$(wc -l <"$GRID/refused") refused, $(tail -1 "$GRID/judged"), bad=$FAILED"
+	"$(wc -l <"$GRID/refused") refused, $(tail -1 "$GRID/judged")," \
+	"$(tail -1 "$GRID/judged-store"), bad=$FAILED"
 proxied_finish
 [ $FAILED = 0 ] || { [ -n "${KEEP:-}" ] && echo "kept: $GRID"; }
 exit $FAILED
