--- a/tools/judge_test.sh
+++ b/tools/judge_test.sh
@@ -56,6 +56,11 @@
 	"1005 keyed.jobs/0 again 5 1 aa $A"
 expect 1 "a batch stored under two numbers of one owner" store "$stored" \
 	"1060 keyed.jobs/0 new 5 2 aa $A"
+expect 1 "progress stored under two numbers of one owner" store "$stored" \
+	"1060 keyed.jobs/0 new 5 2 cc $A/p" "1070 keyed.jobs/0 new 5 3 cc $A/p"
+expect 0 "progress that a job makes again" store "$stored" \
+	"1060 keyed.jobs/0 new 5 2 cc $A/p" "1070 keyed.jobs/0 new 5 3 dd $A/p" \
+	"1080 keyed.jobs/0 new 5 4 cc $A/p"
 expect 1 "another batch under a number in use" store "$stored" \
 	"1060 keyed.jobs/0 again 5 1 cc $A/p"
 expect 0 "a job stored by the next owner" store "$stored" "2000 keyed.jobs/0 new 6 1 aa $A"
