--- a/Makefile
+++ b/Makefile
@@ -84,13 +84,14 @@
 	@bash tools/host_test.sh 2>/dev/null
 
 soak: build
-	@bash tools/soak.sh --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS_),30)
+	@bash tools/soak.sh --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS_),30) --calls
 
 takeover: build
 	@bash tools/takeover.sh 2>/dev/null
 
 soak-quick: build
 	@bash tools/soak.sh --seed=1 --seconds=12 2>/dev/null
+	@bash tools/soak.sh --seed=1 --seconds=12 --calls 2>/dev/null
 
 faults: build
 	@build/bin/basilshift-faults $(if $(CASE),--case=$(CASE))
--- a/tools/harm.sh
+++ b/tools/harm.sh
@@ -1,18 +1,23 @@
 # Sourced after grid.sh: runs hosts and workers behind loopback proxies that can
-# delay, silence or reset their connections. $GRID/NAME.clock sets the wall clock of
-# a host off by that many milliseconds. Each host h0, h1, ... reaches the store
-# through a proxy of its own; each worker w0, w1, ... is reached through one.
+# delay, silence or reset their connections, and lose or delay single calls.
+# $GRID/NAME.clock sets the wall clock of a host off by that many milliseconds. Each
+# host h0, h1, ... reaches the store through a proxy of its own; each worker w0, w1,
+# ... is reached through one.
 
 declare -A PROXY_PID INCARNATION
+PROXIES=0
 now_ms() { date +%s%3N; }
 
 # start_proxy NAME TARGET_FILE: writes its port to $GRID/NAME.proxy and reads its
-# mode from $GRID/NAME.mode
+# mode from $GRID/NAME.mode, the fault of single calls from $GRID/NAME.call-mode
 start_proxy()
 {
 	echo pass >"$GRID/$1.mode"
+	echo pass >"$GRID/$1.call-mode"
 	"$BIN/standin-proxy" --port-file="$GRID/$1.proxy" --target-file="$2" \
-		--control="$GRID/$1.mode" &
+		--control="$GRID/$1.mode" --call-control="$GRID/$1.call-mode" \
+		--call-log="$GRID/$1.call-log" \
+		--seed=$((${SEED:-1} * 100 + ++PROXIES)) &
 	PROXY_PID[$1]=$!
 	grid_wait 5 test -s "$GRID/$1.proxy"
 }
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -3,19 +3,22 @@
 # proxies inject faults drawn from the seed, one after another and overlapping,
 # while callers submit jobs. Checks that every accepted job is stored and completes,
 # once, that no host denies it, that no refused job is stored or runs, and that no
-# record is stored twice by a repeated call.
+# record is stored twice by a repeated call. With --calls the proxies also draw faults
+# of single calls, whose answers are lost or late; the other draws stay as they are.
 set -u
 SEED=1
 LENGTH=30
 HOSTS=3
 WORKERS=4
+CALLS=
 for a in "$@"; do
 	case $a in
 	--seed=*) SEED=${a#*=} ;;
 	--seconds=*) LENGTH=${a#*=} ;;
 	--hosts=*) HOSTS=${a#*=} ;;
 	--workers=*) WORKERS=${a#*=} ;;
-	*) echo "usage: soak.sh [--seed=N] [--seconds=N] [--hosts=N] [--workers=N]"; exit 2 ;;
+	--calls) CALLS=1 ;;
+	*) echo "usage: soak.sh [--seed=N] [--seconds=N] [--hosts=N] [--workers=N] [--calls]"; exit 2 ;;
 	esac
 done
 . tools/grid.sh
@@ -119,6 +122,30 @@
 	esac
 }
 
+# draw_call_faults PREFIX COUNT PATH...: until $GRID/calling is removed, draws faults
+# of calls to PATH at one of the proxies PREFIX0, PREFIX1, ... at a time. The call
+# after a lost one gets a status, or is held (1).
+draw_call_faults()
+{
+	local prefix=$1 count=$2 name fault statuses=(0 503 503 429 500 1)
+	local kinds=(lost lost lost late late slow overtaken) shares=(20 50 100)
+
+	shift 2
+	RANDOM=$((SEED + 7919 + count))
+	# A worker that has not been replaced gives no 421.
+	[ "$prefix" = h ] && statuses+=(421)
+	while [ -e "$GRID/calling" ]; do
+		name=$prefix$((RANDOM % count))
+		fault="${kinds[$((RANDOM % 7))]} ${*:$((1 + RANDOM % $#)):1}"
+		fault="$fault ${shares[$((RANDOM % 3))]} ${statuses[$((RANDOM % ${#statuses[@]}))]}"
+		echo "$(now_ms) $name $fault" >>"$GRID/call-faults.log"
+		echo "$fault" >"$GRID/$name.call-mode"
+		sleep $((1 + RANDOM % 3)).$((RANDOM % 10))
+		echo pass >"$GRID/$name.call-mode"
+		sleep 0.$((RANDOM % 10))
+	done
+}
+
 publish_ports()
 {
 	local h
@@ -189,6 +216,13 @@
 	caller $c &
 	CALLERS+=($!)
 done
+if [ -n "$CALLS" ]; then
+	draw_call_faults w "$WORKERS" /api/run-start /api/run-start /api/run-stop \
+		/api/hold /api/ &
+	PENDING+=($!)
+	draw_call_faults h "$HOSTS" /api/log-append /api/log-append /api/log-join /api/ &
+	PENDING+=($!)
+fi
 end=$((SECONDS + LENGTH))
 while [ $SECONDS -lt $end ]; do
 	draw_fault
@@ -215,7 +249,7 @@
 done
 echo "seed $SEED: $(wc -l <"$GRID/faults.log") faults, $(wc -l <"$GRID/accepted") accepted," \
 	"$(wc -l <"$GRID/refused") refused, $(tail -1 "$GRID/judged")," \
-	"$(tail -1 "$GRID/judged-store"), bad=$FAILED"
+	"$(cat "$GRID"/*.call-log | wc -l) calls hit, $(tail -1 "$GRID/judged-store"), bad=$FAILED"
 proxied_finish
 [ $FAILED = 0 ] || { [ -n "${KEEP:-}" ] && echo "kept: $GRID"; }
 exit $FAILED
