soak: runs of a paused worker end with its lease, also if it is killed then

Traced: the judge was wrong. A worker's runs end with its lease by its own steady clock, which goes on during a pause; the stand-in logs that when it goes on, at the time of the lease's end, and was killed before.

Change: the stand-in logs each later end of its lease, and the judge ends the runs of a worker there. That is as strict: the time is the worker's own, and a start one millisecond before is an overlap still. Stricter in one point: the end of a run no longer takes the place of another worker's run of the task, which hid a third start beside that one.

--- a/standins/grid_worker.c
+++ b/standins/grid_worker.c
@@ -71,6 +71,7 @@
 		return;
 	w->lease_until_ms = until_ms;
 	w->lease_expired = false;
+	w->on_event(w->ctx, NULL, "lease");
 }
 
 static enum order_status check_fence(struct grid_worker *w, uint64_t fence)
--- a/standins/grid_worker.h
+++ b/standins/grid_worker.h
@@ -34,7 +34,7 @@
  *	before their start order arrived; a start of the same run or of an
  *	earlier run of the task is refused
  * @on_event: called on each "start", "end" and "ack" of a run, and with @r NULL
- *	on a "lapse", the expiry of the lease
+ *	on a "lease", a later end of the lease, and on a "lapse", its expiry
  * @ctx: first argument of @on_event
  *
  * The specification text of a task controls its run: run_ms=N is its duration
--- a/standins/gridworker.c
+++ b/standins/gridworker.c
@@ -92,6 +92,14 @@
 
 	if (!s->run_log)
 		return;
+	if (!strcmp(event, "lease")) {
+		fprintf(s->run_log, "%" PRId64 " %s - 0 lease %" PRId64 "\n",
+			clock_wall_ms(), settings_text(s->set, "id"),
+			clock_wall_ms() + s->worker.lease_until_ms -
+				clock_mono_ms());
+		fflush(s->run_log);
+		return;
+	}
 	if (!r) {
 		fprintf(s->run_log, "%" PRId64 " %s - 0 %s -\n", at_ms,
 			settings_text(s->set, "id"), event);
--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -1,9 +1,12 @@
 # Checks the run logs of the workers: a task never runs in two places, and does
 # not start again after an acknowledged end. An end does not count if its worker
-# lost it before the acknowledgement, because it was killed or its lease lapsed.
+# lost it before the acknowledgement, because it was killed or its lease lapsed. The
+# runs of a worker that is paused end with its lease, also if it is killed before it
+# goes on and so never logs that.
 #
-# Input: lines "ms worker task run start|end|ack|lapse how" of all workers, sorted
-# by time, those of one worker and millisecond in the order written (sort -s).
+# Input: lines "ms worker task run start|end|ack|lapse how" and "ms worker - 0 lease
+# MS", the end of the lease from then on, of all workers, sorted by time, those of one
+# worker and millisecond in the order written (sort -s).
 # -v killed_workers="WORKER MS ..." lists killed workers and the time of each kill.
 # Exits 1 if there was a violation.
 BEGIN {
@@ -18,15 +21,27 @@
 			delete restarted[t]
 		}
 }
+function end_runs(w, t) {
+	for (t in running_on)
+		if (running_on[t] == w)
+			delete running_on[t]
+	drop_unacknowledged(w)
+}
 {
 	for (w in killed_ms)
 		if ($1 >= killed_ms[w]) {
-			for (t in running_on)
-				if (running_on[t] == w)
-					delete running_on[t]
-			drop_unacknowledged(w)
+			end_runs(w)
 			delete killed_ms[w]
 		}
+	for (w in lease_ms)
+		if ($1 > lease_ms[w]) {
+			end_runs(w)
+			delete lease_ms[w]
+		}
+}
+$5 == "lease" {
+	lease_ms[$2] = $6
+	next
 }
 $5 == "start" {
 	starts++
@@ -39,7 +54,8 @@
 	running_on[$3] = $2
 }
 $5 == "end" {
-	delete running_on[$3]
+	if ($3 in running_on && running_on[$3] == $2)
+		delete running_on[$3]
 	if ($6 == "done") {
 		ended[$3] = $2
 		finished[$3] = 1
--- a/tools/judge_test.sh
+++ b/tools/judge_test.sh
@@ -47,6 +47,16 @@
 	"10 w0 t 1 start -" "20 w0 t 1 end done" "30 w1 t 2 start -" "40 w0 t 1 ack done"
 KILLED="w0 15" expect 0 "a run beside one of a killed worker" runs \
 	"10 w0 t 1 start -" "20 w1 t 2 start -"
+expect 0 "a run beside one whose lease has ended" runs \
+	"10 w0 - 0 lease 50" "10 w0 t 1 start -" "51 w1 t 2 start -"
+expect 1 "a run beside one whose lease is in force" runs \
+	"10 w0 - 0 lease 50" "10 w0 t 1 start -" "50 w1 t 2 start -"
+expect 1 "a run beside one whose lease was extended" runs \
+	"10 w0 - 0 lease 50" "10 w0 t 1 start -" "40 w0 - 0 lease 90" "51 w1 t 2 start -"
+expect 0 "a run after the end of an unknown one" runs \
+	"10 w0 t 1 end lapsed" "20 w1 t 2 start -"
+expect 1 "a third run, after the end of the first one" runs "10 w0 - 0 lease 20" \
+	"10 w0 t 1 start -" "30 w1 t 2 start -" "40 w0 t 1 end lapsed" "50 w2 t 3 start -"
 
 stored="1000 keyed.jobs/0 new 5 1 aa $A"
 expect 0 "an accepted job, stored once" store "$stored"
