tests: more moments at which an owner loses its cell

Leases of the former owner end before the next one stops waiting for them: after a decline and a cut, with joins answered a second late, and where workers grant leases of 1 s. An owner that is merely quiet goes on renewing them, also after another host has joined.

--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -798,6 +799,28 @@
 		buf_finish(&text);
 	}
 
+	/* The answers to joins of host a arrive so much after the sending. */
+	void delay_joins(int64_t ms)
+	{
+		static TwoOwners *self;
+		static int64_t delay;
+
+		self = this;
+		delay = ms;
+		ops.join = [](void *p, const char *member, uint64_t g,
+			      store_done d, void *ctx) {
+			FakeStore *s = (FakeStore *)p;
+			std::vector<std::function<void()>> before;
+
+			before.swap(s->pending);
+			s->ops.join(p, member, g, d, ctx);
+			self->late.push_back(
+				{self->now + delay, s->pending.back()});
+			s->pending.swap(before);
+		};
+		a.membership.store = &ops;
+	}
+
 	/* The clock of w1 is as slow as the platform allows, 2 %. */
 	int64_t worker_clock() const
 	{
@@ -827,6 +850,11 @@
 		if (b_up)
 			b.tick(now);
 		store.run();
+		while (!late.empty() && late.front().first <= now) {
+			auto f = late.front().second;
+			late.pop_front();
+			f();
+		}
 		auto out = polls;
 		polls.clear();
 		for (auto &f : out)
@@ -847,6 +875,7 @@
 	int64_t b_began = 0;
 	bool b_up = false;
 	std::vector<std::function<void()>> polls;
+	std::deque<std::pair<int64_t, std::function<void()>>> late;
 };
 
 /* A host that had been cut from the store for 8 s extended leases for 4 s more
@@ -907,6 +936,81 @@
 	EXPECT_LT(lease, b_began + 8500);
 }
 
+/* The same bound, for an owner that has declined to give the cell up and is cut
+ * off afterwards, at any time between two appends. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongWhenItIsCutOffAfterADecline)
+{
+	start_task();
+	store.assignee = "b";
+	store.generation++;
+	while (!a.membership.declined && now < 6000)
+		step(false);
+	ASSERT_GT(a.membership.declined, a.owner.epoch);
+	for (int i = 0; i < 150; i++)
+		step(false);
+	EXPECT_EQ(a.owner.handover_began_ms, 0);
+	b_up = true;
+	while (now < 20000)
+		step(true);
+	ASSERT_GT(b_began, 0);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
+/* Joins whose answers take a second say less: they prove the state at the time
+ * of the sending, not at that of the answer. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongWithSlowJoins)
+{
+	delay_joins(1000);
+	start_task();
+	appends_fail = true;
+	for (int i = 0; i < 100; i++)
+		step(false);
+	while (a.membership.join_in_flight)
+		step(false);
+	while (!a.membership.join_in_flight)
+		step(false);
+	for (int i = 0; i < 5; i++)
+		step(false);
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	while (now < 20000)
+		step(false);
+	ASSERT_GT(b_began, 0);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
+/* Where workers grant shorter leases than LEASE_MS, the next owner waits for a
+ * shorter time as well. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongWhereLeasesAreShort)
+{
+	for (Host *h : {&a, &b}) {
+		h->owner.options.lease_ms = 1000;
+		h->owner.options.lease_max_ms = 1000;
+		h->owner.options.takeover_ms = 5500;
+	}
+	start_task();
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	while (now < 20000)
+		step(true);
+	ASSERT_GT(b_began, 0);
+	EXPECT_LT(lease, b_began + 5500);
+}
+
+/* The bound must hold for whatever moment the cut begins at, and must not stop
+ * the renewals of an owner that is merely quiet. */
+TEST_F(TwoOwners, ExtendsLeasesForAsLongAsTheStoreAnswers)
+{
+	start_task();
+	while (now < 30000) {
+		store.generation += now == 10000; /* another host joins */
+		step(false);
+		ASSERT_GT(lease, now + 1000) << now;
+	}
+}
+
 /* An owner whose cell had been given to another host went on starting tasks for
  * as long as its membership was certain, beside the next owner. */
 TEST_F(TwoOwners, StartsNothingOnceItHandsOver)
