tests: the cell is assigned anew at any moment of a cut

One test chose one moment. TwoOwnersCutAt covers 42 of them, 50 ms apart, with and without a host that has joined before.

--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -1066,8 +1066,8 @@
 	EXPECT_LT(lease, b_began + 5500);
 }
 
-/* The bound must hold for whatever moment the cut begins at, and must not stop
- * the renewals of an owner that is merely quiet. */
+/* The bound on renewals must not end those of an owner that is merely quiet,
+ * nor when another host joins, after which its joins prove nothing. */
 TEST_F(TwoOwners, ExtendsLeasesForAsLongAsTheStoreAnswers)
 {
 	start_task();
@@ -1078,6 +1078,36 @@
 	}
 }
 
+/* With the delay of the cut, ms, and whether another host has joined the group
+ * before it. */
+class TwoOwnersCutAt : public TwoOwners,
+		       public testing::WithParamInterface<std::tuple<int, bool>>
+{
+};
+
+/* Leases outlasted the wait of the next owner, or not, by the moment between
+ * two appends, joins and polls at which the cell was assigned anew. */
+TEST_P(TwoOwnersCutAt, ExtendsNoLeaseForLong)
+{
+	start_task();
+	store.generation += std::get<1>(GetParam());
+	for (int i = 0; i < 100; i++)
+		step(false);
+	for (int ms = 0; ms < std::get<0>(GetParam()); ms += 10)
+		step(false);
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	while (now < 20000)
+		step(true);
+	ASSERT_GT(b_began, 0);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, TwoOwnersCutAt,
+			 testing::Combine(testing::Range(0, 2100, 50),
+					  testing::Bool()));
+
 /* An owner whose cell had been given to another host went on starting tasks for
  * as long as its membership was certain, beside the next owner. */
 TEST_F(TwoOwners, StartsNothingOnceItHandsOver)
