deploy: cut the owner off before the group is dealt, not before its trouble

FOCUS=deal cut the owner off 0.1 to 1.5 s before the start of platform_compact. The cut now begins 0 to 1.0 s before the deal.

The test's window moves with it and is narrower (0 to 1.0 s, was 0.1 to 1.5 s). It now checks each cut beside a deal, not only the last, and that all eleven leads are drawn.

--- a/deploy/random_days.awk
+++ b/deploy/random_days.awk
@@ -61,20 +61,20 @@
 				       first + draw(last - first + 1))
 }
 
-# The owner is cut off, with its zone or alone beside cuts of workers, shortly
-# before the group is dealt anew, and stays so until its leases have ended.
-function draw_deals(    i, at, cut, leads) {
+# The store deals the group anew 1.2 s after the start of platform_compact. Up to 1 s
+# before that the owner is cut off, with its zone or alone beside cuts of workers, and
+# stays so until its leases have ended.
+function draw_deals(    i, at, cut) {
 	at = 50 + draw(41)
-	split("1 3 6 10 15", leads, " ")
 	for (i = 0; i < 2; i++) {
-		cut = at - leads[1 + draw(5)]
+		faults = faults draw_entry("deal_group", at)
+		cut = at + 12 - draw(11)
 		if (draw(2)) {
 			faults = faults draw_entry("deal", cut)
 		} else {
 			faults = faults draw_entry("deal_owner", cut)
 			faults = faults draw_entry("deal_workers", cut)
 		}
-		faults = faults draw_entry("deal_group", at)
 		at += 150 + draw(21)
 	}
 }
--- a/deploy/random_days_test.sh
+++ b/deploy/random_days_test.sh
@@ -136,8 +136,9 @@
 		part = ""
 	}' "$tmp/focus")" ""
 
-# A cut begins 0.1 to 1.5 s before the group is dealt anew and outlasts the 9.9 s for
-# which leases of the former owner may last.
+# Cuts beside a deal begin 0 to 1.0 s before the group is dealt anew, which is 1.2 s
+# after the start of platform_compact, and outlast the 9.9 s for which leases of the
+# former owner may last.
 export FOCUS=deal
 $days write $(seq 200) >"$tmp/focus"
 expect "deal: same seeds, same days" \
@@ -149,18 +150,35 @@
 		sub(".*[{ ]" name " = ", "", s)
 		return s + 0
 	}
-	/^name/ { name = $3; deals = cuts = 0; days++ }
-	/_cut"/ { cut = field("at"); for_s = field("for_s"); cuts++ }
-	/_cut"/ && (for_s < 11 || for_s > 14) { print name, "cut for", for_s }
-	/"platform_compact"/ {
-		lead = field("at") - cut
-		if (!cuts || lead < .1 - 1e-9 || lead > 1.5 + 1e-9)
-			print name, "cuts", cuts, "lead", lead
-		deals++
+	function end_deal() {
+		if (deals && !cuts)
+			print name, "no cut beside deal", deals
 		cuts = 0
 	}
-	/^]/ && ++ends % 2 == 0 && deals != 2 { print name, "deals", deals }
-	END { if (days != 200) print "days", days }' "$tmp/focus")" ""
+	/^name/ { name = $3; deals = cuts = 0; days++ }
+	/"platform_compact"/ { end_deal(); dealt = field("at") + 1.2; deals++ }
+	/_cut"/ {
+		cuts++
+		for_s = field("for_s")
+		lead = dealt - field("at")
+		leads[sprintf("%.1f", lead)]
+		if (for_s < 11 || for_s > 14)
+			print name, "cut for", for_s
+		if (!deals || lead < -1e-9 || lead > 1 + 1e-9)
+			print name, "deals", deals, "lead", lead
+	}
+	/^]/ && ++ends % 2 == 0 {
+		end_deal()
+		if (deals != 2)
+			print name, "deals", deals
+	}
+	END {
+		if (days != 200)
+			print "days", days
+		for (i = 0; i <= 10; i++)
+			if (!(sprintf("%.1f", i / 10) in leads))
+				print "no cut leads by", i / 10
+	}' "$tmp/focus")" ""
 unset FOCUS
 FOCUS=other $days write 1 >/dev/null 2>&1
 expect "status of another FOCUS" $? 2
