soak: a worker is replaced while its calls are lost or late

What callers would see: nothing. In 37 plays with faults of single calls no worker was replaced within 2 s of a call that was lost at it (hosts were killed or stopped then 431 times, paused 267 times), so that a late call never reached another process at the same address.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -124,10 +124,11 @@
 
 # draw_call_faults PREFIX COUNT PATH...: until $GRID/calling is removed, draws faults
 # of calls to PATH at one of the proxies PREFIX0, PREFIX1, ... at a time. The call
-# after a lost one gets a status, or is held (1).
+# after a lost one gets a status, or is held (1). The worker of each fifth fault is
+# replaced during it, so that late calls reach the next one.
 draw_call_faults()
 {
-	local prefix=$1 count=$2 name fault statuses=(0 503 503 429 500 1)
+	local prefix=$1 count=$2 n=0 name fault statuses=(0 503 503 429 500 1)
 	local kinds=(lost lost lost late late slow overtaken) shares=(20 50 100)
 
 	shift 2
@@ -140,6 +141,8 @@
 		fault="$fault ${shares[$((RANDOM % 3))]} ${statuses[$((RANDOM % ${#statuses[@]}))]}"
 		echo "$(now_ms) $name $fault" >>"$GRID/call-faults.log"
 		echo "$fault" >"$GRID/$name.call-mode"
+		n=$((n + 1))
+		[ "$prefix" = w ] && [ $((n % 5)) = 0 ] && echo "$name" >"$GRID/replace"
 		sleep $((1 + RANDOM % 3)).$((RANDOM % 10))
 		echo pass >"$GRID/$name.call-mode"
 		sleep 0.$((RANDOM % 10))
@@ -226,6 +229,11 @@
 end=$((SECONDS + LENGTH))
 while [ $SECONDS -lt $end ]; do
 	draw_fault
+	if [ -s "$GRID/replace" ]; then
+		echo "$(now_ms) $(cat "$GRID/replace") replaced" >>"$GRID/call-faults.log"
+		fault_kill_worker "$(cat "$GRID/replace")"
+		rm "$GRID/replace"
+	fi
 	publish_ports
 	sleep $((RANDOM % 2)).$((RANDOM % 10))
 done
