host: what bounds the renewal of leases; docs: scores after the fixes

The comment of RENEW_AFTER_MS told of the membership alone; the bound by the last evidence of ownership is the shorter one in an outage. No change of behaviour.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -25,8 +25,9 @@
 /* Length of the lease that an order grants to a worker. It outlasts most link
  * outages; a longer lease would delay the restart of work of lost workers. */
 #define LEASE_MS 4000
-/* How long a former owner renews leases after its membership expired, so that
- * running tasks survive an outage of the store. */
+/* How long an owner renews leases after its authority to start tasks has ended,
+ * so that running tasks survive an outage of the store; less if the last
+ * evidence that no other host has the cell is older. */
 #define RENEW_AFTER_MS 4000
 /* Added to the time for which leases that a former owner renewed may last. */
 #define TAKEOVER_MARGIN_MS 500
