owner: a repeated append is evidence as of its first sending

What callers would see: a task that runs twice.

Cause: an owner renews leases for 4.28 s after it has sent the last call whose answer shows that no other host had taken the cell. An append without an answer is sent again under its number, and the store answers a repeat of one of the last five appends with the first response.

Change: the answer counts as of the sending of the first append of the batch, or of the fence, that got no answer; a new number begins anew. Appends that the store refuses have no effect and do not count as first.

Test: a store that answers repeats before it checks the epoch; another host takes the cell between the append and its repeat.

--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -309,6 +309,7 @@
 	a.epoch = o->epoch;
 	a.seq = o->seq;
 	o->append_in_flight = true;
+	o->append_began_ms = o->now_ms;
 	o->append_epoch = o->epoch;
 	o->appends++;
 	o->store->append(o->port, &a, done, o);
@@ -320,10 +321,26 @@
 		o->held_ms = sent_ms;
 }
 
+/* The store may answer a repeat as it would have answered the first append,
+ * whoever has taken the cell since. */
 static void note_stored(struct owner *o, int64_t sent_ms)
 {
-	o->stored_ms = sent_ms;
-	note_held(o, sent_ms);
+	o->stored_ms = o->unanswered_ms ? o->unanswered_ms : sent_ms;
+	o->unanswered_ms = 0;
+	note_held(o, o->stored_ms);
+}
+
+static void note_unanswered(struct owner *o, enum store_status status)
+{
+	if (status == STORE_UNKNOWN && !o->unanswered_ms)
+		o->unanswered_ms = o->append_began_ms;
+}
+
+/* Under another number, the next append is no repeat. */
+static void change_seq(struct owner *o, uint64_t seq)
+{
+	o->seq = seq;
+	o->unanswered_ms = 0;
 }
 
 static void on_fence_append(void *ctx, const struct store_reply *r)
@@ -348,9 +365,10 @@
 				 "part=%u epoch=%" PRIu64 " seq=%" PRIu64
 				 " status=%d",
 				 o->part, o->epoch, o->seq, (int)r->status);
+		note_unanswered(o, r->status);
 		/* An earlier try, whose answer was lost, has set the epoch. */
 		if (r->status == STORE_BAD_SEQ)
-			o->seq = r->seq;
+			change_seq(o, r->seq);
 		o->append_due_ms = o->now_ms + APPEND_RETRY_MS;
 	}
 }
@@ -383,7 +401,7 @@
 	case STORE_BAD_SEQ:
 		log_line(LOG_WARN, "batch sequence number corrected",
 			 "seq=%" PRIu64 " expected=%" PRIu64, o->seq, r->seq);
-		o->seq = r->seq;
+		change_seq(o, r->seq);
 		return;
 	case STORE_REFUSED:
 	case STORE_UNKNOWN:
@@ -392,6 +410,7 @@
 	}
 	o->append_failures++;
 	o->batch_may_be_stored |= r->status == STORE_UNKNOWN;
+	note_unanswered(o, r->status);
 	if (!o->attempt++)
 		log_line(LOG_WARN, "append of batch failed",
 			 "seq=%" PRIu64 " bytes=%zu status=%d", o->seq,
@@ -450,7 +469,7 @@
 	o->phase = OWNER_FENCING;
 	o->takeover_began_ms = o->now_ms;
 	o->append_due_ms = o->now_ms;
-	o->seq = 0;
+	change_seq(o, 0);
 	o->job_follower->read_gap_ms = OWNER_READ_GAP_MS;
 	buf_clear(&o->batch);
 	log_line(LOG_INFO, "cell assigned to this host",
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -49,6 +49,9 @@
  * @attempt: number of failed appends of the current batch or fence
  * @append_epoch: epoch of the append in flight, which may be that of an earlier
  *	takeover
+ * @append_began_ms: boot time at which that append was handed on
+ * @unanswered_ms: @append_began_ms of the first append of the current batch or
+ *	fence, under its number, that got no answer; 0 if there is none
  * @fenced_by_worker: a worker has seen a higher epoch; the next tick steps down
  * @append_due_ms: earliest boot time of the next append
  * @takeover_began_ms: boot time at which the takeover began
@@ -91,6 +94,8 @@
 	uint32_t attempt;
 	bool append_in_flight;
 	uint64_t append_epoch;
+	int64_t append_began_ms;
+	int64_t unanswered_ms;
 	bool fenced_by_worker;
 	int64_t append_due_ms;
 	int64_t takeover_began_ms;
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -83,10 +83,16 @@
 	 */
 	size_t append_max = SIZE_MAX;
 	size_t record_max = SIZE_MAX;
+	/* A repeat gets its first answer also once the epoch is another's. */
+	bool repeats_before_epoch = false;
 	std::map<std::string, std::vector<Record>> topics;
 	std::vector<std::function<void()>> pending;
 
       private:
+	/* Of the last append before the present epoch began. */
+	uint64_t former_epoch = 0;
+	uint64_t former_seq = 0;
+
 	void reply(store_reply r, store_done d, void *ctx,
 		   std::vector<Record> rows = {}, uint64_t from = 0)
 	{
@@ -133,12 +139,19 @@
 			return;
 		}
 		if (accepts_writes() && a->producer && a->producer[0]) {
+			if (a->epoch < epoch && is_repeat(a)) {
+				r.end = t.size();
+				reply(r, d, ctx);
+				return;
+			}
 			if (a->epoch < epoch) {
 				r.status = STORE_FENCED;
 				reply(r, d, ctx);
 				return;
 			}
 			if (a->epoch > epoch) {
+				former_epoch = epoch;
+				former_seq = seq;
 				epoch = a->epoch;
 				seq = a->seq;
 			} else if (a->seq == seq && a->records.len) {
@@ -160,6 +173,12 @@
 		reply(r, d, ctx);
 	}
 
+	bool is_repeat(const store_append *a) const
+	{
+		return repeats_before_epoch && a->records.len &&
+		       a->epoch == former_epoch && a->seq == former_seq;
+	}
+
 	bool is_within_limits(str records) const
 	{
 		str rest = records;
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -699,6 +699,8 @@
 
 /* Appends of the first host are refused. */
 bool appends_fail;
+/* Appends of the first host are carried out and get no answer. */
+bool appends_lose_answers;
 
 /* Host a has a path to the worker "w1", host b has none, so b waits for the end
  * of its leases. */
@@ -757,6 +759,9 @@
 				void *ctx) {
 			FakeStore *s = (FakeStore *)p;
 			if (!appends_fail) {
+				s->mode = appends_lose_answers
+						  ? FakeStore::LOSE_REPLIES
+						  : s->mode;
 				s->ops.append(p, x, d, ctx);
 				return;
 			}
@@ -767,7 +772,7 @@
 			});
 		};
 		a.owner.store = &ops;
-		appends_fail = false;
+		appends_fail = appends_lose_answers = false;
 		known_worker k = {};
 		name_set(k.address, "w1:1");
 		k.born = 5;
@@ -1047,6 +1052,33 @@
 	EXPECT_LT(lease, b_began + 8500);
 }
 
+/* A batch whose answer was lost is sent again, and the store answers the repeat
+ * as it would have answered the batch: the answer was taken for proof that
+ * nobody had taken the cell over when the repeat was sent. */
+TEST_F(TwoOwners, ExtendsNoLeaseForLongByTheAnswerToARepeat)
+{
+	start_task();
+	store.generation++; /* joins prove nothing any more */
+	for (int i = 0; i < 100; i++)
+		step(false);
+	appends_lose_answers = true;
+	while (!a.owner.attempt)
+		step(false);
+	store.repeats_before_epoch = true;
+	b_up = true;
+	store.assignee = "b";
+	store.generation++;
+	while (!b_began || now < b_began + 1000)
+		step(false);
+	appends_lose_answers = false;
+	while (a.owner.attempt)
+		step(false);
+	EXPECT_EQ(a.owner.phase, OWNER_ACTIVE);
+	while (now < 20000)
+		step(true);
+	EXPECT_LT(lease, b_began + 8500);
+}
+
 /* Where workers grant shorter leases than LEASE_MS, the next owner waits for a
  * shorter time as well. */
 TEST_F(TwoOwners, ExtendsNoLeaseForLongWhereLeasesAreShort)
