cell_progress: run numbers beyond those of an epoch are stored

What callers would see: after a change of the owner, a task that was started often waits while its starts are refused one after another.

Cause: the runs of a task that an owner has recovered are numbered from 1,000 times its epoch on. After more than 1,000 starts under one owner the numbers reach those of the next, whose first numbers then name runs that workers have seen: they refuse a start as old for each of them, and a failure under a number that was counted before is not counted again.

Change: the progress record of a step holds the greatest number of its runs if that is beyond those of the epoch, the start that it is the intent of included. The next owner goes on from there.

Test: 1,200 runs under the second owner, then a third one.

--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -9,8 +9,9 @@
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 
-/* Each epoch numbers the runs of a task from its own base. An epoch has
- * RUNS_PER_EPOCH numbers; the bases repeat after RUN_EPOCHS epochs. */
+/* Each epoch numbers the runs of a task from its own base, or from the last
+ * number of the epoch before if that has used more than its RUNS_PER_EPOCH
+ * numbers. The bases repeat after RUN_EPOCHS epochs. */
 #define RUNS_PER_EPOCH 1000
 #define RUN_EPOCHS 1000000
 #define BITS 8
@@ -149,6 +150,19 @@
 	out->len = used;
 }
 
+static uint32_t first_run_of(uint64_t epoch)
+{
+	return (uint32_t)(epoch % RUN_EPOCHS) * RUNS_PER_EPOCH;
+}
+
+static uint32_t last_run_of_former_owners(const struct cell *c,
+					  const struct step_progress *p)
+{
+	uint32_t first = first_run_of(c->epoch);
+
+	return p->last_run > first ? p->last_run : first;
+}
+
 static void progress_apply(struct cell *c, struct cell_job *j,
 			   const struct step_progress *p)
 {
@@ -187,8 +201,7 @@
 			cell_crash_recover(t, (uint8_t)p->crashes.data[i]);
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
-			t->last_run = (uint32_t)(c->epoch % RUN_EPOCHS) *
-				      RUNS_PER_EPOCH;
+			t->last_run = last_run_of_former_owners(c, p);
 		}
 		if (!p->all_done && !has_bit(p->done, i)) {
 			if (t->ordered)
@@ -288,8 +301,20 @@
 	free(by_ref);
 }
 
-static void progress_of_step(const struct cell_step *st, struct arena *a,
-			     size_t *checkpoints_left,
+/* Including a start that is sent once this record is stored. */
+static uint32_t last_run_to_store(const struct cell *c,
+				  const struct cell_step *st)
+{
+	uint32_t last = 0, i;
+
+	for (i = 0; i < st->spec->count; i++)
+		if (st->tasks[i].last_run >= last)
+			last = st->tasks[i].last_run + 1;
+	return last < first_run_of(c->epoch) + RUNS_PER_EPOCH ? 0 : last;
+}
+
+static void progress_of_step(const struct cell *c, const struct cell_step *st,
+			     struct arena *a, size_t *checkpoints_left,
 			     struct step_progress *out)
 {
 	uint32_t n = st->spec->count, i;
@@ -333,6 +358,7 @@
 	out->crashes.data = crashes;
 	out->crashes.len = st->suspects ? n : 0;
 	checkpoints_write(st, a, checkpoints_left, &out->checkpoints);
+	out->last_run = last_run_to_store(c, st);
 }
 
 static void write_record(const struct cell *c, const struct cell_job *j,
@@ -354,7 +380,7 @@
 	p.steps.items = rows;
 	for (k = 0; has_steps && k < j->count; k++)
 		for (s = 0; j->occurrences[k].open && s < n; s++)
-			progress_of_step(&j->occurrences[k].steps[s], &a,
+			progress_of_step(c, &j->occurrences[k].steps[s], &a,
 					 &checkpoints_max,
 					 &rows[p.steps.count++]);
 	job_progress_write(&p, &b);
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -41,6 +41,7 @@
 	PART(U32, occurrence), PART(U32, step),     PART(U32, all_done),
 	PART(STR, done),       PART(STR, failures), PART(STR, ordered),
 	PART(STR, workers),    PART(STR, crashes),  PART(STR, checkpoints),
+	PART(U32, last_run),
 };
 
 static const struct shape part_shape = SHAPE_OF(part_rows, step_progress);
--- a/src/cell/job_spec.h
+++ b/src/cell/job_spec.h
@@ -180,6 +180,8 @@
  * @checkpoints: of tasks that have to start again: index of the task, two
  *bytes, low byte first, length of its checkpoint, one byte, and the checkpoint;
  *	empty in records of releases that did not write it
+ * @last_run: greatest number that a run of a task may have had, if it is beyond
+ *	those that are kept for the owner's epoch; else 0
  */
 struct step_progress {
 	uint32_t occurrence;
@@ -191,6 +193,7 @@
 	struct str workers;
 	struct str crashes;
 	struct str checkpoints;
+	uint32_t last_run;
 };
 
 /**
--- a/tests/cell_recovery_test.cc
+++ b/tests/cell_recovery_test.cc
@@ -948,6 +948,35 @@
 	EXPECT_EQ(w.counts().starts, 1u);
 }
 
+/* A task that a former owner had started more often than an epoch has numbers
+ * got numbers again that its workers had seen, and refused. */
+TEST_F(CellRecovery, NumbersNoRunAsAnOwnerOfManyRunsMayHave)
+{
+	const size_t runs = 1200;
+	job_step lasting = CellWorld::task_step(1);
+
+	lasting.flags = STEP_LONG_RUNNING;
+	w.begin({"w1"});
+	w.submit(7, {lasting});
+	w.run(100);
+	w.take_over_on_a_new_host(2);
+	w.run(200);
+	while (w.starts.size() < runs && w.now < 1000000) {
+		w.end_all(7, RUN_FAILED);
+		w.run(100);
+	}
+	ASSERT_EQ(w.starts.size(), runs);
+	w.closed_zones.insert("z1");
+	w.end_all(7, RUN_FAILED);
+	w.run(500);
+	ASSERT_EQ(w.counts().placed, 0u);
+	w.take_over_on_a_new_host(3);
+	w.closed_zones.clear();
+	w.run(500);
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.counts().starts, 1u);
+}
+
 /* Runs end with their lease, also on a worker that nobody calls. */
 class ExpiringWorld : public CellWorld
 {
