record_queue: records of other hosts in a module of their own

Cause: owner.c had grown to 594 lines; a sixth of it kept the records that other hosts hand to the owner, beside the fence, the batches and the evidence of ownership.

Change: struct record_queue holds them; the owner says when a batch takes them and how it ended. Moved as it was, but for one function where two loops ended the records in a batch and those that wait. owner.c has 489 lines.

--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -30,17 +30,6 @@
  * once a second, and a drain must take effect within two seconds. */
 #define WORKERS_READ_GAP_MS 400
 
-/* Records of another host; in the current batch if @in_batch is set, else @len
- * bytes of peer_record_buf from @offset on. */
-struct peer_records {
-	uint64_t from;
-	uint64_t seq;
-	bool in_batch;
-	size_t offset;
-	size_t len;
-	struct peer_records *next;
-};
-
 static void workers_begin(void *ctx)
 {
 	struct owner *o = ctx;
@@ -96,7 +85,7 @@
 void owner_init(struct owner *o)
 {
 	buf_init(&o->batch);
-	buf_init(&o->peer_record_buf);
+	record_queue_init(&o->peer_records, o->peer_records_done, o->ctx);
 	index_init(&o->listed_workers);
 	follower_init(&o->worker_follower, o->store, o->port, o->worker_topic,
 		      0, &worker_follower_ops, o);
@@ -108,7 +97,7 @@
 {
 	owner_step_down(o, "finish");
 	buf_finish(&o->batch);
-	buf_finish(&o->peer_record_buf);
+	record_queue_finish(&o->peer_records);
 	index_finish(&o->listed_workers);
 	follower_finish(&o->worker_follower);
 }
@@ -117,7 +106,6 @@
 		       struct str records)
 {
 	size_t max = o->options.append_max_bytes;
-	struct peer_records *p;
 
 	if (o->phase != OWNER_ACTIVE || o->handover_began_ms)
 		return false;
@@ -126,100 +114,23 @@
 			 "bytes=%zu append_max=%zu", records.len, max);
 		return false;
 	}
-	p = xcalloc(1, sizeof(*p));
-	p->from = from;
-	p->seq = seq;
-	p->offset = o->peer_record_buf.len;
-	p->len = records.len;
-	p->next = o->peers;
-	o->peers = p;
-	buf_add(&o->peer_record_buf, records.data, records.len);
+	record_queue_add(&o->peer_records, from, seq, records);
 	return true;
 }
 
-/* Cuts records out of peer_record_buf. */
-static void cut_waiting_records(struct owner *o, const struct peer_records *cut)
-{
-	struct buf *b = &o->peer_record_buf;
-	size_t end = cut->offset + cut->len;
-	struct peer_records *p;
-
-	memmove(b->data + cut->offset, b->data + end, b->len - end);
-	b->len -= cut->len;
-	for (p = o->peers; p; p = p->next)
-		if (!p->in_batch && p->offset > cut->offset)
-			p->offset -= cut->len;
-}
-
 bool owner_withdraw_records(struct owner *o, uint64_t from, uint64_t seq)
 {
-	struct peer_records **at = &o->peers, *p;
-
-	while (*at && ((*at)->from != from || (*at)->seq != seq))
-		at = &(*at)->next;
-	p = *at;
-	if (!p || p->in_batch)
-		return false;
-	*at = p->next;
-	cut_waiting_records(o, p);
-	free(p);
-	return true;
-}
-
-/* Length of the records of other hosts that the next batch takes: those that
- * have waited longest, at least of one host. */
-static size_t peer_bytes_to_take(const struct owner *o)
-{
-	size_t share = o->options.append_max_bytes / PEER_SHARE_DIVISOR;
-	const struct peer_records *p;
-	size_t bytes = 0;
-
-	if (!share || o->peer_record_buf.len <= share)
-		return o->peer_record_buf.len;
-	for (p = o->peers; p; p = p->next) {
-		size_t end = p->offset + p->len;
-
-		if (!p->in_batch && end > bytes && (end <= share || !p->offset))
-			bytes = end;
-	}
-	return bytes;
+	return record_queue_withdraw(&o->peer_records, from, seq);
 }
 
 static void take_peer_records(struct owner *o)
 {
-	size_t bytes = peer_bytes_to_take(o);
-	struct peer_records *p;
+	size_t share = o->options.append_max_bytes / PEER_SHARE_DIVISOR;
 
-	o->batch_peer_bytes = bytes;
+	o->batch_peer_bytes =
+		record_queue_take(&o->peer_records, share, &o->batch);
 	o->batch_may_be_stored = false;
 	o->batch_began_ms = o->now_ms;
-	buf_add(&o->batch, o->peer_record_buf.data, bytes);
-	buf_drop(&o->peer_record_buf, bytes);
-	for (p = o->peers; p; p = p->next) {
-		if (p->in_batch)
-			continue;
-		if (p->offset < bytes)
-			p->in_batch = true;
-		else
-			p->offset -= bytes;
-	}
-}
-
-/* Reports the outcome of the batch to the hosts whose records it holds. */
-static void answer_peers(struct owner *o, enum store_status status)
-{
-	struct peer_records **at = &o->peers, *p;
-
-	while (*at) {
-		p = *at;
-		if (!p->in_batch) {
-			at = &p->next;
-			continue;
-		}
-		*at = p->next;
-		o->peer_records_done(o->ctx, p->from, p->seq, status);
-		free(p);
-	}
 }
 
 /* Lets the jobs of other hosts be scheduled before the log is read. */
@@ -254,7 +165,7 @@
 	memmove(o->batch.data, o->batch.data + o->batch_peer_bytes, left);
 	o->batch.len = left;
 	o->batch_peer_bytes = 0;
-	answer_peers(o, STORE_REFUSED);
+	record_queue_end_batch(&o->peer_records, STORE_REFUSED);
 	if (!left)
 		cell_batch_stored(o->cell);
 }
@@ -263,22 +174,10 @@
  * would be told at their deadline that they may have been accepted. */
 static void refuse_waiting_peers(struct owner *o, enum store_status status)
 {
-	struct peer_records **at = &o->peers, *p;
-
 	if (o->now_ms - o->batch_began_ms <
 	    (status == STORE_REFUSED ? PEER_REFUSED_MS : STORE_DARK_MS))
 		return;
-	buf_clear(&o->peer_record_buf);
-	while (*at) {
-		p = *at;
-		if (p->in_batch) {
-			at = &p->next;
-			continue;
-		}
-		*at = p->next;
-		o->peer_records_done(o->ctx, p->from, p->seq, STORE_REFUSED);
-		free(p);
-	}
+	record_queue_refuse_waiting(&o->peer_records);
 }
 
 /* What waits for the next batch was never sent; the current batch may be stored
@@ -286,13 +185,10 @@
 static void drop_peer_records(struct owner *o)
 {
 	bool may_be_stored = o->append_in_flight || o->batch_may_be_stored;
-	struct peer_records *p;
 
-	answer_peers(o, may_be_stored ? STORE_UNKNOWN : STORE_REFUSED);
-	for (p = o->peers; p; p = p->next)
-		p->in_batch = true;
-	answer_peers(o, STORE_REFUSED);
-	buf_clear(&o->peer_record_buf);
+	record_queue_end_batch(&o->peer_records,
+			       may_be_stored ? STORE_UNKNOWN : STORE_REFUSED);
+	record_queue_refuse_waiting(&o->peer_records);
 }
 
 static void owner_append(struct owner *o, store_done done)
@@ -392,7 +288,7 @@
 		o->seq++;
 		apply_peer_records(o, r->first);
 		buf_clear(&o->batch);
-		answer_peers(o, STORE_OK);
+		record_queue_end_batch(&o->peer_records, STORE_OK);
 		cell_batch_stored(o->cell);
 		return;
 	case STORE_FENCED:
--- a/src/host/owner.h
+++ b/src/host/owner.h
@@ -5,6 +5,7 @@
 #include "cell/queue_table.h"
 #include "host/follower.h"
 #include "host/member.h"
+#include "host/record_queue.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -61,9 +62,9 @@
  *	hosts
  * @batch_may_be_stored: an append of @batch got no answer
  * @batch_began_ms: boot time at which @batch was filled
- * @peer_record_buf: framed records of other hosts for the next batch
- * @peers: batches of other hosts without an outcome
- * @peer_records_done: called with @ctx and the outcome of such a batch
+ * @peer_records: records of other hosts, stored with the batches
+ * @peer_records_done: called with @ctx and the outcome of such records; set
+ *	before owner_init()
  * @cell: NULL unless this host is the active owner
  */
 struct owner {
@@ -105,10 +106,8 @@
 	size_t batch_peer_bytes;
 	bool batch_may_be_stored;
 	int64_t batch_began_ms;
-	struct buf peer_record_buf;
-	struct peer_records *peers;
-	void (*peer_records_done)(void *ctx, uint64_t from, uint64_t seq,
-				  enum store_status status);
+	struct record_queue peer_records;
+	record_outcome peer_records_done;
 	struct cell *cell;
 	uint64_t appends;
 	uint64_t append_failures;
