cell_late: forget no start without an answer before its time

What callers would see: a task runs twice beside a worker that restarts under its id after many starts to it, or to others, got no answer.

Cause: the cell kept the newest 256 starts without an answer and overwrote the oldest without a word. A new process was not told to stop those overwritten, and their tasks did not wait for it.

Change: each such start is kept for the 12 s in which it may be carried out, in a list by age and one by worker; those that a new process has yet to be told of are in a third. Kept and under way together, at most 27,600 starts have no answer: 2,300 a second, the peak that docs/CAPACITY.md plans for, for 12 s (2.6 MB). At that limit no start is sent and nothing is placed, so that the list cannot overflow; the starts that expire make room at the rate at which they came. Metrics: cell_late_starts, cell_late_stops, cell_starts_held_back; one log line a second while starts are held back.

Ruled out: a larger ring (the limit stays silent); starts that are not kept and hold their tasks for 12 s (a job may not stand still for 3 s, and the new process is not told); a limit by worker (a worker that leaves starts without an answer gets none for 2 s already, and its lists are short).

Cost: what a record holds is noted with its task, so that placement compares one time where it walked 256 records; a restart walks the records of its worker only.

SendsNoMoreStartsThanItCanRemember and ForgetsAStartThatCanNoLongerBeCarriedOut hold the limit and the time.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -101,6 +101,7 @@
 	c->wall_ms = wall_ms;
 	index_init(&c->worker_ids);
 	quota_table_init(&c->quotas);
+	cell_late_init(c);
 	effect_model_init(&c->effect_model);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
@@ -129,6 +130,7 @@
 		free(w);
 	}
 	quota_table_finish(&c->quotas);
+	cell_late_finish(c);
 	index_finish(&c->worker_ids);
 	effect_model_finish(&c->effect_model);
 	size_table_finish(&c->sizes);
@@ -430,6 +432,7 @@
 		log_load(c);
 		cell_recovery_log(c);
 		cell_wait_log(c);
+		cell_late_log(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
@@ -456,6 +459,7 @@
 	out->epoch = c->epoch;
 	out->in_doubt = cell_recovery_count_tasks(c);
 	out->unheard = c->unheard;
+	out->late_starts = c->late.count;
 	out->oldest_wait_ms = (uint64_t)cell_wait_oldest_ms(c);
 	for (w = c->workers; w; w = w->next) {
 		out->workers++;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -205,6 +205,10 @@
  * @ends_other: runs that ended as neither done nor failed
  * @no_room: starts refused for lack of capacity
  * @unanswered: starts without a reply
+ * @late_starts: of these, the ones that may yet be carried out
+ * @late_stops: stops of such starts sent to new processes
+ * @starts_held_back: placement passes and stored starts left out, as too many
+ *	starts have no reply
  * @paces: changes of pace sent
  * @examined: workers that placement has examined for a task or a step
  * @accounts_blocked: client accounts of which a task waits for a limit
@@ -229,6 +233,9 @@
 	uint64_t ends_other;
 	uint64_t no_room;
 	uint64_t unanswered;
+	uint64_t late_starts;
+	uint64_t late_stops;
+	uint64_t starts_held_back;
 	uint64_t paces;
 	uint64_t examined;
 	uint64_t moves;
--- a/src/cell/cell_late.c
+++ b/src/cell/cell_late.c
@@ -1,34 +1,56 @@
 #include "cell/cell_late.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "base/logger.h"
 #include "cell/cell_job.h"
 #include "cell/cell_worker.h"
 
-/* The platform carries out an order at most this late. */
-#define LATE_MAX_MS 12000
 /* A task waits at most this long for a new process that does not list its runs:
  * a job that stands still for 3 s counts as lost. */
 #define HOLD_MAX_MS 2000
 
-static bool is_same_run(const struct task_ref *a, const struct task_ref *b)
+void cell_late_init(struct cell *c)
 {
-	return a->job == b->job && a->occurrence == b->occurrence &&
-	       a->step == b->step && a->index == b->index && a->run == b->run;
+	index_init(&c->late.workers);
 }
 
-void cell_late_note(struct cell *c, const char *worker,
-		    const struct task_ref *ref)
+/* Takes the oldest start off the lists, which must not be in the list of those
+ * that are due. */
+static struct late_start *take_oldest(struct cell *c)
 {
-	struct late_start *s =
-		&c->late_starts[c->late_noted++ % LATE_STARTS_MAX];
+	struct late_start *s = c->late.first;
+	struct late_worker *l = s->worker;
 
-	memset(s, 0, sizeof(*s));
-	s->ref = *ref;
-	s->worker = name_hash(worker);
-	s->until_ms = c->now_ms + LATE_MAX_MS;
-	c->late_until_ms = s->until_ms;
+	c->late.first = s->next;
+	if (!s->next)
+		c->late.last = NULL;
+	c->late.count--;
+	l->first = s->next_of_worker;
+	if (!l->first) {
+		index_remove(&c->late.workers, l->id);
+		free(l);
+	}
+	return s;
+}
+
+void cell_late_finish(struct cell *c)
+{
+	while (c->late.first)
+		free(take_oldest(c));
+	index_finish(&c->late.workers);
+}
+
+bool cell_late_has_room(const struct cell *c)
+{
+	return c->late.count + c->late.in_flight < LATE_STARTS_MAX;
+}
+
+static bool is_same_run(const struct task_ref *a, const struct task_ref *b)
+{
+	return a->job == b->job && a->occurrence == b->occurrence &&
+	       a->step == b->step && a->index == b->index && a->run == b->run;
 }
 
 /* The run is stopped as that of its task. */
@@ -36,94 +58,154 @@
 {
 	const struct cell_task *t = cell_task_find(c, &s->ref);
 
-	return t && t->worker && t->worker->id == s->worker &&
+	return t && t->worker && t->worker->id == s->worker->id &&
 	       t->run == s->ref.run && t->state != TASK_STORING;
 }
 
-static void hold(struct cell *c, struct late_start *s)
+static void hold(struct cell *c, const struct late_start *s)
 {
-	s->held_until_ms = c->now_ms + HOLD_MAX_MS;
-	if (c->late_held_until_ms < s->held_until_ms)
-		c->late_held_until_ms = s->held_until_ms;
+	struct cell_task *t = cell_task_find(c, &s->ref);
+
+	if (t)
+		t->late_held_until_ms = c->now_ms + HOLD_MAX_MS;
 }
 
-void cell_late_restarted(struct cell *c, const struct cell_worker *w)
+static void count_hold(struct cell *c, const struct late_start *s, int sign)
 {
-	size_t n;
+	struct cell_task *t = cell_task_find(c, &s->ref);
 
-	if (c->now_ms >= c->late_until_ms)
-		return;
-	for (n = 0; n < LATE_STARTS_MAX; n++) {
-		struct late_start *s = &c->late_starts[n];
+	if (t)
+		t->late_holds += (uint32_t)sign;
+}
 
-		if (s->worker != w->id || c->now_ms >= s->until_ms ||
-		    is_current_run(c, s))
-			continue;
-		s->stop_due = true;
-		s->stop_sent_ms = 0;
-		s->stop_confirmed_ms = 0;
-		hold(c, s);
-	}
+/* The worker's new process has to be told to refuse the start. */
+static void make_due(struct cell *c, struct late_start *s)
+{
+	if (!s->stop_due)
+		count_hold(c, s, 1);
+	s->stop_due = true;
+	s->stop_sent_ms = 0;
+	s->stop_confirmed_ms = 0;
+	hold(c, s);
+	if (s->in_due)
+		return;
+	s->in_due = true;
+	s->next_due = c->late.due;
+	c->late.due = s;
 }
 
-void cell_late_listed(struct cell *c, const struct cell_worker *w,
-		      const struct poll_reply *r)
+/* The worker's new process will not carry the start out. */
+static void settle(struct cell *c, struct late_start *s)
 {
-	size_t n, i;
+	struct cell_task *t = cell_task_find(c, &s->ref);
 
-	if (c->now_ms >= c->late_until_ms)
+	s->stop_due = false;
+	if (!t || --t->late_holds)
 		return;
-	for (n = 0; n < LATE_STARTS_MAX; n++) {
-		struct late_start *s = &c->late_starts[n];
+	t->late_held_until_ms = 0;
+	c->place_due = true;
+}
 
-		if (s->worker != w->id || !s->stop_due)
-			continue;
-		if (is_current_run(c, s)) {
-			s->stop_due = false;
-			s->held_until_ms = 0;
-			continue;
-		}
-		for (i = 0; i < r->running_count; i++)
-			if (is_same_run(&r->running[i].ref, &s->ref))
-				break;
-		if (i < r->running_count) {
-			hold(c, s);
-		} else if (s->stop_confirmed_ms &&
-			   s->stop_confirmed_ms < r->sent_ms) {
-			s->stop_due = false;
-			s->held_until_ms = 0;
-			c->place_due = true;
-		}
-	}
+static struct late_worker *worker_of(struct cell *c, uint64_t id)
+{
+	struct late_worker *l = index_get(&c->late.workers, id);
+
+	if (l)
+		return l;
+	l = xcalloc(1, sizeof(*l));
+	l->id = id;
+	index_put(&c->late.workers, id, l);
+	return l;
 }
 
-static bool is_start_of(const struct late_start *s, const struct cell_task *t)
+static struct late_start *start_add(struct cell *c, uint64_t worker)
 {
-	return s->ref.index == t->index && s->ref.step == t->step->number &&
-	       s->ref.occurrence == t->step->occurrence &&
-	       s->ref.job == t->step->job->spec->id;
+	struct late_worker *l = worker_of(c, worker);
+	struct late_start *s = xcalloc(1, sizeof(*s));
+
+	s->worker = l;
+	if (l->first)
+		l->last->next_of_worker = s;
+	else
+		l->first = s;
+	l->last = s;
+	if (c->late.first)
+		c->late.last->next = s;
+	else
+		c->late.first = s;
+	c->late.last = s;
+	c->late.count++;
+	return s;
 }
 
-bool cell_late_holds(const struct cell *c, const struct cell_task *t)
+void cell_late_note(struct cell *c, const struct worker_addr *to,
+		    const struct task_ref *ref)
 {
-	size_t n;
+	struct late_start *s = start_add(c, name_hash(to->id));
 
-	if (c->now_ms >= c->late_held_until_ms)
-		return false;
-	for (n = 0; n < LATE_STARTS_MAX; n++)
-		if (c->now_ms < c->late_starts[n].held_until_ms &&
-		    is_start_of(&c->late_starts[n], t))
+	s->ref = *ref;
+	s->until_ms = c->now_ms + LATE_MAX_MS;
+}
+
+static struct late_start *starts_of(const struct cell *c,
+				    const struct cell_worker *w)
+{
+	const struct late_worker *l = index_get(&c->late.workers, w->id);
+
+	return l ? l->first : NULL;
+}
+
+void cell_late_restarted(struct cell *c, const struct cell_worker *w)
+{
+	struct late_start *s;
+
+	for (s = starts_of(c, w); s; s = s->next_of_worker)
+		if (!is_current_run(c, s))
+			make_due(c, s);
+}
+
+static bool is_listed(const struct late_start *s, const struct poll_reply *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->running_count; i++)
+		if (is_same_run(&r->running[i].ref, &s->ref))
 			return true;
 	return false;
 }
 
+void cell_late_listed(struct cell *c, const struct cell_worker *w,
+		      const struct poll_reply *r)
+{
+	struct late_start *s;
+
+	if (!c->late.due)
+		return;
+	for (s = starts_of(c, w); s; s = s->next_of_worker) {
+		if (!s->stop_due)
+			continue;
+		if (is_current_run(c, s))
+			settle(c, s);
+		else if (is_listed(s, r))
+			hold(c, s);
+		else if (s->stop_confirmed_ms &&
+			 s->stop_confirmed_ms < r->sent_ms)
+			settle(c, s);
+	}
+}
+
+bool cell_late_holds(const struct cell *c, const struct cell_task *t)
+{
+	return c->now_ms < t->late_held_until_ms;
+}
+
 static void on_late_stop(void *ctx, const struct worker_addr *addr,
 			 const struct task_ref *ref,
 			 const struct order_reply *r)
 {
 	struct cell *c = ctx;
 	struct cell_worker *w;
-	size_t n;
+	struct late_start *s;
 
 	if (!cell_call_end(c))
 		return;
@@ -135,18 +217,14 @@
 	if (r->status != ORDER_OK || !w || w->entry.born != addr->born)
 		return;
 	w->poll_due_ms = c->now_ms;
-	for (n = 0; n < LATE_STARTS_MAX; n++) {
-		struct late_start *s = &c->late_starts[n];
-
-		if (s->stop_due && s->worker == w->id &&
-		    is_same_run(&s->ref, ref))
+	for (s = starts_of(c, w); s; s = s->next_of_worker)
+		if (s->stop_due && is_same_run(&s->ref, ref))
 			s->stop_confirmed_ms = c->now_ms;
-	}
 }
 
 static void send_stop(struct cell *c, struct late_start *s)
 {
-	const struct cell_worker *w = index_get(&c->worker_ids, s->worker);
+	const struct cell_worker *w = index_get(&c->worker_ids, s->worker->id);
 	struct order o = {0};
 
 	if (!w)
@@ -154,6 +232,7 @@
 	o.ref = s->ref;
 	o.fence = c->epoch;
 	s->stop_sent_ms = c->now_ms;
+	c->counts.late_stops++;
 	log_line(LOG_INFO, "stopping a late start at a new process",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s",
 		 o.ref.job, o.ref.step, o.ref.index, o.ref.run,
@@ -162,18 +241,52 @@
 	c->worker_ops->stop(c->port, &w->entry.addr, &o, on_late_stop, c);
 }
 
-void cell_late_tick(struct cell *c)
+static void send_due_stops(struct cell *c)
 {
-	size_t n;
-
-	if (c->now_ms >= c->late_until_ms)
-		return;
-	for (n = 0; n < LATE_STARTS_MAX; n++) {
-		struct late_start *s = &c->late_starts[n];
+	struct late_start **at = &c->late.due, *s;
 
-		if (s->stop_due && !s->stop_confirmed_ms &&
-		    c->now_ms < s->until_ms &&
+	while (*at) {
+		s = *at;
+		if (!s->stop_due || c->now_ms >= s->until_ms) {
+			s->in_due = false;
+			*at = s->next_due;
+			continue;
+		}
+		if (!s->stop_confirmed_ms &&
 		    c->now_ms - s->stop_sent_ms >= STOP_RETRY_MS)
 			send_stop(c, s);
+		at = &s->next_due;
+	}
+}
+
+/* What a start holds stays held until its time is over. */
+static void forget_expired(struct cell *c)
+{
+	struct late_start *s;
+
+	while (c->late.first && c->now_ms >= c->late.first->until_ms) {
+		s = take_oldest(c);
+		if (s->stop_due)
+			count_hold(c, s, -1);
+		free(s);
 	}
 }
+
+void cell_late_tick(struct cell *c)
+{
+	send_due_stops(c);
+	forget_expired(c);
+}
+
+void cell_late_log(struct cell *c)
+{
+	uint64_t held_back = c->counts.starts_held_back;
+
+	if (held_back == c->late.full_logged)
+		return;
+	log_line(LOG_WARN, "starts held back: too many have no answer",
+		 "unanswered=%zu in_flight=%zu max=%d held_back=%" PRIu64,
+		 c->late.count, c->late.in_flight, LATE_STARTS_MAX,
+		 held_back - c->late.full_logged);
+	c->late.full_logged = held_back;
+}
--- a/src/cell/cell_late.h
+++ b/src/cell/cell_late.h
@@ -9,13 +9,24 @@
  * same id knows of no stop, and on its clock the deadline is far ahead. So the
  * stop is repeated at each new process, and the task is not started elsewhere
  * before that process has listed its runs.
+ *
+ * None is forgotten before its time: while LATE_STARTS_MAX starts have no
+ * answer, no other is sent.
  */
 
+void cell_late_init(struct cell *c);
+void cell_late_finish(struct cell *c);
+
+/**
+ * cell_late_has_room() - whether another start may be sent
+ */
+bool cell_late_has_room(const struct cell *c);
+
 /**
  * cell_late_note() - note a start that got no answer
- * @worker: id of the worker that it was sent to
+ * @to: process that it was sent to
  */
-void cell_late_note(struct cell *c, const char *worker,
+void cell_late_note(struct cell *c, const struct worker_addr *to,
 		    const struct task_ref *ref);
 
 /**
@@ -36,8 +47,14 @@
 bool cell_late_holds(const struct cell *c, const struct cell_task *t);
 
 /**
- * cell_late_tick() - send the stops that are due
+ * cell_late_tick() - send the stops that are due, and forget the starts that
+ * can no longer be carried out
  */
 void cell_late_tick(struct cell *c);
 
+/**
+ * cell_late_log() - log that starts have been held back since the last call
+ */
+void cell_late_log(struct cell *c);
+
 #endif
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -231,6 +231,10 @@
 			cell_worker_mark_changed(c, w);
 	}
 	c->place_due = false;
+	if (!cell_late_has_room(c)) {
+		c->counts.starts_held_back++;
+		return;
+	}
 	n = cell_queue_fill(c);
 	cell_quota_begin_pass(c, n);
 	for (i = 0; i < n;)
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -137,22 +137,28 @@
 /*
  * Account for the reply to an order.
  *
- * Return: the task whose current run the order was for. NULL when there is no
- * such task, the worker has seen a higher fencing token, or the cell was
- * stopped; the cell may have been freed then.
+ * Return: false when the worker has seen a higher fencing token, or the cell
+ * was stopped; the cell may have been freed then.
+ */
+static bool order_end(struct cell *c, const struct order_reply *r)
+{
+	if (!cell_call_end(c))
+		return false;
+	if (r->status == ORDER_FENCED)
+		c->ops->fenced(c->ctx);
+	return r->status != ORDER_FENCED;
+}
+
+/*
+ * Return: the task whose current run the order was for; NULL when there is no
+ * such task, or order_end() returns false.
  */
 static struct cell_task *order_finish(struct cell *c,
 				      const struct worker_addr *w,
 				      const struct task_ref *ref,
 				      const struct order_reply *r)
 {
-	if (!cell_call_end(c))
-		return NULL;
-	if (r->status == ORDER_FENCED) {
-		c->ops->fenced(c->ctx);
-		return NULL;
-	}
-	return find_current_run(c, w, ref);
+	return order_end(c, r) ? find_current_run(c, w, ref) : NULL;
 }
 
 static void handle_start_refusal(struct cell *c, struct cell_task *t,
@@ -177,33 +183,43 @@
 	t->retry_at_ms = c->now_ms + RESTART_PAUSE_MS;
 }
 
+static void handle_unanswered_start(struct cell *c, struct cell_task *t,
+				    const struct worker_addr *w,
+				    const struct task_ref *ref)
+{
+	if (!t)
+		return;
+	c->counts.unanswered++;
+	cell_late_note(c, w, ref);
+	log_line(LOG_WARN, "start not answered",
+		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s",
+		 ref->job, ref->step, ref->index, ref->run, w->id);
+	t->worker->backoff_until_ms = c->now_ms + UNANSWERED_BACKOFF_MS;
+	cell_task_stop(c, t);
+}
+
 static void on_start(void *ctx, const struct worker_addr *w,
 		     const struct task_ref *ref, const struct order_reply *r)
 {
 	struct cell *c = ctx;
-	struct cell_task *t = order_finish(c, w, ref, r);
+	struct cell_task *t;
 
-	if (!t)
+	if (!order_end(c, r))
 		return;
-	if (r->status == ORDER_OK) {
+	c->late.in_flight--;
+	t = find_current_run(c, w, ref);
+	if (t && r->status == ORDER_OK) {
 		cell_crash_started(t, r->clock);
 		cell_task_confirm(c, t);
 		cell_lease_check_clock(c, t, r->clock);
 	}
 	/* A poll may have reported the run before this reply arrived. */
-	if (r->status == ORDER_OK || t->state == TASK_RUNNING)
+	if (r->status == ORDER_OK || (t && t->state == TASK_RUNNING))
 		return;
-	if (r->status != ORDER_UNKNOWN) {
+	if (r->status == ORDER_UNKNOWN)
+		handle_unanswered_start(c, t, w, ref);
+	else if (t)
 		handle_start_refusal(c, t, r);
-		return;
-	}
-	c->counts.unanswered++;
-	cell_late_note(c, w->id, ref);
-	t->worker->backoff_until_ms = c->now_ms + UNANSWERED_BACKOFF_MS;
-	log_line(LOG_WARN, "start not answered",
-		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s",
-		 ref->job, ref->step, ref->index, ref->run, w->id);
-	cell_task_stop(c, t);
 }
 
 static void send_start(struct cell *c, struct cell_task *t)
@@ -220,6 +236,7 @@
 	o.spec = t->step->job->spec->payload;
 	o.checkpoint = t->checkpoint[0] ? t->checkpoint : NULL;
 	c->counts.starts++;
+	c->late.in_flight++;
 	cell_call_begin(c);
 	c->worker_ops->start(c->port, &w->entry.addr, &o, on_start, c);
 }
@@ -284,6 +301,11 @@
 		}
 		if (t->state != TASK_STORING)
 			continue;
+		if (!cell_late_has_room(c)) {
+			c->counts.starts_held_back++;
+			cell_task_withdraw(c, t);
+			continue;
+		}
 		if (!cell_quota_may_start(t) || cell_late_holds(c, t)) {
 			cell_task_withdraw(c, t);
 			continue;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -122,6 +122,9 @@
  * @in_quota: counted against the limits of its account
  * @started_clock: worker's clock when it confirmed or first reported the run; 0
  *	before
+ * @late_held_until_ms: until then, it waits for a new process that may have
+ *	carried out a start without an answer; 0 for no such time
+ * @late_holds: starts of it with @stop_due, see struct late_start
  */
 struct cell_task {
 	struct cell_step *step;
@@ -169,6 +172,8 @@
 	int64_t throttled_since_ms;
 	uint64_t avoid_worker;
 	int64_t started_clock;
+	int64_t late_held_until_ms;
+	uint32_t late_holds;
 	char checkpoint[CHECKPOINT_SIZE];
 };
 
@@ -486,26 +491,64 @@
 	struct task_ref tasks[LOSS_TASKS_MAX];
 };
 
-/* Starts without an answer that are kept, the newest ones. */
-#define LATE_STARTS_MAX 256
+/* The platform carries out an order at most this late. */
+#define LATE_MAX_MS 12000
+/* Starts a second of a cell that holds the deployment of docs/CAPACITY.md. */
+#define STARTS_PER_S_MAX 2300
+/* Starts that may have no answer at a time: all of LATE_MAX_MS. */
+#define LATE_STARTS_MAX (STARTS_PER_S_MAX * (LATE_MAX_MS / 1000))
 
 /**
  * struct late_start - a start without an answer, see cell_late.h
- * @worker: id of the worker that it was sent to; 0 for an empty entry
+ * @next: the one noted after it
+ * @next_of_worker: the one of the same worker noted after it
+ * @next_due: next in the list @due of struct late_starts, if it is @in_due
  * @until_ms: it may be carried out until then
- * @held_until_ms: until then, the task is not placed; 0 for no such time
  * @stop_due: a new process of the worker has to be told to refuse it
  * @stop_sent_ms: when that was sent last; 0 before
  * @stop_confirmed_ms: when that process confirmed it; 0 before
  */
 struct late_start {
+	struct late_start *next;
+	struct late_start *next_of_worker;
+	struct late_start *next_due;
+	struct late_worker *worker;
 	struct task_ref ref;
-	uint64_t worker;
+	bool stop_due;
+	bool in_due;
 	int64_t until_ms;
-	int64_t held_until_ms;
 	int64_t stop_sent_ms;
 	int64_t stop_confirmed_ms;
-	bool stop_due;
+};
+
+/**
+ * struct late_worker - the starts without an answer of one worker, which may
+ * have left
+ * @id: name_hash() of its id
+ * @first: list of them, oldest first, to @last; not empty
+ */
+struct late_worker {
+	uint64_t id;
+	struct late_start *first;
+	struct late_start *last;
+};
+
+/**
+ * struct late_starts - the starts without an answer that may be carried out
+ * @first: list of them, oldest first, to @last, @count of them
+ * @due: list of those with @stop_due
+ * @workers: struct late_worker by id
+ * @in_flight: starts that have been sent and may yet be answered
+ * @full_logged: @starts_held_back of the cell when that was logged last
+ */
+struct late_starts {
+	struct late_start *first;
+	struct late_start *last;
+	struct late_start *due;
+	struct index workers;
+	size_t count;
+	size_t in_flight;
+	uint64_t full_logged;
 };
 
 /* Size of the cache of demands that no worker met. */
@@ -596,8 +639,7 @@
  * @losses: the newest losses of workers, overwritten in turn at @losses_noted,
  *	the last one noted at @lost_ms
  * @verdicts: sum of the tasks in @pending of all losses
- * @late_starts: overwritten in turn at @late_noted; none may be carried out
- *	after @late_until_ms, and none holds a task after @late_held_until_ms
+ * @late: starts without an answer
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
@@ -643,10 +685,7 @@
 	int64_t lost_ms;
 	int64_t verdicts_due_ms;
 	struct worker_loss losses[LOSSES_MAX];
-	size_t late_noted;
-	int64_t late_until_ms;
-	int64_t late_held_until_ms;
-	struct late_start late_starts[LATE_STARTS_MAX];
+	struct late_starts late;
 	int64_t placed_at_ms;
 	int64_t accounted_ms;
 	int64_t jobs_due_ms;
--- /dev/null
+++ b/tests/cell_late_test.cc
@@ -0,0 +1,142 @@
+#include "tests/cell_world.h"
+
+#include "cell/cell_types.h"
+
+namespace
+{
+
+void ignore_answer(void *, const worker_addr *, const task_ref *,
+		   const order_reply *)
+{
+}
+
+/* Ends the starts that are on their way without an answer, and returns them to
+ * be carried out later. */
+std::vector<Call> lose_starts(CellWorld *w)
+{
+	order_reply lost = {ORDER_UNKNOWN, 0};
+	std::vector<Call> out, others;
+
+	for (auto &call : w->calls)
+		(call.kind == Call::START ? out : others).push_back(call);
+	w->calls = others;
+	for (auto &call : out) {
+		call.done(call.ctx, &call.worker, &call.sent.ref, &lost);
+		call.done = ignore_answer;
+	}
+	return out;
+}
+
+/* Advances the time until starts are sent, without an answer to them. */
+std::vector<Call> lose_next_starts(CellWorld *w)
+{
+	for (int i = 0; i < 20; i++) {
+		w->now += 5;
+		cell_set_authority(w->c, w->now + 1000);
+		w->tick();
+		w->commit();
+		auto out = lose_starts(w);
+		if (!out.empty())
+			return out;
+		w->answer_all();
+	}
+	return {};
+}
+
+/* Replaces the process of a worker, which knows of no stop and no fence. */
+void restart(CellWorld *w, const std::string &id)
+{
+	FakeWorker &f = w->workers[id];
+	uint64_t born = f.born + 1000;
+
+	f = FakeWorker();
+	f.born = w->entries[id].born = born;
+	f.clock_offset = 100 - w->now;
+}
+
+/* A worker with room for any number of small tasks. */
+void add_large_worker(CellWorld *w, const std::string &id,
+		      const std::string &zone)
+{
+	w->add_worker(id, UINT32_MAX, zone);
+	w->entries[id].memory_mb = UINT32_MAX;
+	w->announce(id);
+}
+
+} /* namespace */
+
+/* Only the newest 256 starts without an answer were stopped at a new process:
+ * it carried out an older one, whose task ran twice. */
+TEST(CellLate, StopsEachOfManyLateStartsAtTheNewProcess)
+{
+	const uint32_t count = 300;
+	CellWorld w;
+
+	w.take_over(1);
+	add_large_worker(&w, "w1", "z1");
+	w.run(100);
+	w.submit(7, {CellWorld::task_step(count)});
+	auto late = lose_next_starts(&w);
+	ASSERT_EQ(late.size(), count);
+	w.closed_zones.insert("z1");
+	add_large_worker(&w, "w2", "z2");
+	w.run(1000);
+	ASSERT_EQ(w.workers["w2"].running.size(), count);
+	restart(&w, "w1");
+	w.announce("w1");
+	w.run(50);
+	for (auto &call : late)
+		w.answer(call);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), count);
+}
+
+/* Nothing says what becomes of a start beyond the limit: it must not be sent.
+ */
+TEST(CellLate, SendsNoMoreStartsThanItCanRemember)
+{
+	const uint32_t per_job = 1000, jobs = 30;
+	size_t sent = 0;
+	CellWorld w;
+
+	static_assert(per_job * jobs > LATE_STARTS_MAX, "exceeds the limit");
+	w.take_over(1);
+	for (int i = 1; i <= 4; i++)
+		add_large_worker(&w, "w" + std::to_string(i), "z1");
+	w.run(100);
+	for (uint32_t i = 0; i < jobs; i++)
+		w.submit(7 + i, {CellWorld::task_step(per_job)});
+	for (int64_t end = w.now + LATE_MAX_MS - 1000; w.now < end;) {
+		sent += lose_next_starts(&w).size();
+		EXPECT_LE(w.counts().late_starts, (uint64_t)LATE_STARTS_MAX);
+	}
+	EXPECT_EQ(sent, (size_t)LATE_STARTS_MAX);
+	EXPECT_EQ(w.counts().late_starts, (uint64_t)LATE_STARTS_MAX);
+	EXPECT_GT(w.counts().starts_held_back, 0u);
+	w.run(2000);
+	EXPECT_EQ(w.counts().late_starts, 0u);
+	EXPECT_EQ(w.starts.size(), per_job * jobs);
+	EXPECT_TRUE(w.duplicates.empty());
+}
+
+/* What a start without an answer holds must not outlast the start. */
+TEST(CellLate, ForgetsAStartThatCanNoLongerBeCarriedOut)
+{
+	CellWorld w;
+
+	w.begin({"w1"}, 50);
+	w.submit(7, {CellWorld::task_step(1)});
+	ASSERT_EQ(lose_next_starts(&w).size(), 1u);
+	w.closed_zones.insert("z1");
+	w.run(1000);
+	EXPECT_EQ(w.counts().late_starts, 1u);
+	w.run(LATE_MAX_MS);
+	EXPECT_EQ(w.counts().late_starts, 0u);
+	restart(&w, "w1");
+	w.announce("w1");
+	w.run(500);
+	EXPECT_EQ(w.counts().late_stops, 0u);
+	w.closed_zones.clear();
+	w.run(100);
+	EXPECT_EQ(w.runs(7), 1u);
+}
