cell_task: note a start without an answer whose run has been replaced

What callers would see: a task runs twice beside a worker that restarts twice within some seconds.

Cause: a start is on its way when its worker restarts. The new process confirms the stop of the run and lists none, and the task starts elsewhere, all before the start times out. A time-out counted only for the current run of a task, so that the start was not kept for cell_late: a second new process was not told to refuse it.

Change: each start that ends without an answer is kept, unless a listing has shown its run. If the worker has a newer process by then than the one it was sent to, that process is told at once.

StopsAStartThatOutlastsTwoProcesses fails before, and its second case without the check of the process.

--- a/src/cell/cell_late.c
+++ b/src/cell/cell_late.c
@@ -142,9 +142,12 @@
 		    const struct task_ref *ref)
 {
 	struct late_start *s = start_add(c, name_hash(to->id));
+	const struct cell_worker *w = cell_worker_find(c, to->id);
 
 	s->ref = *ref;
 	s->until_ms = c->now_ms + LATE_MAX_MS;
+	if (w && w->entry.born != to->born && !is_current_run(c, s))
+		make_due(c, s);
 }
 
 static struct late_start *starts_of(const struct cell *c,
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -183,17 +183,20 @@
 	t->retry_at_ms = c->now_ms + RESTART_PAUSE_MS;
 }
 
+/* Also when the run has been replaced: the worker may have restarted and
+ * confirmed a stop of it, and may do so again. */
 static void handle_unanswered_start(struct cell *c, struct cell_task *t,
 				    const struct worker_addr *w,
 				    const struct task_ref *ref)
 {
-	if (!t)
-		return;
 	c->counts.unanswered++;
 	cell_late_note(c, w, ref);
 	log_line(LOG_WARN, "start not answered",
-		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s",
-		 ref->job, ref->step, ref->index, ref->run, w->id);
+		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s "
+		 "current=%d",
+		 ref->job, ref->step, ref->index, ref->run, w->id, t != NULL);
+	if (!t)
+		return;
 	t->worker->backoff_until_ms = c->now_ms + UNANSWERED_BACKOFF_MS;
 	cell_task_stop(c, t);
 }
--- a/tests/cell_late_test.cc
+++ b/tests/cell_late_test.cc
@@ -91,6 +91,42 @@
 	EXPECT_EQ(w.runs(7), count);
 }
 
+/* A worker restarted while a start was on its way, and its new process had
+ * confirmed a stop of it when the start timed out. The next process carried it
+ * out while the task ran elsewhere. */
+TEST(CellLate, StopsAStartThatOutlastsTwoProcesses)
+{
+	for (bool times_out_first : {true, false}) {
+		CellWorld w;
+
+		w.begin({"w1"}, 50);
+		w.submit(7, {CellWorld::task_step(1)});
+		w.now += 5;
+		w.tick();
+		w.commit();
+		ASSERT_EQ(w.calls.back().kind, Call::START);
+		Call start = w.take(w.calls.size() - 1);
+		restart(&w, "w1");
+		w.add_worker("w2", 16000, "z2");
+		w.closed_zones.insert("z1");
+		w.announce("w1");
+		w.run(500);
+		ASSERT_EQ(w.workers["w2"].running.size(), 1u);
+		if (times_out_first)
+			w.answer_as(start, ORDER_UNKNOWN);
+		restart(&w, "w1");
+		w.announce("w1");
+		w.run(50);
+		if (!times_out_first)
+			w.answer_as(start, ORDER_UNKNOWN);
+		start.done = ignore_answer;
+		w.run(50);
+		w.answer(start);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+	}
+}
+
 /* Nothing says what becomes of a start beyond the limit: it must not be sent.
  */
 TEST(CellLate, SendsNoMoreStartsThanItCanRemember)
