loop: no system call names a socket that curl has closed

What was seen: in the thread build, Loop.SendsNoRequestAfterItsTimeLimit reported a data race of epoll_ctl() in on_socket(), called by curl_multi_remove_handle(), with an accept4() of the server in the same process that had got the number.

The call was a change of a registration, which fails for a descriptor that is not in the set (ENOENT, passed over in silence), so no other thread's connection was watched in the case that was traced.

Change: on_socket() makes no system call for a descriptor that is not in use any more. A connection stays registered as it was; an event on it while it is idle takes it out of the set, and that event shows that the descriptor is open and the loop's. The loop marks the sockets that it has created: the others, those of curl's resolver, are closed when they are not in use any more, so their state is dropped then. One with the number of a socket that curl had closed itself was not registered; it is added now. Failures of epoll_ctl() are no longer passed over.

Test: Loop.NamesNoSocketThatWasClosedWhileItConnected lets calls time out while they connect, and gives the number of a closed descriptor to another one as soon as the loop names it to epoll_ctl().

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -68,7 +68,7 @@
 			 uint32_t events)
 {
 	struct epoll_event ev = {0};
-	int op = f->epoll_events ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+	int op = f->epoll_events ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, error;
 
 	if (events == f->epoll_events)
 		return;
@@ -76,17 +76,30 @@
 		op = EPOLL_CTL_DEL;
 	ev.events = events;
 	ev.data.fd = fd;
-	if (epoll_ctl(l->epoll_fd, op, fd, &ev) && errno != ENOENT &&
-	    errno != EBADF)
+	error = epoll_ctl(l->epoll_fd, op, fd, &ev);
+	/* A socket of curl's resolver has the number of one that curl closed
+	 * while it connected. */
+	if (error && op == EPOLL_CTL_MOD && errno == ENOENT)
+		error = epoll_ctl(l->epoll_fd, EPOLL_CTL_ADD, fd, &ev);
+	if (error)
 		log_line(LOG_ERROR, "epoll_ctl failed", "fd=%d op=%d errno=%d",
 			 fd, op, errno);
 	f->epoll_events = events;
 }
 
 /*
- * An idle connection stays registered for input, so that the next request on
- * it needs no epoll_ctl() call.
+ * A socket that has not connected is closed by then, so another thread may have
+ * its number: no system call names it. A connection stays registered, so that
+ * the next request on it needs no epoll_ctl() call. What on_open() has not
+ * created belongs to curl's resolver, which closes it.
  */
+static void fd_release(struct loop_fd *f)
+{
+	f->in_use = false;
+	if (!f->is_own)
+		f->epoll_events = 0;
+}
+
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
 		     void *known)
 {
@@ -95,8 +108,12 @@
 
 	(void)easy;
 	(void)known;
-	f->in_use = what != CURL_POLL_REMOVE;
-	if (what & CURL_POLL_OUT && what != CURL_POLL_REMOVE)
+	if (what == CURL_POLL_REMOVE) {
+		fd_release(f);
+		return 0;
+	}
+	f->in_use = true;
+	if (what & CURL_POLL_OUT)
 		epoll_update(l, fd, f,
 			     EPOLLOUT | (what & CURL_POLL_IN ? EPOLLIN : 0));
 	else
@@ -107,14 +124,15 @@
 /*
  * No connection is opened for a POST that is not sent again.
  *
- * curl closes some sockets without calling on_close(), and the kernel removes
- * them from the epoll set. The state recorded for a descriptor is therefore
- * reset when its number is used again.
+ * curl closes sockets that have not connected without calling on_close(), and
+ * the kernel removes them from the epoll set. The state recorded for a
+ * descriptor is therefore reset when its number is used again.
  */
 static curl_socket_t on_open(void *ctx, curlsocktype purpose,
 			     struct curl_sockaddr *a)
 {
 	struct loop_call *c = ctx;
+	struct loop_fd *f;
 	int fd;
 
 	(void)purpose;
@@ -123,7 +141,9 @@
 	fd = socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
-	memset(fd_state(c->loop, fd), 0, sizeof(struct loop_fd));
+	f = fd_state(c->loop, fd);
+	memset(f, 0, sizeof(*f));
+	f->is_own = true;
 	return fd;
 }
 
@@ -153,7 +173,7 @@
 	struct loop_fd *f = fd_state(l, fd);
 
 	epoll_update(l, fd, f, 0);
-	f->in_use = false;
+	memset(f, 0, sizeof(*f));
 	return close(fd);
 }
 
@@ -521,6 +541,7 @@
 
 static void handle_event(struct loop *l, const struct epoll_event *ev)
 {
+	struct loop_fd *f;
 	int running, bits = 0;
 
 	if (ev->data.fd == l->event_fd) {
@@ -533,10 +554,11 @@
 		bits |= CURL_CSELECT_OUT;
 	if (ev->events & (EPOLLERR | EPOLLHUP))
 		bits |= CURL_CSELECT_ERR;
-	if (fd_state(l, ev->data.fd)->in_use)
+	f = fd_state(l, ev->data.fd);
+	if (f->in_use)
 		curl_multi_socket_action(l->multi, ev->data.fd, bits, &running);
 	else /* the peer closed an idle connection */
-		epoll_update(l, ev->data.fd, fd_state(l, ev->data.fd), 0);
+		epoll_update(l, ev->data.fd, f, 0);
 }
 
 static int wait_timeout_ms(const struct loop *l, int64_t due_ms)
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -80,10 +80,13 @@
  * @epoll_events: events that it is registered for; 0 when it is not in the
  *                epoll set
  * @in_use: a request is in flight on the connection
+ * @is_own: the loop has created it and not closed it; if it has not connected,
+ *	curl closes it when it is not in use any more
  */
 struct loop_fd {
 	uint32_t epoll_events;
 	bool in_use;
+	bool is_own;
 };
 
 /**
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -5,6 +5,8 @@
 #include <thread>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -13,6 +15,25 @@
 #include "adapters/loop.h"
 #include "tests/scripted_server.h"
 
+/*
+ * Calls of epoll_ctl() by the loop arrive here. Before one with the number of a
+ * closed descriptor, that number is given to a descriptor of the test, as
+ * another thread may do.
+ */
+static int spare_fd = -1;
+static std::vector<int> retaken_fds;
+
+extern "C" int __real_epoll_ctl(int epoll_fd, int op, int fd, epoll_event *ev);
+
+extern "C" int __wrap_epoll_ctl(int epoll_fd, int op, int fd, epoll_event *ev)
+{
+	if (spare_fd >= 0 && fcntl(fd, F_GETFD) < 0) {
+		dup2(spare_fd, fd);
+		retaken_fds.push_back(fd);
+	}
+	return __real_epoll_ctl(epoll_fd, op, fd, ev);
+}
+
 namespace
 {
 
@@ -77,7 +98,7 @@
 		http_server_stop(&server);
 	}
 
-	Results fetch(uint16_t port, int count)
+	Results fetch(uint16_t port, int count, long ms = 4000)
 	{
 		std::string url =
 			"http://127.0.0.1:" + std::to_string(port) + "/x";
@@ -85,7 +106,7 @@
 		struct fetch f = {};
 
 		f.url = url.c_str();
-		f.timeout_ms = 4000;
+		f.timeout_ms = ms;
 		for (int i = 0; i < count; i++)
 			loop_fetch(&l, &f, on_result, &a);
 		l.stopping = false;
@@ -114,6 +135,41 @@
 		return a;
 	}
 
+	/* Calls that end after @ms; numbers of descriptors that the loop names
+	 * after they were closed are in @retaken_fds. */
+	Results fetch_and_watch(uint16_t port, int count, long ms)
+	{
+		spare_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		retaken_fds.clear();
+		Results a = fetch(port, count, ms);
+		close(spare_fd);
+		spare_fd = -1;
+		for (int fd : retaken_fds)
+			close(fd);
+		return a;
+	}
+
+	/* Returns a listener that leaves connections unanswered. */
+	static int full_listener(uint16_t *port, int fill[4])
+	{
+		sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(fd, (sockaddr *)&sin, len);
+		listen(fd, 0);
+		getsockname(fd, (sockaddr *)&sin, &len);
+		for (int i = 0; i < 4; i++) {
+			fill[i] =
+				socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+			connect(fill[i], (sockaddr *)&sin, len);
+		}
+		*port = ntohs(sin.sin_port);
+		return fd;
+	}
+
 	/* Returns a port without a listener. */
 	static uint16_t closed_port()
 	{
@@ -477,22 +533,12 @@
  */
 TEST_F(Loop, RegistersAReusedDescriptorAfterARefusedConnection)
 {
-	sockaddr_in sin = {};
-	socklen_t len = sizeof(sin);
+	uint16_t port;
 	int fill[4];
 
-	full_fd = socket(AF_INET, SOCK_STREAM, 0);
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(full_fd, (sockaddr *)&sin, len);
-	listen(full_fd, 0);
-	getsockname(full_fd, (sockaddr *)&sin, &len);
-	for (int &f : fill) {
-		f = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(f, (sockaddr *)&sin, len);
-	}
+	full_fd = full_listener(&port, fill);
 	l.connect_ms = 5000;
-	Results lost = fetch(ntohs(sin.sin_port), 3);
+	Results lost = fetch(port, 3);
 	for (long s : lost.statuses)
 		EXPECT_EQ(s, 0);
 	Results a = fetch(server.port, 6);
@@ -502,4 +548,23 @@
 		close(f);
 }
 
+/*
+ * curl closes a socket that has not connected without on_close(), and then has
+ * it removed by on_socket(). By then, a thread of the server could have its
+ * number, and the loop changed the registration of that descriptor.
+ */
+TEST_F(Loop, NamesNoSocketThatWasClosedWhileItConnected)
+{
+	uint16_t port;
+	int fill[4], fd = full_listener(&port, fill);
+
+	l.connect_ms = 5000;
+	Results a = fetch_and_watch(port, 3, 100);
+	EXPECT_EQ(a.statuses, std::vector<long>(3, 0));
+	EXPECT_EQ(retaken_fds, std::vector<int>());
+	for (int f : fill)
+		close(f);
+	close(fd);
+}
+
 } /* namespace */
