tests: fences, leaves, acknowledgements and paces without an answer

Four rows of the table "What a call without an answer means" had no test.

Each new test fails in a scratch build with one change, and no other test of its program does: a pace without an answer taken for refused (CellPace.SpeedsUpATaskThatAnUnansweredOrderMayHaveSlowed: the task stays slow); an acknowledgement taken for received (CellWorker.AcknowledgesAnEndAgainAfterAPollWithoutAnAnswer: the worker keeps the end); a leave taken for refused (Member.StaysOutOfTheGroupAfterALeaveWithoutAnAnswer: the member joins again); a fence taken for carried out (Owner.TakesOverOnlyOnceItsFenceIsAnswered; here Owner.TakesOverAfterAFenceWhoseAnswerIsLost fails as well).

The code is right in all four; nothing else changes.

--- a/tests/cell_pace_test.cc
+++ b/tests/cell_pace_test.cc
@@ -1,7 +1,12 @@
 #include "tests/cell_world.h"
 
 /* What becomes of the first throttle order. */
-enum class FirstOrder { ARRIVES, IS_SLOW, IS_LATE_AND_UNANSWERED };
+enum class FirstOrder {
+	ARRIVES,
+	IS_SLOW,
+	IS_LATE_AND_UNANSWERED,
+	IS_CARRIED_OUT_AND_UNANSWERED,
+};
 
 /* One latency-critical task beside one best-effort task on a worker that
  * reports as the platform's workers do: a figure for the last half second, once
@@ -78,6 +83,8 @@
 	static const uint64_t BEST_EFFORT = 8;
 	static const uint32_t TARGET_MS = 150;
 	static const int64_t SAMPLE_MS = 500;
+	/* Longer than it takes to decide that a task may work at full pace. */
+	static const int64_t UNANSWERED_MS = 60000;
 
       private:
 	/* Takes the first throttle order out of the calls that are answered at
@@ -96,10 +103,16 @@
 			calls.erase(calls.begin() + (long)i--);
 			late = first_order ==
 			       FirstOrder::IS_LATE_AND_UNANSWERED;
+			unanswered = first_order ==
+				     FirstOrder::IS_CARRIED_OUT_AND_UNANSWERED;
 			first_order = FirstOrder::ARRIVES;
 			held_until = now + (late ? 1500 : 700);
 			if (late)
 				drop_call(held[0]);
+			if (!unanswered)
+				continue;
+			paces["w1"] = (uint8_t)held[0].sent.speed_percent;
+			held_until = now + UNANSWERED_MS;
 		}
 		if (!late && n > orders_in_flight)
 			orders_in_flight = n;
@@ -107,6 +120,8 @@
 			return;
 		if (late)
 			paces["w1"] = (uint8_t)held[0].sent.speed_percent;
+		else if (unanswered)
+			drop_call(held[0]);
 		else
 			execute(workers["w1"], held[0]);
 		held.clear();
@@ -116,6 +131,7 @@
 	std::vector<Call> held;
 	int64_t held_until = 0;
 	bool late = false;
+	bool unanswered = false;
 };
 
 /* The task's own load rises until it has 3.5 percent of headroom, less than the
@@ -200,6 +216,21 @@
 	EXPECT_LT(w.longest_ms, 4000);
 }
 
+/* A task that an order without an answer may have slowed stays slow if the
+ * order counts as not carried out, and the pace from before it is wanted again.
+ */
+TEST(CellPace, SpeedsUpATaskThatAnUnansweredOrderMayHaveSlowed)
+{
+	Neighbours w(0.8);
+
+	w.first_order = FirstOrder::IS_CARRIED_OUT_AND_UNANSWERED;
+	raise_load(&w);
+	ASSERT_LT(w.pace(), 100);
+	w.base = 3;
+	w.run(Neighbours::UNANSWERED_MS + 20000);
+	EXPECT_EQ(w.pace(), 100);
+}
+
 /* A new owner does not know since when a task has been over its target: it
  * allowed the tasks beside it the whole time anew. */
 TEST(CellPace, PausesWithinTheBoundAcrossAChangeOfTheOwner)
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -173,6 +173,29 @@
 	EXPECT_EQ(w.starts.size(), 2u);
 }
 
+/* A worker keeps an end, and lists it, until it is acknowledged: it keeps one
+ * for ever whose acknowledgement got no answer and counts as received. */
+TEST(CellWorker, AcknowledgesAnEndAgainAfterAPollWithoutAnAnswer)
+{
+	CellWorld w;
+	Call poll;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(500);
+	w.end(7, RUN_DONE);
+	do {
+		poll = take_call(&w, Call::POLL);
+		if (!poll.poll.ack)
+			w.answer(poll);
+	} while (!poll.poll.ack);
+	w.answer_as(poll, ORDER_UNKNOWN);
+	ASSERT_EQ(w.workers["w1"].ended.size(), 1u);
+	w.run(3000);
+	EXPECT_TRUE(w.workers["w1"].ended.empty());
+	EXPECT_EQ(w.starts.size(), 1u);
+}
+
 /* A listing that was written before a run started lacks it: the run was taken
  * for lost and started again. */
 TEST(CellWorker, KeepsARunThatAnOlderListingLacks)
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -21,6 +21,14 @@
 			r.assigned = t->assigned;
 			r.sent_ms = t->now - t->reply_ms;
 			t->joined_at = t->now;
+			t->joins++;
+			done(ctx, &r);
+		};
+		ops.leave = [](void *, const char *, store_done done,
+			       void *ctx) {
+			store_reply r = {};
+
+			r.status = STORE_UNKNOWN;
 			done(ctx, &r);
 		};
 		member_init(&m, &ops, this, "a", 2000);
@@ -37,6 +45,7 @@
 	uint64_t generation = 1;
 	uint64_t assigned = 1;
 	uint64_t joined_with = 0;
+	int joins = 0;
 	int64_t joined_at = 0;
 	int64_t reply_ms = 0; /* time that the store takes for a join */
 	int64_t now = 1000;
@@ -83,6 +92,20 @@
 	EXPECT_EQ(joined_with, 2u);
 }
 
+/* A member whose leave got no answer keeps its cell from all others if it takes
+ * itself for a member still and goes on joining. */
+TEST_F(Member, StaysOutOfTheGroupAfterALeaveWithoutAnAnswer)
+{
+	run(1000);
+	ASSERT_EQ(m.assigned, 1u);
+	joins = 0;
+	member_leave(&m);
+	EXPECT_EQ(m.assigned, 0u);
+	run(5000);
+	EXPECT_EQ(joins, 0);
+	EXPECT_EQ(m.assigned, 0u);
+}
+
 TEST_F(Member, GivesUpACellOnceItDoesNotRetainItAnyMore)
 {
 	run(1000);
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -174,6 +174,24 @@
 	EXPECT_GE(store.topics[TOPIC_JOBS].size(), 1u);
 }
 
+/* An owner whose fence got no answer and has not arrived is not the only one:
+ * the store takes batches of the former owner, which it has not read. */
+TEST_F(Owner, TakesOverOnlyOnceItsFenceIsAnswered)
+{
+	Host a(&store, "a");
+
+	while (!a.membership.assigned || !a.jobs.loaded)
+		run({&a}, 10);
+	store.mode = FakeStore::UNAVAILABLE;
+	run({&a}, 1000);
+	EXPECT_EQ(a.owner.phase, OWNER_FENCING);
+	EXPECT_LT(store.epoch, a.owner.epoch);
+	store.mode = FakeStore::SERVE;
+	run({&a}, 500);
+	EXPECT_EQ(a.owner.phase, OWNER_ACTIVE);
+	EXPECT_EQ(store.epoch, a.owner.epoch);
+}
+
 /* The answer to the fence of an earlier takeover arrived during the next one,
  * and was taken for the answer to its fence: nothing was sent to the store, and
  * what another owner had stored in between was not read. */
