tests: no call goes over a connection that owes a reply

A reply that comes after the time limit of its call must not be read as the reply to the next one. curl closes the connection of a request that is given up, so that the late reply has no reader: of three calls, the second without a reply, the third opens the second connection.

Nothing in the code keeps such a connection, so there is no change without which the test would fail; it holds if curl or its use changes.

--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -352,6 +352,33 @@
 	http_server_stop(&s);
 }
 
+/* The reply that a connection owes is that of another call. curl closes a
+ * connection whose request is given up. */
+TEST_F(Loop, SendsNoCallOnAConnectionThatOwesAReply)
+{
+	ScriptedServer s({200, ScriptedServer::HANG, 200});
+	std::string url = "http://" + s.address + "/x";
+	std::vector<long> statuses;
+	struct fetch f = {};
+
+	f.url = url.c_str();
+	f.post = true;
+	f.content_type = "text/plain";
+	f.body = str_of("order");
+	for (long timeout_ms : {4000, 100, 4000}) {
+		Results a = {&l, 1, {}, {}, ""};
+
+		f.timeout_ms = timeout_ms;
+		loop_fetch(&l, &f, on_result, &a);
+		l.stopping = false;
+		loop_run(&l);
+		statuses.push_back(a.statuses[0]);
+	}
+	EXPECT_EQ(statuses, std::vector<long>({200, 0, 200}));
+	EXPECT_EQ(s.requests, 3);
+	EXPECT_EQ(s.connections, 2);
+}
+
 TEST_F(Loop, FailsACallWithoutAReplyAfterItsTimeout)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
