judge_runs: the acknowledgement of a lost end counts for nothing

A run had ended as done on a worker whose lease lapsed before the owner heard of it, the owner acknowledged the end 9 s later, and the task ran again.

The judge drops such an end at the lapse. The test of the acknowledgement then read ended[task], which in awk makes an empty entry, so that the next start of the task counted as one after an end.

--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -61,7 +61,7 @@
 		finished[$3] = 1
 	}
 }
-$5 == "ack" && $6 == "done" && ended[$3] == $2 {
+$5 == "ack" && $6 == "done" && $3 in ended && ended[$3] == $2 {
 	acknowledged[$3] = 1
 	if ($3 in restarted) {
 		print "started after an end that counts: " restarted[$3]
--- a/tools/judge_test.sh
+++ b/tools/judge_test.sh
@@ -45,6 +45,9 @@
 	"10 w0 t 1 start -" "20 w1 t 2 start -" "30 w0 t 1 end stopped"
 expect 1 "a start after an end that counts" runs \
 	"10 w0 t 1 start -" "20 w0 t 1 end done" "30 w1 t 2 start -" "40 w0 t 1 ack done"
+expect 0 "a run after an acknowledged end that its worker lost" runs \
+	"10 w0 t 1 start -" "20 w0 t 1 end done" "30 w0 - 0 lapse -" "40 w0 t 1 ack done" \
+	"50 w1 t 2 start -" "60 w1 t 2 end done" "70 w1 t 2 ack done"
 KILLED="w0 15" expect 0 "a run beside one of a killed worker" runs \
 	"10 w0 t 1 start -" "20 w1 t 2 start -"
 expect 0 "a run beside one whose lease has ended" runs \
