cell_task: a gang starts with all its members or not at all

What callers would see: a job of a gang whose run ends `alone` and begins again.

Cause: when the intents of a gang are stored, each start is checked once more (authority, drain, silence, zone). A member that may not start was dropped for itself, and the others were sent; they wait gangWaitMs for it.

Change: a member is sent only if all members that wait to be sent may be; else all of them are taken back and placed again.

Test: a worker drains while the gang is being stored. Before: two of three members are started. After: none, and all three once there is room elsewhere.

--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -287,6 +287,48 @@
 			task_detach(c, &st->tasks[i]);
 }
 
+static bool is_intent_stored(const struct cell_task *t)
+{
+	return t->storing_intent && t->storing_worker == t->worker->id;
+}
+
+static bool may_start(struct cell *c, const struct cell_task *t)
+{
+	const struct cell_worker *w = t->worker;
+
+	return cell_quota_may_start(t) && !cell_late_holds(c, t) &&
+	       has_authority(c) && !w->missed_polls && w->stored &&
+	       !w->lease_frozen && !w->entry.draining &&
+	       c->ops->zone_open(c->ctx, w->entry.zone);
+}
+
+/* A member that starts without the others would wait for them in vain. */
+static bool may_start_with_gang(struct cell *c, const struct cell_task *t)
+{
+	const struct cell_step *st = t->step;
+	uint32_t i;
+
+	if (!step_has_flag(st, STEP_GANG))
+		return may_start(c, t);
+	for (i = 0; i < st->spec->count; i++)
+		if (st->tasks[i].state == TASK_STORING &&
+		    (!is_intent_stored(&st->tasks[i]) ||
+		     !may_start(c, &st->tasks[i])))
+			return false;
+	return true;
+}
+
+static void start_stored_task(struct cell *c, struct cell_task *t)
+{
+	if (!cell_late_has_room(c))
+		c->counts.starts_held_back++;
+	else if (may_start_with_gang(c, t)) {
+		send_start(c, t);
+		return;
+	}
+	cell_task_withdraw(c, t);
+}
+
 void cell_start_stored(struct cell *c)
 {
 	struct cell_task *t = c->intents, *next;
@@ -296,30 +338,12 @@
 	for (; t; t = next) {
 		next = t->next_intent;
 		t->in_intents = false;
-		if (t->state == TASK_STORING &&
-		    (!t->storing_intent ||
-		     t->storing_worker != t->worker->id)) {
-			intent_push(c, t);
-			continue;
-		}
 		if (t->state != TASK_STORING)
 			continue;
-		if (!cell_late_has_room(c)) {
-			c->counts.starts_held_back++;
-			cell_task_withdraw(c, t);
-			continue;
-		}
-		if (!cell_quota_may_start(t) || cell_late_holds(c, t)) {
-			cell_task_withdraw(c, t);
-			continue;
-		}
-		if (has_authority(c) && !t->worker->missed_polls &&
-		    t->worker->stored && !t->worker->lease_frozen &&
-		    !t->worker->entry.draining &&
-		    c->ops->zone_open(c->ctx, t->worker->entry.zone))
-			send_start(c, t);
+		if (is_intent_stored(t))
+			start_stored_task(c, t);
 		else
-			task_detach(c, t);
+			intent_push(c, t);
 	}
 }
 
