cell_lease: count on the lease that a late call to a former process extends

What callers would see: a task runs twice beside a worker that is cut off some seconds after it has restarted under its id.

Change: a call with a deadline that ends without an answer is noted with its worker. If a new process may have received it, since that had begun by the end of the call, its leases count as the longest ones until 12 s after the end of the call. A call that has ended before does not reach that process. So a poll that a crash breaks off adds no wait, and one that times out behind a silent crash does. Long-running tasks choose another worker meanwhile, if there is one: they would wait longer if that worker is lost. The next owner counts on the stored end of the leases also if it is later than its own wait, and on the longest lease of processes up to 20 s old, on which a call of the former owner may have been carried out just before it heard them.

Not covered: an owner that dies before it has stored that a worker is silent; a new process that ends before the late call and is replaced again.

WaitsForALeaseThatALateCallMayExtend fails before, in each of its four cases; so do .WaitsForALeaseThatALateCallOfTheFormerOwnerHasExtended and .PrefersAWorkerWithoutALateLeaseForALongRunningTask.

--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -51,6 +51,10 @@
 /* Cost of each unsettled run on a worker for a task with crashes: beside none,
  * a further crash is conclusive. */
 #define UNSETTLED_COST 10.0
+/* For a long-running task, on a worker whose process may yet carry out a late
+ * call that extends its leases: if it is lost, its tasks wait for these. Above
+ * all other costs of such tasks. */
+#define LATE_LEASE_COST 100.0
 
 const char *cell_worker_rack(const struct cell_worker *w)
 {
@@ -256,6 +260,9 @@
 		cost += FAR_DATA_COST;
 	if (t->avoid_worker == w->id)
 		cost += AVOID_COST;
+	if ((s->flags & STEP_LONG_RUNNING) &&
+	    c->now_ms < w->late_lease_until_ms)
+		cost += LATE_LEASE_COST;
 	if (t->suspected)
 		cost += cell_crash_unsettled(w) * UNSETTLED_COST;
 	*out = cost;
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_worker.h"
 
 /* Period at which the record of a silent worker is written again: a host that
  * starts counts the time left in it from its own reading. */
@@ -14,6 +15,10 @@
  * read. */
 #define HANDOVER_READ_MS 20
 
+/* An owner sends no deadline on a former clock for longer than this after the
+ * start of a new process. */
+#define NEW_PROCESS_HEARD_MS 2000
+
 int64_t cell_lease_extend(struct cell *c, struct cell_worker *w)
 {
 	int64_t until;
@@ -58,12 +63,19 @@
 		c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
 }
 
-/* A process this young may have taken an order with a deadline on the clock of
- * its predecessor, also from a former owner. */
+/* A process this young may have carried out a call with a deadline on the clock
+ * of its predecessor, also one of a former owner. */
 static bool may_hold_longest_lease(const struct cell *c,
 				   const struct cell_worker *w, int64_t clock)
 {
-	return w->is_new_clock || clock < c->opt.lease_max_ms;
+	return w->is_new_clock ||
+	       clock < NEW_PROCESS_HEARD_MS + LATE_MAX_MS + c->opt.lease_max_ms;
+}
+
+/* The clock of a process starts at 0 or above with it. */
+static int64_t earliest_start_ms(const struct cell *c, int64_t clock)
+{
+	return c->now_ms - cell_lease_bound_ms(clock);
 }
 
 void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
@@ -73,9 +85,23 @@
 	if (may_hold_longest_lease(c, w, clock))
 		w->new_clock_until_ms =
 			c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
+	if (w->is_new_clock && w->lease_unanswered_ms &&
+	    w->lease_unanswered_ms >= earliest_start_ms(c, clock))
+		w->late_lease_until_ms = w->lease_unanswered_ms + LATE_MAX_MS;
 	w->is_new_clock = false;
 }
 
+void cell_lease_unanswered(struct cell *c, const struct worker_addr *to)
+{
+	struct cell_worker *w = cell_worker_find(c, to->id);
+
+	if (!w)
+		return;
+	w->lease_unanswered_ms = c->now_ms;
+	if (to->born != w->entry.born)
+		w->late_lease_until_ms = c->now_ms + LATE_MAX_MS;
+}
+
 static int64_t known_lease_left_ms(const struct cell *c,
 				   const struct cell_worker *w)
 {
@@ -86,6 +112,13 @@
 	return cell_lease_bound_ms(left) - (c->now_ms - w->clock_received_ms);
 }
 
+static int64_t late_lease_left_ms(const struct cell *c,
+				  const struct cell_worker *w)
+{
+	return w->late_lease_until_ms +
+	       cell_lease_bound_ms(c->opt.lease_max_ms) - c->now_ms;
+}
+
 int64_t cell_lease_left_ms(const struct cell *c, const struct cell_worker *w)
 {
 	int64_t left;
@@ -95,6 +128,8 @@
 	left = known_lease_left_ms(c, w);
 	if (left < w->new_clock_until_ms - c->now_ms)
 		left = w->new_clock_until_ms - c->now_ms;
+	if (w->late_lease_until_ms && left < late_lease_left_ms(c, w))
+		left = late_lease_left_ms(c, w);
 	return left;
 }
 
--- a/src/cell/cell_lease.h
+++ b/src/cell/cell_lease.h
@@ -36,6 +36,16 @@
  */
 void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock);
 
+/**
+ * cell_lease_unanswered() - note that a call with a deadline got no answer
+ * @to: process that it was sent to
+ *
+ * A new process that receives it may carry it out seconds later, with a
+ * deadline on the former clock. One that starts after the call has been given
+ * up does not receive it.
+ */
+void cell_lease_unanswered(struct cell *c, const struct worker_addr *to);
+
 /**
  * cell_lease_left_ms() - time until all leases on a worker have ended,
  * also those of a former owner, on this host's clock
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -20,7 +20,7 @@
 {
 	w->former_leases_end_ms = c->now_ms + c->opt.takeover_ms;
 	w->former_leases_born = 0;
-	if (leases_end_ms && leases_end_ms < w->former_leases_end_ms) {
+	if (leases_end_ms) {
 		w->former_leases_end_ms = leases_end_ms;
 		w->former_leases_born = w->entry.born;
 	}
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -355,6 +355,10 @@
  *	unknown clock has granted; 0 for none
  * @is_new_clock: its process has restarted and may have granted a lease before
  *	its clock was known
+ * @lease_unanswered_ms: when the last call with a deadline ended without an
+ *	answer; 0 before
+ * @late_lease_until_ms: boot time until which its process may carry out a call
+ *	with a deadline on the clock of a former one; 0 for no such time
  * @answered_ms: when it answered a poll last
  * @backoff_until_ms: gets no new tasks before this time
  * @missed_polls: unanswered polls in a row, the first one as of @silent_ms
@@ -427,6 +431,8 @@
 	int64_t lease_end_ms;
 	int64_t new_clock_until_ms;
 	bool is_new_clock;
+	int64_t lease_unanswered_ms;
+	int64_t late_lease_until_ms;
 	int64_t former_leases_end_ms;
 	uint64_t former_leases_born;
 	int64_t frozen_ms;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -472,6 +472,144 @@
 	EXPECT_EQ(w.starts.size(), 2u);
 }
 
+/* When a poll of w1 ends without an answer. */
+enum PollEnd {
+	BEFORE_THE_NEW_PROCESS,
+	BEFORE_IT_IS_KNOWN,
+	ONCE_IT_IS_KNOWN,
+};
+
+/* A poll of w1 that ends without an answer, as the worker restarts. Unless it
+ * ends before, the new process may have received it. */
+Call lose_poll(CellWorld *w, PollEnd end)
+{
+	w->long_polls = true;
+	w->begin({"w1"});
+	Call poll = take_call(w, Call::POLL);
+	EXPECT_GT(poll.poll.lease_deadline_ms, 0);
+	if (end == BEFORE_THE_NEW_PROCESS) {
+		w->answer_as(poll, ORDER_UNKNOWN);
+		w->workers["w1"].reachable = false;
+		w->run(1000);
+	}
+	restart(w, "w1");
+	if (end == BEFORE_IT_IS_KNOWN)
+		w->answer_as(poll, ORDER_UNKNOWN);
+	w->announce("w1");
+	w->run(200);
+	if (end == ONCE_IT_IS_KNOWN)
+		w->answer_as(poll, ORDER_UNKNOWN);
+	return poll;
+}
+
+/* Carries a poll out that was sent to a former process of w1. */
+void carry_out(CellWorld *w, const Call &poll)
+{
+	FakeWorker &f = w->workers["w1"];
+
+	f.extend_lease(poll.poll.lease_deadline_ms, w->now + f.clock_offset);
+}
+
+/* Passes the time in which leases end. */
+void run_and_expire(CellWorld *w, int64_t ms)
+{
+	for (int64_t end = w->now + ms; w->now < end;) {
+		w->run(100);
+		w->expire_all();
+	}
+}
+
+/*
+ * A call that the new process had received, with a deadline on the former
+ * clock, was carried out seconds later and extended the leases to the longest
+ * ones. The owner, or the next one, counted on the usual ones and started the
+ * task elsewhere while the worker was cut off.
+ */
+TEST(CellWorker, WaitsForALeaseThatALateCallMayExtend)
+{
+	for (PollEnd end : {BEFORE_IT_IS_KNOWN, ONCE_IT_IS_KNOWN})
+		for (bool changes_owner : {false, true}) {
+			CellWorld w;
+			Call late = lose_poll(&w, end);
+
+			w.submit(7, {CellWorld::task_step(1)});
+			w.run(7000);
+			ASSERT_EQ(w.runs(7), 1u);
+			w.workers["w1"].reachable = false;
+			w.add_worker("w2");
+			w.run(3500);
+			carry_out(&w, late);
+			w.opt.takeover_ms = 5000;
+			if (changes_owner)
+				w.take_over_on_a_new_host(2);
+			w.announce("w2");
+			run_and_expire(&w, 10000);
+			EXPECT_TRUE(w.duplicates.empty());
+			EXPECT_EQ(w.runs(7), 1u);
+			EXPECT_EQ(w.starts.size(), 2u);
+		}
+}
+
+/* The call was carried out just before the next owner heard the worker, and
+ * that owner counted on its own lease. */
+TEST(CellWorker, WaitsForALeaseThatALateCallOfTheFormerOwnerHasExtended)
+{
+	CellWorld w;
+	Call late = lose_poll(&w, BEFORE_IT_IS_KNOWN);
+
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(10000);
+	ASSERT_EQ(w.runs(7), 1u);
+	carry_out(&w, late);
+	w.take_over_on_a_new_host(2);
+	w.run(20);
+	w.workers["w1"].reachable = false;
+	w.add_worker("w2");
+	run_and_expire(&w, 8000);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
+/* A call that had ended before the new process began counted as one that may
+ * reach it: a task of a worker that is lost soon after its restart waited for
+ * up to 18 s. */
+TEST(CellWorker, CountsNoLateLeaseOfACallThatEndedBeforeTheProcess)
+{
+	CellWorld w;
+
+	lose_poll(&w, BEFORE_THE_NEW_PROCESS);
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(100);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.workers["w1"].reachable = false;
+	w.add_worker("w2");
+	run_and_expire(&w, 7000);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+}
+
+/* Such a worker was chosen for a long-running task, which would wait for the
+ * longer lease if the worker is lost. */
+TEST(CellWorker, PrefersAWorkerWithoutALateLeaseForALongRunningTask)
+{
+	CellWorld w;
+
+	lose_poll(&w, BEFORE_IT_IS_KNOWN);
+	w.submit(7, {CellWorld::serving_step(1, 1000)});
+	w.run(100);
+	EXPECT_EQ(w.workers["w1"].running.size(), 1u);
+	w.add_worker("w2");
+	w.run(100);
+	w.submit(8, {CellWorld::serving_step(1, 1000)});
+	w.run(100);
+	EXPECT_EQ(w.workers["w2"].running.size(), 1u);
+	w.run(12000);
+	w.submit(9, {CellWorld::serving_step(1, 1000)});
+	w.run(100);
+	EXPECT_EQ(w.runs(9), 1u);
+}
+
 /* A worker had restarted at another address, and the worker that listens at its
  * former one answered a stop of before: the runs at the new address were taken
  * for lost. */
