--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -73,9 +73,10 @@
 
 fault_kill_worker()
 {
-	KILLED_WORKERS+=" $1-${INCARNATION[$1]} $(now_ms)"
 	kill -9 "${WORKER_PID[$1]}"
 	wait "${WORKER_PID[$1]}" 2>/dev/null
+	# Until here it has started runs, and logged them.
+	KILLED_WORKERS+=" $1-${INCARNATION[$1]} $(now_ms)"
 	start_worker "$1"
 }
 
