standins: a worker may restart under its id

PROTOCOL, workers: one "may start again under the id that it had. It then holds and knows nothing of before, and its counts start anew (seq, the numbers of ends, its clock)", and a lease longer than maxHoldMs is shortened to it. The stand-in measured all its processes by the machine's clock and took any deadline, so that a start that reached the next process of a worker was refused as late, or held a lease without end; and the soak gave each new process another id.

The stand-in's clock starts with its process, and its leases last 6 s at most, as in the settings of the hosts. It logs its birth; for the judge, the runs and the lease of a former process under the id end there. The time of a kill alone does not tell these from those of the next process, and a worker may be killed twice. Three new cases in judge_test.sh; the first of them fails without the change.

--- a/standins/grid_worker.c
+++ b/standins/grid_worker.c
@@ -4,6 +4,8 @@
 
 #define RUN_MS_DEFAULT 200
 #define RUN_MS_UNBOUNDED 1000000000
+/* A longer lease is shortened to this. */
+#define LEASE_MAX_MS 6000
 
 static void runs_free(struct grid_run *r)
 {
@@ -65,8 +67,11 @@
 	w->on_event(w->ctx, NULL, "lapse");
 }
 
-static void extend_lease(struct grid_worker *w, int64_t until_ms)
+static void extend_lease(struct grid_worker *w, int64_t now_ms,
+			 int64_t until_ms)
 {
+	if (until_ms > now_ms + LEASE_MAX_MS)
+		until_ms = now_ms + LEASE_MAX_MS;
 	if (until_ms <= w->lease_until_ms)
 		return;
 	w->lease_until_ms = until_ms;
@@ -135,7 +140,7 @@
 		return s;
 	if (o->lease_deadline_ms <= now_ms)
 		return ORDER_EXPIRED;
-	extend_lease(w, o->lease_deadline_ms);
+	extend_lease(w, now_ms, o->lease_deadline_ms);
 	active = newest_run(w->running, &o->ref);
 	if (active)
 		return active->ref.run == o->ref.run ? ORDER_OK
@@ -182,7 +187,7 @@
 	if (s)
 		return s;
 	grid_worker_tick(w, now_ms);
-	extend_lease(w, poll->lease_deadline_ms);
+	extend_lease(w, now_ms, poll->lease_deadline_ms);
 	while (w->ended && w->ended->end_seq <= poll->ack) {
 		struct grid_run *r = w->ended;
 
--- a/standins/gridworker.c
+++ b/standins/gridworker.c
@@ -70,12 +70,20 @@
 	FILE *run_log;
 };
 
+static int64_t began_ms;
+
+/* The clock of a worker starts anew with its process. */
+static int64_t worker_clock_ms(void)
+{
+	return clock_mono_ms() - began_ms;
+}
+
 /* A process that stood still ends its runs, as it goes on, for a lease that ran
  * out while nothing could run. */
 static int64_t lease_overrun_ms(const struct worker_server *s,
 				const struct grid_run *r)
 {
-	int64_t late = clock_mono_ms() - s->worker.lease_until_ms;
+	int64_t late = worker_clock_ms() - s->worker.lease_until_ms;
 	bool is_expiry = !r || (r->end_seq && r->outcome == RUN_EXPIRED);
 
 	return is_expiry && late > 0 ? late : 0;
@@ -96,7 +104,7 @@
 		fprintf(s->run_log, "%" PRId64 " %s - 0 lease %" PRId64 "\n",
 			clock_wall_ms(), settings_text(s->set, "id"),
 			clock_wall_ms() + s->worker.lease_until_ms -
-				clock_mono_ms());
+				worker_clock_ms());
 		fflush(s->run_log);
 		return;
 	}
@@ -113,6 +121,16 @@
 	fflush(s->run_log);
 }
 
+/* Ends the runs that a former process under the same id has logged. */
+static void log_birth(const struct worker_server *s)
+{
+	if (!s->run_log)
+		return;
+	fprintf(s->run_log, "%" PRId64 " %s - 0 born -\n", clock_wall_ms(),
+		settings_text(s->set, "id"));
+	fflush(s->run_log);
+}
+
 static void reply_order(struct http_request *r, enum order_status status)
 {
 	static const char *const reasons[] = {
@@ -124,7 +142,7 @@
 	struct buf b;
 
 	buf_init(&b);
-	buf_addf(&b, "{\"clockMs\":%" PRId64, clock_mono_ms());
+	buf_addf(&b, "{\"clockMs\":%" PRId64, worker_clock_ms());
 	if (status)
 		buf_addf(&b, ",\"reason\":\"%s\"", reasons[status]);
 	buf_adds(&b, "}");
@@ -158,8 +176,8 @@
 	if (order_parse(j, &o))
 		http_reply(r, 400, 0, "{}", 2);
 	else
-		reply_order(r,
-			    grid_worker_start(&s->worker, clock_mono_ms(), &o));
+		reply_order(r, grid_worker_start(&s->worker, worker_clock_ms(),
+						 &o));
 }
 
 static void do_stop(struct worker_server *s, struct http_request *r,
@@ -170,8 +188,8 @@
 	if (order_parse(j, &o))
 		http_reply(r, 400, 0, "{}", 2);
 	else
-		reply_order(r,
-			    grid_worker_stop(&s->worker, clock_mono_ms(), &o));
+		reply_order(r, grid_worker_stop(&s->worker, worker_clock_ms(),
+						&o));
 }
 
 /* The model does not throttle: the order is accepted and has no effect. */
@@ -187,7 +205,7 @@
 {
 	char name[TASK_NAME_SIZE];
 	bool is_unbounded = r->ends_ms - r->started_ms > 1000000;
-	int64_t percent = (clock_mono_ms() - r->started_ms) * 100 /
+	int64_t percent = (worker_clock_ms() - r->started_ms) * 100 /
 			  (r->ends_ms - r->started_ms + 1);
 
 	task_name(&r->ref, name);
@@ -216,7 +234,7 @@
 	buf_init(&b);
 	buf_addf(&b,
 		 "{\"clockMs\":%" PRId64 ",\"born\":%" PRIu64 ",\"running\":[",
-		 clock_mono_ms(), s->born);
+		 worker_clock_ms(), s->born);
 	for (run = s->worker.running; run; run = run->next)
 		add_running(run, &b);
 	buf_adds(&b, "],\"ended\":[");
@@ -240,7 +258,7 @@
 		http_reply(r, 400, 0, "{}", 2);
 		return;
 	}
-	status = grid_worker_poll(&s->worker, clock_mono_ms(), &poll);
+	status = grid_worker_poll(&s->worker, worker_clock_ms(), &poll);
 	if (status) {
 		reply_order(r, status);
 	} else if (!poll.wait_ms || s->worker.ended ||
@@ -250,7 +268,7 @@
 		s->waiters[s->waiter_count].request = r;
 		s->waiters[s->waiter_count].end_count = s->worker.end_count;
 		s->waiters[s->waiter_count++].deadline_ms =
-			clock_mono_ms() + poll.wait_ms;
+			worker_clock_ms() + poll.wait_ms;
 	}
 }
 
@@ -262,7 +280,7 @@
 		struct waiter *w = &s->waiters[i];
 
 		if (w->end_count == s->worker.end_count &&
-		    clock_mono_ms() < w->deadline_ms)
+		    worker_clock_ms() < w->deadline_ms)
 			continue;
 		reply_status(s, w->request);
 		*w = s->waiters[--s->waiter_count];
@@ -289,7 +307,7 @@
 	size_t i, n = sizeof(endpoints) / sizeof(endpoints[0]);
 
 	lock_take(&s->lock);
-	grid_worker_tick(&s->worker, clock_mono_ms());
+	grid_worker_tick(&s->worker, worker_clock_ms());
 	if (expect && strcmp(expect, settings_text(s->set, "id"))) {
 		http_reply(r, 421, 0, "{}", 2);
 	} else {
@@ -355,7 +373,7 @@
 static int64_t on_tick(void *ctx)
 {
 	struct worker_server *s = ctx;
-	int64_t now = clock_mono_ms();
+	int64_t now = worker_clock_ms();
 
 	lock_take(&s->lock);
 	grid_worker_tick(&s->worker, now);
@@ -398,10 +416,12 @@
 	lock_init(&s->lock);
 	s->set = &set;
 	s->born = (uint64_t)clock_wall_ms();
+	began_ms = clock_mono_ms();
 	s->worker.on_event = log_run_event;
 	s->worker.ctx = s;
 	if (settings_text(&set, "run-log")[0])
 		s->run_log = fopen(settings_text(&set, "run-log"), "a");
+	log_birth(s);
 	s->platform.loop = &s->loop;
 	name_set(s->platform.store_addr, settings_text(&set, "store"));
 	http.handle = on_request;
--- a/tools/harm.sh
+++ b/tools/harm.sh
@@ -22,10 +22,11 @@
 	grid_wait 5 test -s "$GRID/$1.proxy"
 }
 
-# start_worker NAME: a restarted worker has a new id behind the same proxy.
+# start_worker NAME [SAME_ID]: a restarted worker has a new id behind the same proxy,
+# unless SAME_ID is given
 start_worker()
 {
-	INCARNATION[$1]=$((${INCARNATION[$1]:-0} + 1))
+	[ -n "${2:-}" ] || INCARNATION[$1]=$((${INCARNATION[$1]:-0} + 1))
 	"$BIN/standin-gridworker" --id="$1-${INCARNATION[$1]}" --zone=z1 --rack=r1 \
 		--store="$DIRECT_STORE" --run-log="$GRID/runs.$1" \
 		--port-file="$GRID/$1.port" \
--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -7,12 +7,16 @@
 # Input: lines "ms worker task run start|end|ack|lapse how" and "ms worker - 0 lease
 # MS", the end of the lease from then on, of all workers, sorted by time, those of one
 # worker and millisecond in the order written (sort -s).
+# A line "ms worker - 0 born -" begins a process: the runs and the lease of a former
+# one under the same id have ended.
 # -v killed_workers="WORKER MS ..." lists killed workers and the time of each kill.
 # Exits 1 if there was a violation.
 BEGIN {
 	n = split(killed_workers, pair, " ")
-	for (i = 1; i < n; i += 2)
-		killed_ms[pair[i]] = pair[i + 1]
+	for (i = 1; i < n; i += 2) {
+		killed_worker[i] = pair[i]
+		killed_ms[i] = pair[i + 1]
+	}
 }
 function drop_unacknowledged(w, t) {
 	for (t in ended)
@@ -28,10 +32,10 @@
 	drop_unacknowledged(w)
 }
 {
-	for (w in killed_ms)
-		if ($1 >= killed_ms[w]) {
-			end_runs(w)
-			delete killed_ms[w]
+	for (i in killed_ms)
+		if ($1 >= killed_ms[i]) {
+			end_runs(killed_worker[i])
+			delete killed_ms[i]
 		}
 	for (w in lease_ms)
 		if ($1 > lease_ms[w]) {
@@ -39,6 +43,11 @@
 			delete lease_ms[w]
 		}
 }
+$5 == "born" {
+	end_runs($2)
+	delete lease_ms[$2]
+	next
+}
 $5 == "lease" {
 	lease_ms[$2] = $6
 	next
--- a/tools/judge_test.sh
+++ b/tools/judge_test.sh
@@ -50,6 +50,14 @@
 	"50 w1 t 2 start -" "60 w1 t 2 end done" "70 w1 t 2 ack done"
 KILLED="w0 15" expect 0 "a run beside one of a killed worker" runs \
 	"10 w0 t 1 start -" "20 w1 t 2 start -"
+KILLED="w0 15 w0 35" expect 0 "runs beside those of a worker that is killed twice" runs \
+	"10 w0 t 1 start -" "20 w0 - 0 born -" "21 w1 t 2 start -" "25 w1 t 2 end stopped" \
+	"30 w0 t 3 start -" "40 w1 t 4 start -"
+KILLED="w0 15" expect 1 "a run beside one of the next process of a killed worker" runs \
+	"10 w0 - 0 lease 30" "10 w0 t 1 start -" "20 w0 - 0 born -" \
+	"21 w0 - 0 lease 50" "21 w0 u 1 start -" "31 w1 u 2 start -"
+KILLED="w0 15" expect 0 "a run beside one that the killed worker logs last" runs \
+	"10 w0 - 0 lease 90" "16 w0 t 1 start -" "20 w0 - 0 born -" "30 w1 t 2 start -"
 expect 0 "a run beside one whose lease has ended" runs \
 	"10 w0 - 0 lease 50" "10 w0 t 1 start -" "51 w1 t 2 start -"
 expect 1 "a run beside one whose lease is in force" runs \
