soak: the answer of a call is lost, and its repeat refused

Only there the HTTP library repeats a call. Neither it nor a late start was followed by a status that refuses: the status was meant for the next call of the path from the moment the lost one arrived, so that calls under way took it. - 17 appends were lost so, and refused at the repeat, but once each. An append counts as refused after 500 ms of refusals; the next one, 60 ms later, was answered as a repeat.

Change: what follows a lost call begins with the reset of its connection, and is for the next call or for 0.8 or 2.5 s; half of the lost answers are lost before the first byte; two faults at a time in two of three draws, so that the listing may be lost as well; all proxies of a kind at once in one of four, the owner's among those to the store in most others; shorter draws. With the first call that a fault befalls, so between an order and its answer, the owner may be paused, stopped or killed, or the worker replaced, also under its id.

--- a/standins/call_fault.h
+++ b/standins/call_fault.h
@@ -57,9 +57,11 @@
  * @fate: of the calls that it befalls; CALL_PASS for no fault
  * @path: prefix of the path of these calls
  * @percent: share of these calls
- * @then_status: status for the next call of the path after a lost one; 0 for
- *	none, CALL_FAULT_HOLD to hold that call
- * @follows: path of the last lost call, until the next call of that path
+ * @then_status: status of calls of @path behind a reset; 0 for none,
+ *	CALL_FAULT_HOLD to hold them
+ * @then_ms: for how long these calls get it; 0 for the next one only
+ * @is_next_due: the next call gets it, however late
+ * @then_until_ms: calls get it until then, monotonic clock; 0 for none
  * @rng: draws the calls and their plans
  */
 struct call_fault {
@@ -67,24 +69,37 @@
 	char path[NAME_SIZE];
 	unsigned int percent;
 	int then_status;
-	char follows[NAME_SIZE];
+	int64_t then_ms;
+	bool is_next_due;
+	int64_t then_until_ms;
 	struct rng rng;
 };
 
 #define CALL_FAULT_HOLD 1
 
 /**
- * call_fault_parse() - set a fault by its text; @f->rng is kept
- * @text: "lost PATH PERCENT STATUS", "late PATH PERCENT", "slow PATH PERCENT"
- *	or "overtaken PATH PERCENT"; any other text means no fault
+ * call_fault_parse() - set a fault by its text; @f->rng is kept, and, with the
+ * same fault, what follows a reset
+ * @text: "FATE PATH PERCENT [STATUS [MS]]" with the fate lost, late, slow or
+ *	overtaken; any other text means no fault
  */
 void call_fault_parse(struct call_fault *f, const char *text);
 
 /**
  * call_fault_plan() - decide the fate of a call
  * @path: path of the call, without arguments
+ * @now_ms: monotonic time
  */
-struct call_plan call_fault_plan(struct call_fault *f, const char *path);
+struct call_plan call_fault_plan(struct call_fault *f, const char *path,
+				 int64_t now_ms);
+
+/**
+ * call_fault_reset() - note that a connection has been reset by the fault
+ *
+ * Calls that were under way before are not those that follow a lost one, so
+ * nothing follows before this.
+ */
+void call_fault_reset(struct call_fault *f, int64_t now_ms);
 
 /**
  * http_message_length() - length of the first HTTP message in @s
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -27,7 +27,10 @@
 #define LATE_MAX 64
 /* The largest request has to fit. */
 #define QUEUED_MAX (4 * 1024 * 1024)
-#define TEXT_MAX 80
+#define TEXT_MAX 200
+#define CALL_FAULTS_MAX 2
+/* Sets the draws of the faults of one proxy apart. */
+#define SEED_STEP 1000003
 
 static struct setting rows[] = {
 	{"port-file", "path", SETTING_TEXT, 1, 200, "",
@@ -38,8 +41,9 @@
 	{"control", "path", SETTING_TEXT, 1, 200, "",
 	 "file that holds pass, delay=MS, silence, no-answers or reset", true},
 	{"call-control", "path", SETTING_TEXT, 0, 200, "",
-	 "file that holds pass, or a fault of single calls: lost PATH PERCENT "
-	 "STATUS, late, slow or overtaken PATH PERCENT",
+	 "file that holds pass, or up to two lines with a fault of single "
+	 "calls: lost, late, slow or overtaken PATH PERCENT [STATUS [MS]]; "
+	 "calls behind a reset get STATUS for MS, or the next one does",
 	 false},
 	{"call-log", "path", SETTING_TEXT, 0, 200, "",
 	 "file that receives a line for each call with a fault", false},
@@ -66,13 +70,15 @@
 	int64_t hold_until_ms;
 };
 
-/* @plan is that of the last call. */
+/* @plan is that of the last call of @calls, drawn by @fault. */
 struct connection {
 	int client;
 	int server;
 	struct flow up;   /* to the server */
 	struct flow down; /* to the client */
 	struct call_plan plan;
+	struct call_fault *fault;
+	unsigned int calls;
 };
 
 /* A call that is carried out late; @server is -1 until then. */
@@ -90,7 +96,7 @@
 	int64_t control_due_ms;
 	struct connection connections[CONNECTIONS_MAX];
 	size_t count;
-	struct call_fault call_fault;
+	struct call_fault call_faults[CALL_FAULTS_MAX];
 	struct late_call late[LATE_MAX];
 	size_t late_count;
 	FILE *call_log;
@@ -212,8 +218,9 @@
 }
 
 static void log_call(const struct proxy *p, const char *path,
-		     const struct call_plan *plan)
+		     const struct connection *c)
 {
+	const struct call_plan *plan = &c->plan;
 	static const char *const names[] = {
 		"pass", "lost", "late", "refused", "held", "slow", "overtaken",
 	};
@@ -222,12 +229,26 @@
 		return;
 	fprintf(p->call_log,
 		"%" PRId64 " %s %s status=%d cut=%d wait_ms=%" PRId64
-		" reset=%d\n",
+		" reset=%d call=%u\n",
 		clock_wall_ms(), path, names[plan->fate], plan->status,
-		(int)plan->cut, plan->wait_ms, plan->reset);
+		(int)plan->cut, plan->wait_ms, plan->reset, c->calls);
 	fflush(p->call_log);
 }
 
+static void draw_plan(struct proxy *p, struct connection *c, const char *path,
+		      int64_t now_ms)
+{
+	size_t i;
+
+	c->calls++;
+	for (i = 0; i < CALL_FAULTS_MAX; i++) {
+		c->fault = &p->call_faults[i];
+		c->plan = call_fault_plan(c->fault, path, now_ms);
+		if (c->plan.fate != CALL_PASS)
+			return;
+	}
+}
+
 static void postpone_call(struct proxy *p, struct str request, int64_t due_ms)
 {
 	struct late_call *l = &p->late[p->late_count];
@@ -250,8 +271,8 @@
 	bool is_forwarded = true;
 
 	http_request_path(request, path);
-	*plan = call_fault_plan(&p->call_fault, path);
-	log_call(p, path, plan);
+	draw_plan(p, c, path, now_ms);
+	log_call(p, path, c);
 	switch (plan->fate) {
 	case CALL_PASS:
 	case CALL_LOST:
@@ -412,6 +433,20 @@
 	}
 }
 
+static void read_call_faults(struct proxy *p)
+{
+	char text[TEXT_MAX], *line = text;
+	size_t i;
+
+	if (read_text(settings_text(p->set, "call-control"), text))
+		return;
+	for (i = 0; i < CALL_FAULTS_MAX; i++) {
+		const char *one = strsep(&line, "\n");
+
+		call_fault_parse(&p->call_faults[i], one ? one : "");
+	}
+}
+
 static void read_control(struct proxy *p, int64_t now_ms)
 {
 	char text[TEXT_MAX];
@@ -419,8 +454,7 @@
 	if (now_ms < p->control_due_ms)
 		return;
 	p->control_due_ms = now_ms + CONTROL_PERIOD_MS;
-	if (!read_text(settings_text(p->set, "call-control"), text))
-		call_fault_parse(&p->call_fault, text);
+	read_call_faults(p);
 	if (read_text(settings_text(p->set, "control"), text))
 		return;
 	p->mode = PASS;
@@ -469,6 +503,8 @@
 			enum outcome o =
 				forward_connection(p, &p->connections[i], now);
 
+			if (o == RESET_NOW)
+				call_fault_reset(p->connections[i].fault, now);
 			if (o != KEEP)
 				close_connection(p, i, o == RESET_NOW);
 		}
@@ -486,12 +522,15 @@
 	};
 	int code = standin_init(&set, argc, argv);
 	struct proxy *p;
+	size_t i;
 
 	if (code >= 0)
 		return code;
 	p = xcalloc(1, sizeof(*p));
 	p->set = &set;
-	p->call_fault.rng.state = (uint64_t)settings_number(&set, "seed");
+	for (i = 0; i < CALL_FAULTS_MAX; i++)
+		p->call_faults[i].rng.state =
+			(uint64_t)settings_number(&set, "seed") + i * SEED_STEP;
 	if (settings_text(&set, "call-log")[0])
 		p->call_log = fopen(settings_text(&set, "call-log"), "a");
 	p->listener = listen_loopback();
--- a/tests/call_fault_test.cc
+++ b/tests/call_fault_test.cc
@@ -32,6 +32,8 @@
 	EXPECT_STREQ("", path);
 }
 
+const int64_t NOW = 1000;
+
 /* A fault that spares the call after a lost one hides that its refusal is taken
  * for the outcome of the lost one. */
 TEST(CallFault, RefusesTheNextCallOfThePathAfterALostOne)
@@ -40,15 +42,47 @@
 	struct call_plan p;
 
 	call_fault_parse(&f, "lost /api/run-start 100 503");
-	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/hold").fate);
-	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start").fate);
-	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/hold").fate);
-	p = call_fault_plan(&f, "/api/run-start");
+	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/hold", NOW).fate);
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start", NOW).fate);
+	call_fault_reset(&f, NOW);
+	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/hold", NOW).fate);
+	call_fault_parse(&f, "lost /api/run-start 100 503");
+	p = call_fault_plan(&f, "/api/run-start", NOW + 5000);
 	EXPECT_EQ(CALL_REFUSED, p.fate);
 	EXPECT_EQ(503, p.status);
-	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start").fate);
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start", NOW).fate);
+	call_fault_reset(&f, NOW);
 	call_fault_parse(&f, "pass");
-	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/run-start").fate);
+	EXPECT_EQ(CALL_PASS, call_fault_plan(&f, "/api/run-start", NOW).fate);
+}
+
+/* Calls that were under way when another one got lost took the refusal that was
+ * meant for its repeat: a client that repeats calls went unnoticed. */
+TEST(CallFault, RefusesNoCallThatComesBeforeTheReset)
+{
+	struct call_fault f = {};
+
+	call_fault_parse(&f, "lost /api/run-start 100 503 300");
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start", NOW).fate);
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/run-start", NOW).fate);
+	call_fault_reset(&f, NOW);
+	EXPECT_EQ(CALL_REFUSED,
+		  call_fault_plan(&f, "/api/run-start", NOW).fate);
+}
+
+/* An append counts as refused only if all its repeats are refused. */
+TEST(CallFault, RefusesCallsForAsLongAsItSays)
+{
+	struct call_fault f = {};
+	int64_t t;
+
+	call_fault_parse(&f, "lost /api/ 100 503 300");
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/hold", NOW).fate);
+	call_fault_reset(&f, NOW);
+	for (t = NOW; t < NOW + 300; t++)
+		EXPECT_EQ(CALL_REFUSED,
+			  call_fault_plan(&f, "/api/hold", t).fate);
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/hold", t).fate);
 }
 
 TEST(CallFault, HoldsTheNextCallOfThePathAfterALostOne)
@@ -56,8 +90,9 @@
 	struct call_fault f = {};
 
 	call_fault_parse(&f, "lost /api/ 100 1");
-	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/hold").fate);
-	EXPECT_EQ(CALL_HELD, call_fault_plan(&f, "/api/hold").fate);
+	EXPECT_EQ(CALL_LOST, call_fault_plan(&f, "/api/hold", NOW).fate);
+	call_fault_reset(&f, NOW);
+	EXPECT_EQ(CALL_HELD, call_fault_plan(&f, "/api/hold", NOW).fate);
 }
 
 /* A late call that comes before the caller's time limit is none. */
@@ -68,7 +103,7 @@
 
 	call_fault_parse(&f, "late /api/ 100");
 	for (i = 0; i < 1000; i++) {
-		struct call_plan p = call_fault_plan(&f, "/api/run-stop");
+		struct call_plan p = call_fault_plan(&f, "/api/run-stop", NOW);
 
 		EXPECT_EQ(CALL_LATE, p.fate);
 		EXPECT_GE(p.wait_ms, 2000);
@@ -84,7 +119,7 @@
 
 	call_fault_parse(&f, "slow /api/ 20");
 	for (i = 0; i < 10000; i++)
-		hit += call_fault_plan(&f, "/api/hold").fate == CALL_SLOW;
+		hit += call_fault_plan(&f, "/api/hold", NOW).fate == CALL_SLOW;
 	EXPECT_GT(hit, 1800);
 	EXPECT_LT(hit, 2200);
 }
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -38,7 +38,7 @@
 
 	kill -9 "${HOST_PID[$h]}"
 	wait "${HOST_PID[$h]}" 2>/dev/null
-	sleep 0.$((RANDOM % 10))
+	sleep "$2"
 	start_host "$h"
 }
 
@@ -71,13 +71,14 @@
 	PENDING+=($!)
 }
 
+# fault_kill_worker WORKER [SAME_ID]
 fault_kill_worker()
 {
 	kill -9 "${WORKER_PID[$1]}"
 	wait "${WORKER_PID[$1]}" 2>/dev/null
 	# Until here it has started runs, and logged them.
 	KILLED_WORKERS+=" $1-${INCARNATION[$1]} $(now_ms)"
-	start_worker "$1"
+	start_worker "$@"
 }
 
 fault_proxy()
@@ -111,7 +112,7 @@
 	echo "$(now_ms) fault=$kind host=$h worker=$w mode=$mode jump=$jump seconds=$s" \
 		>>"$GRID/faults.log"
 	case $kind in
-	0) fault_kill_host "$h" ;;
+	0) fault_kill_host "$h" "0.$((RANDOM % 10))" ;;
 	1) fault_stop_host "$h" ;;
 	2 | 3) fault_pause "${HOST_PID[$h]}" "$s" ;;
 	4) fault_kill_worker "$w" ;;
@@ -123,30 +124,115 @@
 	esac
 }
 
+# last_owner: prints the host that took the cell over last, also if it is paused
+last_owner()
+{
+	grep -H 'event="cell taken over"' "$GRID"/h*.log "$GRID"/h*.log.before 2>/dev/null |
+		sed 's|.*/\(h[0-9]*\)\.log[^:]*:ts=\([0-9.]*\).*|\2 \1|' | sort -n |
+		tail -1 | cut -d' ' -f2
+}
+
+# draw_call_fault PATH...: sets DRAWN to a fault of calls to one of the paths, and to
+# what the calls behind a reset get (1: no answer)
+draw_call_fault()
+{
+	local kinds=(lost lost lost lost late late slow overtaken) shares=(20 50 100)
+	local follow_ms=(0 0 800 2500)
+
+	DRAWN="${kinds[$((RANDOM % 8))]} ${*:$((1 + RANDOM % $#)):1}"
+	DRAWN+=" ${shares[$((RANDOM % 3))]} ${STATUSES[$((RANDOM % ${#STATUSES[@]}))]}"
+	DRAWN+=" ${follow_ms[$((RANDOM % 4))]}"
+}
+
+# draw_targets PREFIX COUNT: sets TARGETS to one of the proxies PREFIX0, PREFIX1, ...,
+# in one of four draws to all; of those to the store half the single ones are the owner's
+draw_targets()
+{
+	local n
+
+	n=$((RANDOM % $2))
+	TARGETS=("$1$n")
+	case $((RANDOM % 8)) in
+	0 | 1) mapfile -t TARGETS < <(seq -f "$1%g" 0 $(($2 - 1))) ;;
+	2 | 3 | 4) [ "$1" = h ] && TARGETS=("$(last_owner)") ;;
+	esac
+}
+
 # draw_call_faults PREFIX COUNT PATH...: until $GRID/calling is removed, draws faults
-# of calls to PATH at one of the proxies PREFIX0, PREFIX1, ... at a time. The call
-# after a lost one gets a status, or is held (1). The worker of each fifth fault is
-# replaced during it, so that late calls reach the next one.
+# of calls to PATH at proxies PREFIX0, PREFIX1, ..., in two of three draws two at a time:
+# a listing that comes soon corrects what a lost start has led to. With the first call
+# that a fault befalls, so between an order and its answer, its worker may be replaced
+# under the same id or another, or the owner paused, stopped or killed: the main loop does
+# that, as $GRID/asked names it.
 draw_call_faults()
 {
-	local prefix=$1 count=$2 n=0 name fault statuses=(0 503 503 429 500 1)
-	local kinds=(lost lost lost late late slow overtaken) shares=(20 50 100)
+	local prefix=$1 count=$2 name fault end beside DRAWN TARGETS
+	local STATUSES=(0 503 503 429 500 1)
+	local besides=("" "" "" "" "" pause stop kill replace reborn)
 
 	shift 2
 	RANDOM=$((SEED + 7919 + count))
-	# A worker that has not been replaced gives no 421.
-	[ "$prefix" = h ] && statuses+=(421)
+	if [ "$prefix" = h ]; then
+		# A worker that has not been replaced gives no 421.
+		STATUSES+=(421)
+		besides=("" "" "" "" "" "" pause stop kill)
+	fi
 	while [ -e "$GRID/calling" ]; do
-		name=$prefix$((RANDOM % count))
-		fault="${kinds[$((RANDOM % 7))]} ${*:$((1 + RANDOM % $#)):1}"
-		fault="$fault ${shares[$((RANDOM % 3))]} ${statuses[$((RANDOM % ${#statuses[@]}))]}"
-		echo "$(now_ms) $name $fault" >>"$GRID/call-faults.log"
-		echo "$fault" >"$GRID/$name.call-mode"
-		n=$((n + 1))
-		[ "$prefix" = w ] && [ $((n % 5)) = 0 ] && echo "$name" >"$GRID/replace"
-		sleep $((1 + RANDOM % 3)).$((RANDOM % 10))
-		echo pass >"$GRID/$name.call-mode"
-		sleep 0.$((RANDOM % 10))
+		draw_targets "$prefix" "$count"
+		draw_call_fault "$@"
+		fault=$DRAWN
+		draw_call_fault "$@"
+		[ $((RANDOM % 3)) = 0 ] || fault+=$'\n'$DRAWN
+		beside=${besides[$((RANDOM % ${#besides[@]}))]}
+		[ -n "$beside" ] && beside+=" $((RANDOM % 6)).$((1 + RANDOM % 9))"
+		echo "$(now_ms) ${TARGETS[*]} ${fault/$'\n'/, } / $beside" >>"$GRID/call-faults.log"
+		touch "$GRID/$prefix.drawn"
+		for name in "${TARGETS[@]}"; do echo "$fault" >"$GRID/$name.call-mode"; done
+		end=$((${EPOCHREALTIME/./} + 700000 + RANDOM % 20 * 100000))
+		while [ "${EPOCHREALTIME/./}" -lt $end ]; do
+			for name in "${TARGETS[@]}"; do
+				[ -n "$beside" ] || break
+				[ "$GRID/$name.call-log" -nt "$GRID/$prefix.drawn" ] || continue
+				echo "$name $beside" >>"$GRID/asked"
+				beside=
+			done
+			sleep 0.05
+		done
+		for name in "${TARGETS[@]}"; do echo pass >"$GRID/$name.call-mode"; done
+		sleep 0.$((RANDOM % 5))
+	done
+}
+
+# take_asked: injects the faults that $GRID/asked names. Draws nothing, so that the
+# draws of the main loop do not hang on the time.
+take_asked()
+{
+	local what name seconds owner
+
+	mv "$GRID/asked" "$GRID/taken"
+	while read -r name what seconds; do
+		owner=$(last_owner)
+		echo "$(now_ms) $what $name $seconds owner=$owner" >>"$GRID/call-faults.log"
+		case $what in
+		pause) fault_pause "${HOST_PID[$owner]}" "$seconds" ;;
+		stop) fault_stop_host "$owner" ;;
+		kill) fault_kill_host "$owner" 0 ;;
+		replace) fault_kill_worker "$name" ;;
+		reborn) fault_kill_worker "$name" same ;;
+		esac
+	done <"$GRID/taken"
+	publish_ports
+}
+
+# wait_for SECONDS: until the next fault
+wait_for()
+{
+	local end=$((${EPOCHREALTIME/./} + 10#${1/./}00000))
+
+	[ -n "$CALLS" ] || { sleep "$1"; return; }
+	while [ "${EPOCHREALTIME/./}" -lt $end ]; do
+		[ -s "$GRID/asked" ] && take_asked
+		sleep 0.05
 	done
 }
 
@@ -230,13 +316,8 @@
 end=$((SECONDS + LENGTH))
 while [ $SECONDS -lt $end ]; do
 	draw_fault
-	if [ -s "$GRID/replace" ]; then
-		echo "$(now_ms) $(cat "$GRID/replace") replaced" >>"$GRID/call-faults.log"
-		fault_kill_worker "$(cat "$GRID/replace")"
-		rm "$GRID/replace"
-	fi
 	publish_ports
-	sleep $((RANDOM % 2)).$((RANDOM % 10))
+	wait_for $((RANDOM % 2)).$((RANDOM % 10))
 done
 rm "$GRID/calling"
 wait "${PENDING[@]}" "${CALLERS[@]}" 2>/dev/null
@@ -249,6 +330,7 @@
 grid_wait $SETTLE_S all_ended || { echo "seed $SEED: has not ended: $(cat "$GRID/not-ended")"; FAILED=1; }
 [ -s "$GRID/denied" ] && { echo "seed $SEED: denied: $(sort -u "$GRID/denied" | head -3)"; FAILED=1; }
 [ -s "$GRID/faults.bad" ] && { cat "$GRID/faults.bad"; FAILED=1; }
+echo "$KILLED_WORKERS" >"$GRID/killed"
 cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -v killed_workers="$KILLED_WORKERS" -f tools/judge_runs.awk \
 	>"$GRID/judged" || { echo "seed $SEED: $(head -3 "$GRID/judged")"; FAILED=1; }
 awk -f tools/judge_store.awk "$GRID/accepted" "$GRID/refused" "$GRID/appends" \
