--- a/deploy/random_days.awk
+++ b/deploy/random_days.awk
@@ -10,22 +10,24 @@
 
 function add_range(name, range,    ends, low, high) {
 	if (range == "-")
-		return
+		return 0
 	split(range, ends, "-")
 	low = int(ends[1] * 100 + .5)
 	high = int(ends[2] * 100 + .5)
-	line = line sprintf(", %s = %.2f", name,
-			    (low + draw(high - low + 1)) / 100)
+	low = (low + draw(high - low + 1)) / 100
+	line = line sprintf(", %s = %.2f", name, low)
+	return low
 }
 
 function draw_entry(part, tenths,    kind, f, hows, n) {
 	kind = kinds[part, draw(kind_count[part])]
 	split(rows[part, kind, draw(row_count[part, kind])], f, "|")
 	line = sprintf("at = %.1f, kind = \"%s\"", tenths / 10, kind)
-	add_range("for_s", f[3])
+	for_s = add_range("for_s", f[3])
 	add_range("x", f[4])
 	add_range("share", f[5])
 	add_range("gap_s", f[6])
+	sub(/@z"/, "@z" zone "\"", f[7])
 	if (f[7] != "")
 		line = line ", " f[7]
 	n = split(f[8], hows, ";")
@@ -79,16 +81,59 @@
 	}
 }
 
+# The group is dealt anew up to .6 s after the start of a cut of the owner, so that
+# leases of the former owner may outlast 8.5 s from the takeover. Another cut follows
+# the first one within 1.5 s, mostly within .3 s: workers that the next owner does not
+# reach for 8.5 s are given up. Workers are cut off or restart beside the two, calls
+# lose their answers, and planned work moves the cell once more.
+function draw_series(at,    cut, next_cut, last, part) {
+	zone = draw(3)
+	cut = at + 12 - draw(7)
+	faults = faults draw_entry("deal_group", at)
+	part = draw(4) ? "series_zone" : "series"
+	faults = faults draw_entry(part, cut)
+	next_cut = cut + int(for_s * 10 + .5) + draw(draw(3) ? 4 : 16)
+	part = draw(2) ? "series_zone" : "series_next"
+	faults = faults draw_entry(part, next_cut)
+	last = next_cut + int(for_s * 10 + .5)
+	if (draw(2))
+		faults = faults draw_entry("series_workers", cut - 5 + draw(61))
+	if (draw(2))
+		faults = faults draw_entry("series_calls", cut - 10 + draw(21))
+	if (draw(2))
+		plan = plan draw_entry("series_plan", cut - 10 + draw(41))
+	return last
+}
+
+# The strike follows the last deal within 8 s.
+function draw_closing(    end, hows, n) {
+	end = 340 + 10 * draw(8)
+	faults = faults draw_entry("closing_traffic", 10 + draw(200))
+	draw_series(30 + draw(31))
+	draw_series(end - 12 - draw(81))
+	n = split(";taken;taken all;timed;all", hows, ";")
+	closing = sprintf("length_s = %.1f\n", end / 10)
+	closing = closing "closing = { kind = \"" \
+		(draw(2) ? "power_off_all" : "kill_all") \
+		sprintf("\", down_s = %.2f, how = \"%s\" }\n",
+			.5 + draw(81) / 100, hows[1 + draw(n)])
+}
+
 function write_day(seed,    i) {
 	state = (seed * 69621 + 12345) % 2147483646 + 1
 	for (i = 0; i < 8; i++)
 		draw(1)
-	plan = faults = ""
+	plan = faults = closing = ""
 	if (focus == "deal")
 		draw_deals()
+	else if (focus == "series")
+		draw_series(draw_series(30 + draw(31)) + 10 + draw(31))
+	else if (focus == "closing")
+		draw_closing()
 	else
 		draw_entries()
 	printf "name = \"%s-%d\"\n", focus == "" ? "random" : focus, seed
+	printf "%s", closing
 	printf "plan = [\n%s]\nfaults = [\n%s]\n", plan, faults
 }
 
--- a/deploy/random_days.sh
+++ b/deploy/random_days.sh
@@ -7,7 +7,9 @@
 #
 # FOCUS draws other days: `newer` has kinds that older sites don't list in each day,
 # `calls` loses, repeats and delays calls while owners change and workers come and
-# go, `deal` deals the group anew while its owner is cut off.
+# go, `deal` deals the group anew while its owner is cut off, `series` cuts the owner
+# off twice in a row around a deal, with lengths of the site files, `closing` ends such
+# days with a strike on all hosts.
 # SKIP lists kinds to leave out, with commas. `play` needs BENCH (the bench's
 # program) and SITE (a site file); a day that broke or could not be played is kept
 # in OUT (build/days) with its output and printed: seed, result, file, kinds left
@@ -106,6 +108,30 @@
 deal_owner|node_cut|11-14|-|-|-|count = 1|leader
 deal_workers|srv_cut|11-14|.5-.9|.3-.8|-||some;fronts
 deal_group|platform_compact|.5-1|1-6|-|-||rebalance
+series_zone|zone_cut|5.2-6.4|-|-|-|zone = "@z"|drop;reset;refuse;drop meet
+series|core_cut|4-6|-|-|-|count = 1|leader;leader race
+series|node_cut|5.5-6|-|-|-|count = 1|leader;leader meet
+series|node_cut|11-12|-|.35-.4|-||;meet
+series|platform_down|8-9|-|.33-.36|-||nodes reset revoke meet;nodes busy revoke meet
+series|platform_down|7-9|-|-|-|count = 1|nodes leader reset;nodes leader silent revoke
+series|node_freeze|3-4|-|-|-|count = 1|leader;leader renewed
+series|herd_kill|8.5-9.5|-|1-1|-|on = "core"|power;off
+series_next|node_cut|5-6|-|.17-.4|-||servers
+series_next|core_cut|5-6|-|-|-|count = 1|leader;turn
+series_next|node_cut|5-6|-|.17-.4|-||;turn;leader all
+series_next|srv_grey|5-6|1-1|.1-.3|-||hang;mute
+series_workers|srv_cut|4-6|.2-.8|.2-.6|-||some;fronts;some lossy
+series_workers|srv_cut|4-6|.2-.8|.2-.6|-||reborn;some reborn
+series_workers|node_cut|5-6|-|.17-.4|-||servers reborn;servers one_way
+series_workers|srv_crash|.3-4.5|-|.14-.4|-||same;dark same;rack
+series_calls|platform_lost|4-6|.3-.5|-|-||;late
+series_calls|answer_lost|5-6|.02-.3|.4-.6|-||
+series_calls|applied_late|4-6|.04-.2|-|-||;orders;grants;all
+series_plan|roll_term|-|1-2|.4-1|1-2||;busy;leader;starter
+series_plan|add_nodes|-|-|.5-1|-||
+series_plan|release|-|1-1|.3-1|.3-2||
+series_plan|replace_core|-|.5-4|-|-||planned;leader
+closing_traffic|burst|8-12|1.3-2.6|-|-||
 EOF
 }
 
@@ -126,7 +152,9 @@
 	newer) parts='plan|faults|newer|newer_plan' ;;
 	calls) parts='calls|owner|workers|calls_plan' ;;
 	deal) parts='deal|deal_owner|deal_workers|deal_group' ;;
+	series | closing) parts='deal_group|series|series_[a-z]*' ;;
 	esac
+	[ "${FOCUS:-}" != closing ] || parts="$parts|closing_traffic"
 	table | grep -E "^($parts)\|" | cut -d'|' -f2 | sort -u
 }
 
@@ -197,9 +225,10 @@
 }
 
 case ${FOCUS:-} in
-'' | newer | calls | deal) ;;
+'' | newer | calls | deal | series | closing) ;;
 *)
-	echo "random_days.sh: FOCUS is '$FOCUS', expected newer, calls or deal" >&2
+	echo "random_days.sh: FOCUS is '$FOCUS'," \
+		"expected newer, calls, deal, series or closing" >&2
 	exit 2
 	;;
 esac
@@ -207,5 +236,5 @@
 write) shift && write_days "$@" ;;
 kinds) kinds ;;
 play) play "${2:?number of days}" "${3:-1}" ;;
-*) sed -n '2,16s/^# \{0,1\}//p' "$0" >&2 && exit 2 ;;
+*) sed -n '2,18s/^# \{0,1\}//p' "$0" >&2 && exit 2 ;;
 esac
--- a/deploy/random_days_test.sh
+++ b/deploy/random_days_test.sh
@@ -65,6 +65,14 @@
 
 # Days recorded by their seed are lost if a row or a draw changes.
 expect "days of seeds 1 to 200" "$(cksum <"$tmp/all")" "2437782325 118005"
+while read -r focus sum; do
+	expect "$focus: days of seeds 1 to 200" \
+		"$(FOCUS=$focus $days write $(seq 200) | cksum)" "$sum"
+done <<'EOF'
+newer 3179351150 117551
+calls 4234318800 174002
+deal 759064883 91796
+EOF
 
 # check_focus FOCUS GAP_MAX DISRUPTIONS_MIN DISRUPTIONS_MAX PLANNED_MIN: the same
 # checks for the days of a FOCUS.
@@ -110,8 +118,8 @@
 check_focus_kinds()
 {
 	expect "$1: kinds over 200 seeds" \
-		"$(grep -o 'kind = "[a-z_]*"' "$tmp/focus" | cut -d'"' -f2 | sort -u)" \
-		"$($days kinds)"
+		"$(grep '^  ' "$tmp/focus" | grep -o 'kind = "[a-z_]*"' | cut -d'"' -f2 |
+			sort -u)" "$($days kinds)"
 }
 
 check_focus newer 4 4 7 1
@@ -180,6 +188,73 @@
 				print "no cut leads by", i / 10
 	}' "$tmp/focus")" ""
 unset FOCUS
+
+# check_series FOCUS: each day deals the group anew twice. Each time a cut of the owner
+# begins 0 to .6 s before, and the next one 0 to 1.5 s after its end.
+check_series()
+{
+	export FOCUS=$1
+	$days write $(seq 200) >"$tmp/focus"
+	expect "$1: same seeds, same days" \
+		"$($days write $(seq 200) | cmp - "$tmp/focus" 2>&1)" ""
+	expect "$1: seed 7 alone" "$($days write 7)" "$(awk -v name="\"$1-7\"" \
+		'/^name/ { on = $3 == name } on' "$tmp/focus")"
+	check_focus_kinds "$1"
+	expect "$1: cuts in a row" "$(awk '
+		function field(name,    s) {
+			s = $0
+			if (!sub(".*[{ ]" name " = ", "", s))
+				return -1
+			return s + 0
+		}
+		function check(what, value, low, high) {
+			if (value < low - 1e-9 || value > high + 1e-9)
+				print name, what, value
+			seen[what, sprintf("%.1f", value)]
+		}
+		function end_deal() {
+			if (deals)
+				check("cuts", cuts, 2, 2)
+			cuts = 0
+		}
+		function all_seen(what, high,    i) {
+			for (i = 0; i <= high * 10; i++)
+				if (!((what, sprintf("%.1f", i / 10)) in seen))
+					print "not seen:", what, i / 10
+		}
+		/^name/ { name = $3; deals = cuts = 0; days++ }
+		/how = "rebalance"/ { end_deal(); dealt = field("at") + 1.2; deals++ }
+		/servers (reborn|one_way)/ { next }
+		/"([a-z]*_cut|platform_down|node_freeze|herd_kill|srv_grey)"/ &&
+				!/srv_cut/ {
+			at = field("at")
+			if (!cuts++)
+				check("lead", dealt - at, 0, .6)
+			else
+				check("pause", at - healed, -.05, 1.55)
+			healed = at + int(field("for_s") * 10 + .5) / 10
+		}
+		/^]/ && ++ends % 2 == 0 { end_deal(); check("deals", deals, 2, 2) }
+		/@z/ && !/@z[012]"/ { print name, $0 }
+		END {
+			check("days", days, 200, 200)
+			all_seen("lead", .6)
+			all_seen("pause", 1.5)
+		}' "$tmp/focus")" ""
+	unset FOCUS
+}
+
+check_series series
+check_series closing
+expect "closing: strikes" "$(awk '
+	/^name/ { name = $3; days++ }
+	/^length_s/ { len = $3 }
+	/^closing/ { strikes++; sub(/down_s = [0-9.]*/, ""); n += !seen[$0]++ }
+	/how = "rebalance"/ { at = $4 + 1.2 }
+	/^]/ && ++ends % 2 == 0 && (at > len || at < len - 8.1 || len < 34 || len > 41) {
+		print name, len, at
+	}
+	END { print days, strikes, n }' "$tmp/focus")" "200 200 10"
 FOCUS=other $days write 1 >/dev/null 2>&1
 expect "status of another FOCUS" $? 2
 
