cell_lease: tell the age of a process by its start, not by its clock

What callers would see: a task runs twice beside a worker that restarts before the cell changes hands and is silent soon after.

Cause: a new owner counts on the longest lease of a process that is young by its clock, as if that began at 0. For the same reason the owner could not tell whether a new process had begun before a call without an answer ended, and counted on late leases after restarts that had broken the call off.

Change: the start of a process is its registered time of day, on this host's clock. A new owner counts on the longest lease of processes up to 25 s old, 5 s of which are for a time of day that has jumped. For late leases the start counts if it lies between the last answer of the former process and now, else that answer does. Of a poll without an answer, only the first 0.9 s count as time in which it may have been received; a long poll that waits at a process that crashes silently goes on longer.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -99,6 +99,7 @@
 	c->now_ms = now_ms;
 	c->accounted_ms = now_ms;
 	c->wall_ms = wall_ms;
+	c->wall_offset_ms = wall_ms - now_ms;
 	index_init(&c->worker_ids);
 	quota_table_init(&c->quotas);
 	cell_late_init(c);
@@ -415,6 +416,7 @@
 {
 	c->now_ms = now_ms;
 	c->wall_ms = wall_ms;
+	c->wall_offset_ms = wall_ms - now_ms;
 	if (now_ms < c->ticked_ms + TICK_MIN_MS)
 		return c->ticked_ms + TICK_MIN_MS - now_ms;
 	c->ticked_ms = now_ms;
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -15,6 +15,13 @@
  * read. */
 #define HANDOVER_READ_MS 20
 
+/* A worker receives a call within this time, or not at all: the time limits of
+ * connections and orders are no longer. */
+#define CALL_RECEIVED_MS 900
+/* The times of day of two hosts differ by less than this, and jump by at most
+ * this. */
+#define TIME_OF_DAY_ERROR_MS 100
+#define TIME_OF_DAY_JUMP_MS 5000
 /* An owner sends no deadline on a former clock for longer than this after the
  * start of a new process. */
 #define NEW_PROCESS_HEARD_MS 2000
@@ -63,19 +70,46 @@
 		c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
 }
 
+/* Boot time of this host at the start of a worker's process, by the time of day
+ * of both. */
+static int64_t start_by_time_of_day(const struct cell *c,
+				    const struct cell_worker *w)
+{
+	return (int64_t)w->entry.born - c->wall_offset_ms;
+}
+
 /* A process this young may have carried out a call with a deadline on the clock
- * of its predecessor, also one of a former owner. */
+ * of its predecessor, also one of a former owner. Its own clock may have begun
+ * at any value. */
 static bool may_hold_longest_lease(const struct cell *c,
 				   const struct cell_worker *w, int64_t clock)
 {
-	return w->is_new_clock ||
-	       clock < NEW_PROCESS_HEARD_MS + LATE_MAX_MS + c->opt.lease_max_ms;
+	int64_t young =
+		NEW_PROCESS_HEARD_MS + LATE_MAX_MS + c->opt.lease_max_ms;
+
+	return w->is_new_clock || clock < young ||
+	       c->now_ms - start_by_time_of_day(c, w) <
+		       young + TIME_OF_DAY_JUMP_MS;
+}
+
+/* A time of day that has jumped gives a start that most often lies before the
+ * last answer of the former process, or ahead. */
+static int64_t earliest_start_ms(const struct cell *c,
+				 const struct cell_worker *w)
+{
+	int64_t at = start_by_time_of_day(c, w) - TIME_OF_DAY_ERROR_MS;
+
+	if (at < w->former_answered_ms || at > c->now_ms)
+		return w->former_answered_ms;
+	return at;
 }
 
-/* The clock of a process starts at 0 or above with it. */
-static int64_t earliest_start_ms(const struct cell *c, int64_t clock)
+/* A process that starts after the call has been received, or given up, does not
+ * carry it out. */
+static void note_late_lease(struct cell_worker *w)
 {
-	return c->now_ms - cell_lease_bound_ms(clock);
+	if (w->lease_unanswered_ms && w->lease_unanswered_ms >= w->started_ms)
+		w->late_lease_until_ms = w->lease_unanswered_ms + LATE_MAX_MS;
 }
 
 void cell_lease_adopt(struct cell *c, struct cell_worker *w, int64_t clock)
@@ -85,21 +119,26 @@
 	if (may_hold_longest_lease(c, w, clock))
 		w->new_clock_until_ms =
 			c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
-	if (w->is_new_clock && w->lease_unanswered_ms &&
-	    w->lease_unanswered_ms >= earliest_start_ms(c, clock))
-		w->late_lease_until_ms = w->lease_unanswered_ms + LATE_MAX_MS;
+	w->started_ms = earliest_start_ms(c, w);
+	if (w->is_new_clock)
+		note_late_lease(w);
 	w->is_new_clock = false;
 }
 
-void cell_lease_unanswered(struct cell *c, const struct worker_addr *to)
+void cell_lease_unanswered(struct cell *c, const struct worker_addr *to,
+			   int64_t sent_ms)
 {
 	struct cell_worker *w = cell_worker_find(c, to->id);
+	int64_t received_ms = sent_ms + CALL_RECEIVED_MS;
 
 	if (!w)
 		return;
-	w->lease_unanswered_ms = c->now_ms;
-	if (to->born != w->entry.born)
-		w->late_lease_until_ms = c->now_ms + LATE_MAX_MS;
+	if (received_ms > c->now_ms)
+		received_ms = c->now_ms;
+	if (w->lease_unanswered_ms < received_ms)
+		w->lease_unanswered_ms = received_ms;
+	if (w->confirmed && to->born != w->entry.born)
+		note_late_lease(w);
 }
 
 static int64_t known_lease_left_ms(const struct cell *c,
--- a/src/cell/cell_lease.h
+++ b/src/cell/cell_lease.h
@@ -39,12 +39,13 @@
 /**
  * cell_lease_unanswered() - note that a call with a deadline got no answer
  * @to: process that it was sent to
+ * @sent_ms: when it was sent, or a later time at which it was not yet received
  *
- * A new process that receives it may carry it out seconds later, with a
- * deadline on the former clock. One that starts after the call has been given
- * up does not receive it.
+ * A new process that has received it may carry it out seconds later, with a
+ * deadline on the former clock.
  */
-void cell_lease_unanswered(struct cell *c, const struct worker_addr *to);
+void cell_lease_unanswered(struct cell *c, const struct worker_addr *to,
+			   int64_t sent_ms);
 
 /**
  * cell_lease_left_ms() - time until all leases on a worker have ended,
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -32,11 +32,11 @@
 /* A worker takes longer than this to restart. */
 #define ACK_FRESH_MS 50
 
-/* Context of a poll in flight; @has_deadline: it extends the lease. */
+/* Context of a poll in flight, sent at @extended_ms if it extends the lease. */
 struct cell_poll {
 	struct cell *cell;
 	uint64_t seq;
-	bool has_deadline;
+	int64_t extended_ms;
 };
 
 static void record_failure(struct cell *c, struct cell_worker *w,
@@ -240,14 +240,14 @@
 	struct cell_poll *p = ctx;
 	struct cell *c = p->cell;
 	uint64_t seq = p->seq;
-	bool has_deadline = p->has_deadline;
+	int64_t extended_ms = p->extended_ms;
 	struct cell_worker *w;
 
 	free(p);
 	if (!cell_call_end(c))
 		return;
-	if (has_deadline && r->status == ORDER_UNKNOWN)
-		cell_lease_unanswered(c, a);
+	if (extended_ms && r->status == ORDER_UNKNOWN)
+		cell_lease_unanswered(c, a, extended_ms);
 	if (r->status == ORDER_FENCED) {
 		c->ops->fenced(c->ctx);
 		return;
@@ -315,7 +315,7 @@
 	 * lease runs out and its runs end within a known time. */
 	if (!w->missed_polls && w->stored && !w->lease_frozen)
 		h.lease_deadline_ms = cell_lease_extend(c, w);
-	p->has_deadline = h.lease_deadline_ms != 0;
+	p->extended_ms = h.lease_deadline_ms ? c->now_ms : 0;
 	h.ack = take_ack(c, w);
 	/* After a missed poll, tasks and leases wait for the reply. */
 	if (w->confirmed && w->task_count && !w->missed_polls &&
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -191,7 +191,7 @@
 {
 	c->counts.unanswered++;
 	cell_late_note(c, w, ref);
-	cell_lease_unanswered(c, w);
+	cell_lease_unanswered(c, w, c->now_ms);
 	log_line(LOG_WARN, "start not answered",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s "
 		 "current=%d",
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -355,8 +355,11 @@
  *	unknown clock has granted; 0 for none
  * @is_new_clock: its process has restarted and may have granted a lease before
  *	its clock was known
- * @lease_unanswered_ms: when the last call with a deadline ended without an
- *	answer; 0 before
+ * @former_answered_ms: when the process before this one answered a poll last
+ * @started_ms: boot time at which its process has started at the earliest, once
+ *	it has been heard
+ * @lease_unanswered_ms: latest time at which a process may have received a call
+ *	with a deadline that got no answer; 0 before
  * @late_lease_until_ms: boot time until which its process may carry out a call
  *	with a deadline on the clock of a former one; 0 for no such time
  * @answered_ms: when it answered a poll last
@@ -431,6 +434,8 @@
 	int64_t lease_end_ms;
 	int64_t new_clock_until_ms;
 	bool is_new_clock;
+	int64_t former_answered_ms;
+	int64_t started_ms;
 	int64_t lease_unanswered_ms;
 	int64_t late_lease_until_ms;
 	int64_t former_leases_end_ms;
@@ -619,7 +624,9 @@
 
 /**
  * struct cell - the schedule of one partition under one owner
- * @now_ms: boot time of the last tick or call, and @wall_ms since 1970
+ * @now_ms: boot time of the last tick or call
+ * @wall_ms: milliseconds since 1970 at the last tick, @wall_offset_ms more than
+ *	its boot time
  * @authority_until_ms: tasks may be started before this time
  * @renew_until_ms: workers are polled, and their leases extended, before this
  *	time
@@ -670,6 +677,7 @@
 	void *port;
 	int64_t now_ms;
 	int64_t wall_ms;
+	int64_t wall_offset_ms;
 	int64_t ticked_ms;
 	int64_t authority_until_ms;
 	int64_t renew_until_ms;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -165,6 +165,7 @@
 	w->lease_end_ms = 0;
 	w->new_clock_until_ms = 0;
 	w->is_new_clock = true;
+	w->former_answered_ms = w->answered_ms;
 	w->late_lease_until_ms = 0;
 	w->last_end = 0;
 	w->round_end = 0;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -475,13 +475,15 @@
 /* When a poll of w1 ends without an answer. */
 enum PollEnd {
 	BEFORE_THE_NEW_PROCESS,
+	SENT_LONG_BEFORE,
 	BEFORE_IT_IS_KNOWN,
 	ONCE_IT_IS_KNOWN,
 };
 
 /* A poll of w1 that ends without an answer, as the worker restarts. Unless it
- * ends before, the new process may have received it. */
-Call lose_poll(CellWorld *w, PollEnd end)
+ * ends, or the former process received it, before that, the new one may have
+ * received it. */
+Call lose_poll(CellWorld *w, PollEnd end, int64_t first_clock = 100)
 {
 	w->long_polls = true;
 	w->begin({"w1"});
@@ -492,16 +494,47 @@
 		w->workers["w1"].reachable = false;
 		w->run(1000);
 	}
+	if (end == SENT_LONG_BEFORE)
+		w->run(1500);
 	restart(w, "w1");
+	w->workers["w1"].born = w->entries["w1"].born = (uint64_t)w->now;
+	w->workers["w1"].clock_offset = first_clock - w->now;
 	if (end == BEFORE_IT_IS_KNOWN)
 		w->answer_as(poll, ORDER_UNKNOWN);
 	w->announce("w1");
 	w->run(200);
-	if (end == ONCE_IT_IS_KNOWN)
+	if (end == ONCE_IT_IS_KNOWN || end == SENT_LONG_BEFORE)
 		w->answer_as(poll, ORDER_UNKNOWN);
 	return poll;
 }
 
+/* A worker's time of day had jumped as its process began: the process seemed
+ * not to have begun in time to receive the call. */
+TEST(CellWorker, CountsALateLeaseWhateverTheTimeOfDayOfTheWorker)
+{
+	for (int64_t jump : {-3000, 3000}) {
+		CellWorld w;
+
+		w.begin({"w1"});
+		w.submit(7, {CellWorld::task_step(1)});
+		w.run(100);
+		Call poll = take_call(&w, Call::POLL);
+		restart(&w, "w1");
+		w.workers["w1"].born = w.entries["w1"].born =
+			(uint64_t)(w.now + jump);
+		w.answer_as(poll, ORDER_UNKNOWN);
+		w.announce("w1");
+		w.run(500);
+		ASSERT_EQ(w.runs(7), 1u);
+		w.workers["w1"].reachable = false;
+		w.add_worker("w2");
+		w.run(10000);
+		EXPECT_EQ(w.starts.size(), 2u);
+		w.run(9000);
+		EXPECT_EQ(w.starts.size(), 3u);
+	}
+}
+
 /* Carries a poll out that was sent to a former process of w1. */
 void carry_out(CellWorld *w, const Call &poll)
 {
@@ -551,42 +584,45 @@
 }
 
 /* The call was carried out just before the next owner heard the worker, and
- * that owner counted on its own lease. */
+ * that owner counted on its own lease, also if the new clock was not near 0. */
 TEST(CellWorker, WaitsForALeaseThatALateCallOfTheFormerOwnerHasExtended)
 {
-	CellWorld w;
-	Call late = lose_poll(&w, BEFORE_IT_IS_KNOWN);
+	for (int64_t first_clock : {100, 40000}) {
+		CellWorld w;
+		Call late = lose_poll(&w, BEFORE_IT_IS_KNOWN, first_clock);
 
-	w.submit(7, {CellWorld::task_step(1)});
-	w.run(10000);
-	ASSERT_EQ(w.runs(7), 1u);
-	carry_out(&w, late);
-	w.take_over_on_a_new_host(2);
-	w.run(20);
-	w.workers["w1"].reachable = false;
-	w.add_worker("w2");
-	run_and_expire(&w, 8000);
-	EXPECT_TRUE(w.duplicates.empty());
-	EXPECT_EQ(w.runs(7), 1u);
-	EXPECT_EQ(w.starts.size(), 2u);
+		w.submit(7, {CellWorld::task_step(1)});
+		w.run(10000);
+		ASSERT_EQ(w.runs(7), 1u);
+		carry_out(&w, late);
+		w.take_over_on_a_new_host(2);
+		w.run(20);
+		w.workers["w1"].reachable = false;
+		w.add_worker("w2");
+		run_and_expire(&w, 8000);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+		EXPECT_EQ(w.starts.size(), 2u);
+	}
 }
 
-/* A call that had ended before the new process began counted as one that may
- * reach it: a task of a worker that is lost soon after its restart waited for
- * up to 18 s. */
-TEST(CellWorker, CountsNoLateLeaseOfACallThatEndedBeforeTheProcess)
+/* A call that could not reach the new process counted as one that may: a task
+ * of a worker that is lost soon after its restart waited for up to 18 s. */
+TEST(CellWorker, CountsNoLateLeaseOfACallThatTheProcessCannotHave)
 {
-	CellWorld w;
+	for (PollEnd end : {BEFORE_THE_NEW_PROCESS, SENT_LONG_BEFORE}) {
+		CellWorld w;
 
-	lose_poll(&w, BEFORE_THE_NEW_PROCESS);
-	w.submit(7, {CellWorld::task_step(1)});
-	w.run(100);
-	ASSERT_EQ(w.runs(7), 1u);
-	w.workers["w1"].reachable = false;
-	w.add_worker("w2");
-	run_and_expire(&w, 7000);
-	EXPECT_TRUE(w.duplicates.empty());
-	EXPECT_EQ(w.runs(7), 1u);
+		lose_poll(&w, end);
+		w.submit(7, {CellWorld::task_step(1)});
+		w.run(100);
+		ASSERT_EQ(w.runs(7), 1u);
+		w.workers["w1"].reachable = false;
+		w.add_worker("w2");
+		run_and_expire(&w, 7000);
+		EXPECT_TRUE(w.duplicates.empty());
+		EXPECT_EQ(w.runs(7), 1u);
+	}
 }
 
 /* Such a worker was chosen for a long-running task, which would wait for the
