cell_lease: count on leases that an answered call to a former process extends

What callers would see: a task runs twice beside a worker that is cut off a few seconds after it has restarted under its id.

Cause: a call with a deadline on the clock of a former process that ends without an answer is counted, one that is answered is not. A start that the new process refuses by its number, or whose run has been replaced, and a poll whose reply counts as that of an earlier one, extend the leases there to the longest ones all the same, after the owner has heard that process.

Change: an answered call to a process that has been replaced since counts as one that the new process has carried out just now.

WaitsForALeaseThatAnAnsweredCallToTheFormerProcessExtended fails before in both of its cases: the owner waits for 5.5 s after the answer of a call that was carried out 0.8 s late, the lease lasts for 6 s.

--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -141,6 +141,15 @@
 		note_late_lease(w);
 }
 
+void cell_lease_answered(struct cell *c, const struct worker_addr *to)
+{
+	struct cell_worker *w = cell_worker_find(c, to->id);
+
+	if (w && w->confirmed && to->born != w->entry.born)
+		w->new_clock_until_ms =
+			c->now_ms + cell_lease_bound_ms(c->opt.lease_max_ms);
+}
+
 static int64_t known_lease_left_ms(const struct cell *c,
 				   const struct cell_worker *w)
 {
--- a/src/cell/cell_lease.h
+++ b/src/cell/cell_lease.h
@@ -47,6 +47,15 @@
 void cell_lease_unanswered(struct cell *c, const struct worker_addr *to,
 			   int64_t sent_ms);
 
+/**
+ * cell_lease_answered() - note that a call with a deadline was answered
+ * @to: process that it was sent to
+ *
+ * If a new process has been heard since, that may have carried it out, with a
+ * deadline on the former clock.
+ */
+void cell_lease_answered(struct cell *c, const struct worker_addr *to);
+
 /**
  * cell_lease_left_ms() - time until all leases on a worker have ended,
  * also those of a former owner, on this host's clock
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -248,6 +248,8 @@
 		return;
 	if (extended_ms && r->status == ORDER_UNKNOWN)
 		cell_lease_unanswered(c, a, extended_ms);
+	if (extended_ms && r->status == ORDER_OK && r->born != a->born)
+		cell_lease_answered(c, a);
 	if (r->status == ORDER_FENCED) {
 		c->ops->fenced(c->ctx);
 		return;
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -211,6 +211,8 @@
 	if (!order_end(c, r))
 		return;
 	c->late.in_flight--;
+	if (r->clock)
+		cell_lease_answered(c, w);
 	t = find_current_run(c, w, ref);
 	if (t && r->status == ORDER_OK) {
 		cell_crash_started(t, r->clock);
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -606,6 +606,34 @@
 	}
 }
 
+/* A start or a poll of the former process was answered by the new one once that
+ * had been heard, and extended the leases to the longest ones. The owner
+ * counted on the usual ones from then on. */
+TEST(CellWorker, WaitsForALeaseThatAnAnsweredCallToTheFormerProcessExtended)
+{
+	for (Call::Kind kind : {Call::START, Call::POLL}) {
+		CellWorld w;
+
+		w.begin({"w1"});
+		if (kind == Call::START)
+			w.submit(7, {CellWorld::task_step(1)});
+		Call call = take_call(&w, kind);
+		restart(&w, "w1");
+		w.announce("w1");
+		if (kind == Call::POLL)
+			w.submit(7, {CellWorld::task_step(1)});
+		w.run(800);
+		ASSERT_TRUE(w.duplicates.empty());
+		ASSERT_EQ(w.runs(7), 1u);
+		w.answer(call);
+		w.workers["w1"].reachable = false;
+		w.add_worker("w2");
+		run_and_expire(&w, 8000);
+		EXPECT_TRUE(w.duplicates.empty()) << kind;
+		EXPECT_EQ(w.runs(7), 1u);
+	}
+}
+
 /* A call that could not reach the new process counted as one that may: a task
  * of a worker that is lost soon after its restart waited for up to 18 s. */
 TEST(CellWorker, CountsNoLateLeaseOfACallThatTheProcessCannotHave)
