cell_task: room for a whole gang among the starts without an answer

What callers would see: a gang of which some members start at the limit of starts without an answer, and wait for the others in vain.

Cause: the room was asked for member by member, so that the first members of a gang took the last of it and the others were taken back.

Change: a gang starts if there is room for all members that wait to be sent.

StartsNoGangThatItCannotRememberAsAWhole fails before: 1 of 3 members is started.

--- a/src/cell/cell_late.c
+++ b/src/cell/cell_late.c
@@ -42,9 +42,9 @@
 	index_finish(&c->late.workers);
 }
 
-bool cell_late_has_room(const struct cell *c)
+bool cell_late_has_room(const struct cell *c, size_t starts)
 {
-	return c->late.count + c->late.in_flight < LATE_STARTS_MAX;
+	return c->late.count + c->late.in_flight + starts <= LATE_STARTS_MAX;
 }
 
 static bool is_same_run(const struct task_ref *a, const struct task_ref *b)
--- a/src/cell/cell_late.h
+++ b/src/cell/cell_late.h
@@ -18,9 +18,9 @@
 void cell_late_finish(struct cell *c);
 
 /**
- * cell_late_has_room() - whether another start may be sent
+ * cell_late_has_room() - whether this many more starts may be sent
  */
-bool cell_late_has_room(const struct cell *c);
+bool cell_late_has_room(const struct cell *c, size_t starts);
 
 /**
  * cell_late_note() - note a start that got no answer
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -231,7 +231,7 @@
 			cell_worker_mark_changed(c, w);
 	}
 	c->place_due = false;
-	if (!cell_late_has_room(c)) {
+	if (!cell_late_has_room(c, 1)) {
 		c->counts.starts_held_back++;
 		return;
 	}
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -321,9 +321,22 @@
 	return true;
 }
 
+static size_t count_to_start(const struct cell_task *t)
+{
+	const struct cell_step *st = t->step;
+	size_t n = 0;
+	uint32_t i;
+
+	if (!step_has_flag(st, STEP_GANG))
+		return 1;
+	for (i = 0; i < st->spec->count; i++)
+		n += st->tasks[i].state == TASK_STORING;
+	return n;
+}
+
 static void start_stored_task(struct cell *c, struct cell_task *t)
 {
-	if (!cell_late_has_room(c))
+	if (!cell_late_has_room(c, count_to_start(t)))
 		c->counts.starts_held_back++;
 	else if (may_start_with_gang(c, t)) {
 		send_start(c, t);
--- a/tests/cell_late_test.cc
+++ b/tests/cell_late_test.cc
@@ -155,6 +155,32 @@
 	EXPECT_TRUE(w.duplicates.empty());
 }
 
+/* The limit was reached among the members of a gang: one was started, and
+ * waited in vain for the others, which were taken back. */
+TEST(CellLate, StartsNoGangThatItCannotRememberAsAWhole)
+{
+	const uint32_t before = LATE_STARTS_MAX - 1;
+	job_step gang = CellWorld::task_step(3);
+	CellWorld w;
+
+	gang.flags = STEP_GANG;
+	w.take_over(1);
+	add_large_worker(&w, "w1", "z1");
+	w.run(100);
+	w.submit(7, {CellWorld::task_step(before)});
+	ASSERT_EQ(lose_next_starts(&w).size(), before);
+	w.cancel(7);
+	w.run(100);
+	for (int i = 2; i <= 4; i++)
+		add_large_worker(&w, "w" + std::to_string(i), "z1");
+	w.submit(8, {gang});
+	w.run(1000);
+	ASSERT_EQ(w.counts().late_starts, (uint64_t)before);
+	EXPECT_EQ(w.runs(8), 0u);
+	w.run(LATE_MAX_MS);
+	EXPECT_EQ(w.runs(8), 3u);
+}
+
 /* What a start without an answer holds must not outlast the start. */
 TEST(CellLate, ForgetsAStartThatCanNoLongerBeCarriedOut)
 {
