cell_lease: count on a poll that waited in its lane and was sent late

What callers would see: a task runs twice beside a worker that dies silently, is back under its id within about a second, and is cut off some seconds later.

Cause: a poll without an answer counted as received, or given up, 0.9 s after it was made. Two calls to a worker are in flight at a time. Behind two orders to a worker that has gone silent, a poll waits for 0.9 s; it then has 1 s left, in which a new process may receive it with a deadline on the former clock.

Change: the loop tells when the turn of a call has come, and the 0.9 s count from then on. A relayed poll still counts from when it was made.

WaitsForALeaseThatAPollSentLateMayExtend fails without the change of cell_poll; Loop.TellsWhenTheTurnOfACallHasCome holds the time.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -37,6 +37,7 @@
 	void *ctx;
 	enum activity activity;
 	int64_t sent_ms;
+	int64_t begun_ms;
 	int64_t due_ms;
 	bool in_flight;
 	bool sent;
@@ -327,6 +328,7 @@
 static void call_send(struct loop *l, struct loop_call *c)
 {
 	c->sent = true;
+	c->begun_ms = clock_boot_ms();
 	curl_multi_add_handle(l->multi, c->easy);
 }
 
@@ -439,6 +441,7 @@
 	if (c->sent)
 		curl_multi_remove_handle(l->multi, c->easy);
 	f.sent_ms = c->sent_ms;
+	f.begun_ms = c->sent ? c->begun_ms : 0;
 	if (result == CURLE_OK) {
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &f.status);
 		f.body.data = c->reply.data;
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -53,6 +53,7 @@
  * @refused: the host refused the connection
  * @body: content of the reply; valid during the callback only
  * @sent_ms: boot time at which the request was started
+ * @begun_ms: boot time at which its turn in its lane came; 0 if it did not
  */
 struct fetch_result {
 	long status;
@@ -60,6 +61,7 @@
 	bool refused;
 	struct str body;
 	int64_t sent_ms;
+	int64_t begun_ms;
 };
 
 typedef void (*fetch_done)(void *ctx, const struct fetch_result *f);
--- a/src/cell/cell_lease.c
+++ b/src/cell/cell_lease.c
@@ -15,8 +15,8 @@
  * read. */
 #define HANDOVER_READ_MS 20
 
-/* A worker receives a call within this time, or not at all: the time limits of
- * connections and orders are no longer. */
+/* A worker receives a call within this time of its turn in its lane, or not at
+ * all: the time limits of connections and orders are no longer. */
 #define CALL_RECEIVED_MS 900
 /* The times of day of two hosts differ by less than this, and jump by at most
  * this. */
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -246,6 +246,8 @@
 	free(p);
 	if (!cell_call_end(c))
 		return;
+	if (extended_ms && r->begun_ms > extended_ms)
+		extended_ms = r->begun_ms;
 	if (extended_ms && r->status == ORDER_UNKNOWN)
 		cell_lease_unanswered(c, a, extended_ms);
 	if (extended_ms && r->status == ORDER_OK && r->born != a->born)
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -268,6 +268,8 @@
  * @born: start time of the worker process, ms since 1970
  * @clock: the worker's own clock, in milliseconds
  * @sent_ms: boot time at which the request was sent, in milliseconds
+ * @begun_ms: boot time at which a connection was chosen for it, if it had to
+ *wait for other calls; 0 if that is not known
  * @running: runs in progress; valid during the callback
  * @ended: ends that have not been acknowledged, by number; valid during the
  *	callback
@@ -278,6 +280,7 @@
 	uint64_t born;
 	int64_t clock;
 	int64_t sent_ms;
+	int64_t begun_ms;
 	const struct run_row *running;
 	size_t running_count;
 	const struct ended_run *ended;
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -634,6 +634,38 @@
 	}
 }
 
+/* A poll of the former process had waited for orders that got no answer, and
+ * was sent long after it was made: it counted as one of before the new process.
+ */
+TEST(CellWorker, WaitsForALeaseThatAPollSentLateMayExtend)
+{
+	poll_reply lost = {};
+	CellWorld w;
+
+	w.long_polls = true;
+	w.begin({"w1"});
+	Call late = take_call(&w, Call::POLL);
+	w.run(1500);
+	restart(&w, "w1");
+	w.workers["w1"].born = w.entries["w1"].born = (uint64_t)w.now;
+	w.announce("w1");
+	w.run(200);
+	lost.status = ORDER_UNKNOWN;
+	lost.begun_ms = w.now - 700;
+	late.on_poll_done(late.ctx, &late.worker, &lost);
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(7000);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.workers["w1"].reachable = false;
+	w.add_worker("w2");
+	w.run(3500);
+	carry_out(&w, late);
+	w.announce("w2");
+	run_and_expire(&w, 10000);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+}
+
 /* A call that could not reach the new process counted as one that may: a task
  * of a worker that is lost soon after its restart waited for up to 18 s. */
 TEST(CellWorker, CountsNoLateLeaseOfACallThatTheProcessCannotHave)
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -11,6 +11,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "adapters/clock.h"
 #include "adapters/http_server.h"
 #include "adapters/loop.h"
 #include "tests/scripted_server.h"
@@ -466,6 +467,49 @@
 	}
 }
 
+/* A poll had waited in its lane behind two orders to a worker that had gone
+ * silent: it counted as received or given up before it was sent. */
+TEST_F(Loop, TellsWhenTheTurnOfACallHasCome)
+{
+	struct Last {
+		Results a;
+		int64_t begun_ms;
+	} last = {{&l, 3, {}, {}, ""}, 0};
+	int64_t made_ms = clock_boot_ms();
+	struct fetch f = {};
+	http_server s = {};
+	std::string url;
+
+	s.threads = 2;
+	s.handle = [](void *, http_request *r) {
+		usleep(500000);
+		http_reply(r, 200, 0, "{}", 2);
+	};
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	url = "http://127.0.0.1:" + std::to_string(s.port) + "/x";
+	f.url = url.c_str();
+	f.post = true;
+	f.content_type = "text/plain";
+	f.body = str_of("order");
+	f.lane = 7;
+	for (long limit : {200, 200, 400}) {
+		f.timeout_ms = limit;
+		loop_fetch(
+			&l, &f,
+			[](void *ctx, const fetch_result *r) {
+				((Last *)ctx)->begun_ms = r->begun_ms;
+				on_result(&((Last *)ctx)->a, r);
+			},
+			&last);
+	}
+	loop_run(&l);
+	EXPECT_EQ(last.a.not_sent, std::vector<bool>(3, false));
+	EXPECT_GE(last.begun_ms - made_ms, 200);
+	EXPECT_LT(last.begun_ms - made_ms, 400);
+	usleep(600000); /* until the server has answered all calls */
+	http_server_stop(&s);
+}
+
 TEST_F(Loop, EndsWithCallsThatWaitInALane)
 {
 	struct fetch f = {};
