cell_loss: a worker that crashes before it would leave has crashed

Cause: the end of a draining worker counted as expected, whenever it came. The registry says how long a draining worker stays at least.

Change: an end that is known before that time is a loss as any other. Where the time is not known, or over, nothing changes.

Test: CellCrash.GivesUpATaskThatCrashesDrainingWorkers.

--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -455,7 +455,7 @@
 	const struct cell_job *only = only_unsettled_job(w);
 	struct cell_task *t, *next;
 
-	if (w->entry.draining)
+	if (cell_loss_is_expected(c, w))
 		return;
 	cell_loss_note(c, w);
 	for (t = w->first_task; t; t = next) {
@@ -469,7 +469,7 @@
 	const struct cell_job *only = only_unsettled_job(w);
 	struct cell_task *t, *next;
 
-	if (w->entry.draining)
+	if (cell_loss_is_expected(c, w))
 		return;
 	cell_loss_note(c, w);
 	for (t = w->first_task; t; t = next) {
--- a/src/cell/cell_loss.c
+++ b/src/cell/cell_loss.c
@@ -31,11 +31,17 @@
 	}
 }
 
+bool cell_loss_is_expected(const struct cell *c, const struct cell_worker *w)
+{
+	return w->entry.draining && !w->loss_noted &&
+	       c->now_ms >= w->leaving_at_ms;
+}
+
 void cell_loss_note(struct cell *c, struct cell_worker *w)
 {
 	struct worker_loss *l;
 
-	if (w->entry.draining || w->loss_noted)
+	if (w->loss_noted || cell_loss_is_expected(c, w))
 		return;
 	w->loss_noted = true;
 	if (!w->confirmed && !w->first_task)
--- a/src/cell/cell_loss.h
+++ b/src/cell/cell_loss.h
@@ -25,11 +25,20 @@
 	uint32_t awaited;
 };
 
+/**
+ * cell_loss_is_expected() - whether a worker that has ended has left as it had
+ * announced
+ *
+ * A draining worker says how long it stays at least; one that is known to have
+ * ended before has crashed.
+ */
+bool cell_loss_is_expected(const struct cell *c, const struct cell_worker *w);
+
 /**
  * cell_loss_note() - note that a worker's process has ended
  *
- * To be called before its runs end. Without effect on a worker that is
- * draining, which is expected to leave, or whose loss is noted already.
+ * To be called before its runs end. Without effect on a worker whose end is
+ * expected, or whose loss is noted already.
  */
 void cell_loss_note(struct cell *c, struct cell_worker *w);
 
--- a/tests/cell_crash_test.cc
+++ b/tests/cell_crash_test.cc
@@ -469,6 +469,32 @@
 	EXPECT_EQ(w.state(7), (uint32_t)JOB_RUNNING);
 }
 
+/* A worker that crashes after it has announced to leave, but long before it
+ * would, was taken for one that has left: its crash was not charged. */
+TEST(CellCrash, GivesUpATaskThatCrashesDrainingWorkers)
+{
+	for (bool keeps_id : {false, true}) {
+		CrashWorld w;
+		int starts = 0;
+
+		w.keeps_id = keeps_id;
+		w.begin(EIGHT);
+		w.crashers[7] = -1;
+		w.submit(7, {CellWorld::task_step(1)});
+		for (int64_t end = w.now + 60000; w.now < end;) {
+			w.play(5);
+			if (w.starts_of[7] == starts)
+				continue;
+			starts = w.starts_of[7];
+			std::string id = w.worker_of(7);
+			w.entries[id].draining = true;
+			w.entries[id].leaving_ms = 6000;
+			w.announce(id);
+		}
+		expect_given_up(w, 7);
+	}
+}
+
 /*
  * Jobs with the numbers 100 and up, one task each, that keep all workers busy:
  * each worker has a run of one of them.
