soak: faults beside calls come up to 3 s later, and with a takeover

Read in the draws: a worker that is replaced with the first faulty call gets the stop of a late start itself, 0.9 s later, and refuses the start; one whose former process has confirmed the stop is drawn only if replaced later. And the calls by which the next owner takes the cell over were hit only by chance.

What a fault of calls brings with it is now drawn 0 to 3 s behind the first call hit; where the owner is stopped or killed, the faults of calls to the store are at all hosts; more workers are replaced under their id. The last owner is told by the epoch, as the time of a log line is that of a clock that jumps.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -128,7 +128,7 @@
 last_owner()
 {
 	grep -H 'event="cell taken over"' "$GRID"/h*.log "$GRID"/h*.log.before 2>/dev/null |
-		sed 's|.*/\(h[0-9]*\)\.log[^:]*:ts=\([0-9.]*\).*|\2 \1|' | sort -n |
+		sed 's|.*/\(h[0-9]*\)\.log[^:]*:.* epoch=\([0-9]*\).*|\2 \1|' | sort -n |
 		tail -1 | cut -d' ' -f2
 }
 
@@ -144,6 +144,12 @@
 	DRAWN+=" ${follow_ms[$((RANDOM % 4))]}"
 }
 
+# target_all PREFIX COUNT: sets TARGETS to the proxies PREFIX0, PREFIX1, ...
+target_all()
+{
+	mapfile -t TARGETS < <(seq -f "$1%g" 0 $(($2 - 1)))
+}
+
 # draw_targets PREFIX COUNT: sets TARGETS to one of the proxies PREFIX0, PREFIX1, ...,
 # in one of four draws to all; of those to the store half the single ones are the owner's
 draw_targets()
@@ -153,7 +159,7 @@
 	n=$((RANDOM % $2))
 	TARGETS=("$1$n")
 	case $((RANDOM % 8)) in
-	0 | 1) mapfile -t TARGETS < <(seq -f "$1%g" 0 $(($2 - 1))) ;;
+	0 | 1) target_all "$@" ;;
 	2 | 3 | 4) [ "$1" = h ] && TARGETS=("$(last_owner)") ;;
 	esac
 }
@@ -161,14 +167,16 @@
 # draw_call_faults PREFIX COUNT PATH...: until $GRID/calling is removed, draws faults
 # of calls to PATH at proxies PREFIX0, PREFIX1, ..., in two of three draws two at a time:
 # a listing that comes soon corrects what a lost start has led to. With the first call
-# that a fault befalls, so between an order and its answer, its worker may be replaced
-# under the same id or another, or the owner paused, stopped or killed: the main loop does
-# that, as $GRID/asked names it.
+# that a fault befalls, so between an order and its answer, or up to 3 s later, when a
+# stop has been confirmed and the start is still to come, its worker may be replaced under
+# the same id or another, or the owner paused, stopped or killed: the main loop does that,
+# as $GRID/asked names it.
 draw_call_faults()
 {
-	local prefix=$1 count=$2 name fault end beside DRAWN TARGETS
+	local prefix=$1 count=$2 name fault end beside delay DRAWN TARGETS
+	local delays_s=(0 0 0 1 2 3)
 	local STATUSES=(0 503 503 429 500 1)
-	local besides=("" "" "" "" "" pause stop kill replace reborn)
+	local besides=("" "" "" "" pause stop kill replace reborn reborn)
 
 	shift 2
 	RANDOM=$((SEED + 7919 + count))
@@ -184,7 +192,10 @@
 		draw_call_fault "$@"
 		[ $((RANDOM % 3)) = 0 ] || fault+=$'\n'$DRAWN
 		beside=${besides[$((RANDOM % ${#besides[@]}))]}
+		# The calls by which the next owner takes the cell over are hit, too.
+		case $prefix$beside in hstop | hkill) target_all "$prefix" "$count" ;; esac
 		[ -n "$beside" ] && beside+=" $((RANDOM % 6)).$((1 + RANDOM % 9))"
+		delay=${delays_s[$((RANDOM % 6))]}
 		echo "$(now_ms) ${TARGETS[*]} ${fault/$'\n'/, } / $beside" >>"$GRID/call-faults.log"
 		touch "$GRID/$prefix.drawn"
 		for name in "${TARGETS[@]}"; do echo "$fault" >"$GRID/$name.call-mode"; done
@@ -193,7 +204,10 @@
 			for name in "${TARGETS[@]}"; do
 				[ -n "$beside" ] || break
 				[ "$GRID/$name.call-log" -nt "$GRID/$prefix.drawn" ] || continue
-				echo "$name $beside" >>"$GRID/asked"
+				(
+					sleep "$delay"
+					echo "$name $beside" >>"$GRID/asked"
+				) &
 				beside=
 			done
 			sleep 0.05
