known red: three sequences of late calls at a new process of a worker

- RunsNoTaskTwiceBesideCallsToFormerProcessesAndCuts: the model of restarts cut workers off only in plays whose late calls end with their process.
- WaitsForANewProcessThatMayCarryTheStartOutUnreached: a new process that is known and not reached is waited for HOLD_MAX_MS, 2 s, of the 12 s in which a start may be carried out.
- CountsALateLeaseWhereTheTimeOfDayIsAheadByLittle: the start of a process is its time of day; one that is ahead by less than the time after which the process is heard makes it seem younger than a call that it has received.

A fence that rises with each new process would end the first and the third once that process has been heard. It needs a rule for owners of an older build, which all workers would refuse.

--- a/tests/cell_late_test.cc
+++ b/tests/cell_late_test.cc
@@ -155,6 +155,31 @@
 	EXPECT_TRUE(w.duplicates.empty());
 }
 
+/* A worker that restarts and cannot be reached is known by its new entry. The
+ * task waits 2 s for it, and the start is carried out there later. */
+TEST(CellLate, WaitsForANewProcessThatMayCarryTheStartOutUnreached)
+{
+	CellWorld w;
+
+	w.begin({"w1"}, 50);
+	w.submit(7, {CellWorld::task_step(1)});
+	auto late = lose_next_starts(&w);
+	ASSERT_EQ(late.size(), 1u);
+	w.closed_zones.insert("z1");
+	w.run(1000); /* the former process confirms a stop */
+	restart(&w, "w1");
+	w.workers["w1"].reachable = false;
+	w.announce("w1");
+	w.add_worker("w2", 16000, "z2");
+	w.run(5000);
+	w.workers["w1"].reachable = true;
+	w.answer(late[0]);
+	w.workers["w1"].reachable = false;
+	w.run(500);
+	EXPECT_TRUE(w.duplicates.empty());
+	EXPECT_EQ(w.runs(7), 1u);
+}
+
 /* The limit was reached among the members of a gang: one was started, and
  * waited in vain for the others, which were taken back. */
 TEST(CellLate, StartsNoGangThatItCannotRememberAsAWhole)
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -565,6 +565,8 @@
 	/* Owners follow each other within moments, see change_in_series(). */
 	bool change_in_series = false;
 	LateCalls late_calls = NO_LATE_CALLS;
+	/* Workers are cut off as well; with AT_PROCESS in any case. */
+	bool cut_workers = false;
 };
 
 void submit_jobs(RestartWorld &x, uint64_t round, const Options &o)
@@ -621,7 +623,7 @@
 		if (job_view_get(&x.view, job))
 			x.cancel(job);
 	}
-	if (o.late_calls == AT_PROCESS && x.rng() % 100 < 15)
+	if ((o.cut_workers || o.late_calls == AT_PROCESS) && x.rng() % 100 < 15)
 		x.cut("w" + std::to_string(1 + x.rng() % 4),
 		      500 + (int64_t)(x.rng() % 7500));
 }
@@ -738,6 +740,13 @@
 	play_seeds(1, 40, {false, false, false, ON_THE_WAY});
 }
 
+/* The same while workers are cut off: a call that the owner had given up before
+ * the new process began extended the lease there. */
+TEST(CellRestartModel, RunsNoTaskTwiceBesideCallsToFormerProcessesAndCuts)
+{
+	play_seeds(1, 40, {false, false, false, ON_THE_WAY, true});
+}
+
 TEST(CellRestartModel, RunsNoTaskTwiceBesideCallsToFormerProcessesAndOwners)
 {
 	play_seeds(1, 40, {true, false, false, ON_THE_WAY});
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -634,6 +634,31 @@
 	}
 }
 
+/* The worker's time of day was ahead by less than the time after which its new
+ * process was heard: that seemed to have begun after the call had ended. */
+TEST(CellWorker, CountsALateLeaseWhereTheTimeOfDayIsAheadByLittle)
+{
+	CellWorld w;
+
+	w.begin({"w1"});
+	w.submit(7, {CellWorld::task_step(1)});
+	w.run(100);
+	Call poll = take_call(&w, Call::POLL);
+	restart(&w, "w1");
+	w.workers["w1"].born = w.entries["w1"].born = (uint64_t)(w.now + 400);
+	w.answer_as(poll, ORDER_UNKNOWN);
+	w.workers["w1"].reachable = false;
+	w.run(600);
+	w.workers["w1"].reachable = true;
+	w.announce("w1");
+	w.run(500);
+	ASSERT_EQ(w.runs(7), 1u);
+	w.workers["w1"].reachable = false;
+	w.add_worker("w2");
+	w.run(10000);
+	EXPECT_EQ(w.starts.size(), 2u);
+}
+
 /* A poll of the former process had waited for orders that got no answer, and
  * was sent long after it was made: it counted as one of before the new process.
  */
