tests: one copy of the restart of a worker and of a bound socket

cell_late_test and cell_worker_test each replaced the process of a worker, and loop_test bound a socket in two places. CellWorld::replace_process() and bound_socket() serve them.

--- a/tests/cell_late_test.cc
+++ b/tests/cell_late_test.cc
@@ -43,17 +43,6 @@
 	return {};
 }
 
-/* Replaces the process of a worker, which knows of no stop and no fence. */
-void restart(CellWorld *w, const std::string &id)
-{
-	FakeWorker &f = w->workers[id];
-	uint64_t born = f.born + 1000;
-
-	f = FakeWorker();
-	f.born = w->entries[id].born = born;
-	f.clock_offset = 100 - w->now;
-}
-
 /* A worker with room for any number of small tasks. */
 void add_large_worker(CellWorld *w, const std::string &id,
 		      const std::string &zone)
@@ -82,7 +71,7 @@
 	add_large_worker(&w, "w2", "z2");
 	w.run(1000);
 	ASSERT_EQ(w.workers["w2"].running.size(), count);
-	restart(&w, "w1");
+	w.replace_process("w1");
 	w.announce("w1");
 	w.run(50);
 	for (auto &call : late)
@@ -106,7 +95,7 @@
 		w.commit();
 		ASSERT_EQ(w.calls.back().kind, Call::START);
 		Call start = w.take(w.calls.size() - 1);
-		restart(&w, "w1");
+		w.replace_process("w1");
 		w.add_worker("w2", 16000, "z2");
 		w.closed_zones.insert("z1");
 		w.announce("w1");
@@ -114,7 +103,7 @@
 		ASSERT_EQ(w.workers["w2"].running.size(), 1u);
 		if (times_out_first)
 			w.answer_as(start, ORDER_UNKNOWN);
-		restart(&w, "w1");
+		w.replace_process("w1");
 		w.announce("w1");
 		w.run(50);
 		if (!times_out_first)
@@ -167,7 +156,7 @@
 	ASSERT_EQ(late.size(), 1u);
 	w.closed_zones.insert("z1");
 	w.run(1000); /* the former process confirms a stop */
-	restart(&w, "w1");
+	w.replace_process("w1");
 	w.workers["w1"].reachable = false;
 	w.announce("w1");
 	w.add_worker("w2", 16000, "z2");
@@ -219,7 +208,7 @@
 	EXPECT_EQ(w.counts().late_starts, 1u);
 	w.run(LATE_MAX_MS);
 	EXPECT_EQ(w.counts().late_starts, 0u);
-	restart(&w, "w1");
+	w.replace_process("w1");
 	w.announce("w1");
 	w.run(500);
 	EXPECT_EQ(w.counts().late_stops, 0u);
--- a/tests/cell_worker_test.cc
+++ b/tests/cell_worker_test.cc
@@ -295,12 +295,7 @@
 /* Replaces the process of a worker. Polls of the former one get no answer. */
 void restart(CellWorld *w, const std::string &id)
 {
-	FakeWorker &f = w->workers[id];
-	uint64_t born = f.born + 1000;
-
-	f = FakeWorker();
-	f.born = w->entries[id].born = born;
-	f.clock_offset = 100 - w->now;
+	w->replace_process(id);
 	for (size_t i = w->calls.size(); i-- > 0;)
 		if (w->calls[i].kind == Call::POLL &&
 		    w->calls[i].worker.id == id)
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -227,6 +227,18 @@
 		announce(id);
 	}
 
+	/* Replaces the process of a worker, which then knows of no run, stop
+	 * and fence, and whose clock begins near 0. */
+	void replace_process(const std::string &id)
+	{
+		FakeWorker &f = workers[id];
+		uint64_t born = f.born + 1000;
+
+		f = FakeWorker();
+		f.born = entries[id].born = born;
+		f.clock_offset = 100 - now;
+	}
+
 	/* Starts the first owner and workers of default size; @ms is enough
 	 * for them to answer. */
 	void begin(const std::vector<std::string> &ids, int64_t ms = 100)
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -150,22 +150,31 @@
 		return a;
 	}
 
+	/* Returns a socket with a port of its own, which is stored in @sin. */
+	static int bound_socket(sockaddr_in *sin)
+	{
+		socklen_t len = sizeof(*sin);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		*sin = {};
+		sin->sin_family = AF_INET;
+		sin->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(fd, (sockaddr *)sin, len);
+		getsockname(fd, (sockaddr *)sin, &len);
+		return fd;
+	}
+
 	/* Returns a listener that leaves connections unanswered. */
 	static int full_listener(uint16_t *port, int fill[4])
 	{
-		sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in sin;
+		int fd = bound_socket(&sin);
 
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (sockaddr *)&sin, len);
 		listen(fd, 0);
-		getsockname(fd, (sockaddr *)&sin, &len);
 		for (int i = 0; i < 4; i++) {
 			fill[i] =
 				socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-			connect(fill[i], (sockaddr *)&sin, len);
+			connect(fill[i], (sockaddr *)&sin, sizeof(sin));
 		}
 		*port = ntohs(sin.sin_port);
 		return fd;
@@ -174,15 +183,9 @@
 	/* Returns a port without a listener. */
 	static uint16_t closed_port()
 	{
-		sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in sin;
 
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (sockaddr *)&sin, len);
-		getsockname(fd, (sockaddr *)&sin, &len);
-		close(fd);
+		close(bound_socket(&sin));
 		return ntohs(sin.sin_port);
 	}
 
