host: log how long reads of the configuration took, and tell its age with a 404

Each failed read is logged with its time and whether its connection was made, the recovery with the length of the outage; "configuration applied" has offset, end of the partition, and the times of reading and decoding; "no queue for a call" has the version and its age. Metrics: config_age_ms, configs_applied, unknown_queue. No decision changes.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -55,7 +55,8 @@
 	listed_clear(f);
 }
 
-static void follower_note_failure(struct follower *f, enum store_status status)
+static void follower_note_failure(struct follower *f,
+				  const struct store_reply *r)
 {
 	int64_t pause = RETRY_PAUSE_FIRST_MS;
 	uint32_t i;
@@ -63,21 +64,37 @@
 	for (i = 0; i < f->failures && pause < RETRY_DOUBLE_BELOW_MS; i++)
 		pause *= 2;
 	if (!f->failures++)
-		log_line(LOG_WARN, "cannot read partition",
-			 "topic=%s part=%u status=%d next=%llu", f->topic,
-			 f->part, (int)status, (unsigned long long)f->next);
+		f->failed_ms = r->received_ms;
+	log_line(LOG_WARN, "cannot read partition",
+		 "topic=%s part=%u status=%d connected=%d next=%llu "
+		 "read_ms=%lld failures=%u pause_ms=%lld",
+		 f->topic, f->part, (int)r->status, !r->not_sent,
+		 (unsigned long long)f->next,
+		 (long long)(r->received_ms - r->sent_ms), f->failures,
+		 (long long)pause);
 	f->due_ms = f->now_ms + pause;
 }
 
-static void follower_note_recovery(struct follower *f)
+static void follower_note_recovery(struct follower *f,
+				   const struct store_reply *r)
 {
 	if (f->failures)
 		log_line(LOG_INFO, "partition readable again",
-			 "topic=%s part=%u after_failures=%u", f->topic,
-			 f->part, f->failures);
+			 "topic=%s part=%u after_failures=%u after_ms=%lld "
+			 "read_ms=%lld bytes=%zu",
+			 f->topic, f->part, f->failures,
+			 (long long)(r->received_ms - f->failed_ms),
+			 (long long)(r->received_ms - r->sent_ms), r->bytes);
 	f->failures = 0;
 }
 
+static void follower_note_reply(struct follower *f, const struct store_reply *r)
+{
+	f->reply_bytes = r->bytes;
+	f->reply_end = r->end;
+	f->reply_took_ms = r->received_ms - r->sent_ms;
+}
+
 static void listed_add(struct follower *f, const struct store_record *r)
 {
 	struct store_record *k;
@@ -132,7 +149,7 @@
 		return;
 	if (r->status != STORE_OK) {
 		listed_clear(f);
-		follower_note_failure(f, r->status);
+		follower_note_failure(f, r);
 		return;
 	}
 	/* A page of which nothing can be used gives no key to go on from. */
@@ -141,14 +158,15 @@
 			 "topic=%s part=%u keys=%zu", f->topic, f->part,
 			 f->listed_count);
 		listed_clear(f);
-		follower_note_failure(f, STORE_UNKNOWN);
+		follower_note_failure(f, r);
 		return;
 	}
-	follower_note_recovery(f);
+	follower_note_recovery(f, r);
 	if (!f->listed_count) {
 		f->list_end_offset = r->end;
 		f->list_sent_ms = r->sent_ms;
 	}
+	follower_note_reply(f, r);
 	for (i = 0; i < r->count; i++)
 		listed_add(f, &r->records[i]);
 	if (!r->has_more)
@@ -160,6 +178,7 @@
 {
 	size_t i;
 
+	follower_note_reply(f, r);
 	for (i = 0; i < r->count; i++) {
 		if (r->records[i].offset != f->next)
 			continue;
@@ -174,7 +193,7 @@
 				 const struct store_reply *r)
 {
 	if (r->status == STORE_OK) {
-		follower_note_recovery(f);
+		follower_note_recovery(f, r);
 		follower_apply_records(f, r);
 		f->due_ms = f->next < r->end ? f->now_ms
 					     : f->now_ms + f->read_gap_ms;
@@ -186,7 +205,7 @@
 		f->loaded = false;
 		f->due_ms = f->now_ms;
 	} else {
-		follower_note_failure(f, r->status);
+		follower_note_failure(f, r);
 	}
 }
 
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -35,6 +35,10 @@
  * @stopped: nothing is read, and replies are ignored
  * @extra_read_in_flight: a read by follower_read_now() has no reply yet
  * @failures: failed reads and listings since the last successful one
+ * @failed_ms: boot time of the first of these failures
+ * @reply_bytes: length of the last successful reply
+ * @reply_end: end of the partition, as that reply tells it
+ * @reply_took_ms: time from the call to that reply
  * @due_ms: earliest boot time of the next read or listing
  * @list_end_offset: end of the partition at the first page of the listing
  * @list_sent_ms: when that page was requested, boot time
@@ -58,6 +62,10 @@
 	bool read_in_flight;
 	bool extra_read_in_flight;
 	uint32_t failures;
+	int64_t failed_ms;
+	size_t reply_bytes;
+	uint64_t reply_end;
+	int64_t reply_took_ms;
 	int64_t due_ms;
 	int64_t now_ms;
 	uint64_t list_end_offset;
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -30,6 +30,8 @@
  * @unauthorized: calls answered with 401: no key, or an unknown one
  * @config_too_old: calls answered with 503 as the configuration was too old to
  *	judge their keys
+ * @unknown_queue: calls answered with 404: no queue for the host and the path
+ * @configs_applied: configurations that have come into force here
  * @other_account: calls about a job of another account, answered with 410 or
  *	409
  * @appends: appends of callers' records, retries included
@@ -44,6 +46,8 @@
 	uint64_t not_found;
 	uint64_t unauthorized;
 	uint64_t config_too_old;
+	uint64_t unknown_queue;
+	uint64_t configs_applied;
 	uint64_t other_account;
 	uint64_t appends;
 	uint64_t append_failures;
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -393,6 +393,15 @@
 	return false;
 }
 
+static void answer_unknown_queue(struct host *h, struct http_request *r)
+{
+	h->counts.unknown_queue++;
+	log_line(LOG_INFO, "no queue for a call",
+		 "method=%s config=%" PRIu64 " config_age_ms=%lld", r->method,
+		 h->queues.version, (long long)host_config_age_ms(h));
+	reply(h, r, 404, 0, "{}");
+}
+
 void host_handle_call(struct host *h, struct http_request *r)
 {
 	const char *name = http_header(r, "Host");
@@ -412,7 +421,7 @@
 	}
 	q = queue_table_match(&h->queues, name ? name : "", r->path);
 	if (!q) {
-		reply(h, r, 404, 0, "{}");
+		answer_unknown_queue(h, r);
 		return;
 	}
 	if (!authorize(h, r, q, &account))
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -17,6 +17,9 @@
 	buf_addf(out, "basilshift_" name " %" PRIu64 "\n", (uint64_t)(value))
 	METRIC("ready", h->ready);
 	METRIC("config_version", h->queues.version);
+	METRIC("config_age_ms", host_config_age_ms(h));
+	METRIC("configs_applied", n->configs_applied);
+	METRIC("unknown_queue", n->unknown_queue);
 	METRIC("submits", n->submits);
 	METRIC("accepted", n->accepted);
 	METRIC("refused", n->refused);
--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -2,11 +2,14 @@
 
 #include <inttypes.h>
 
+#include "adapters/clock.h"
 #include "base/logger.h"
 #include "platform/config.h"
 
 static void apply_config(struct host *h, const struct store_record *r)
 {
+	const struct follower *f = &h->operator_follower;
+	int64_t began = clock_boot_ms();
 	struct queue_table t;
 	int err;
 
@@ -17,7 +20,7 @@
 			 "kept_version=%" PRIu64,
 			 r->offset, r->value.len, err, h->queues.version);
 		if (!h->config_until_ms)
-			h->config_until_ms = h->operator_follower.caught_up_ms;
+			h->config_until_ms = f->caught_up_ms;
 		return;
 	}
 	if (t.version >= h->queues.version)
@@ -27,8 +30,13 @@
 		return;
 	}
 	log_line(LOG_INFO, "configuration applied",
-		 "version=%" PRIu64 " before=%" PRIu64 " queues=%zu", t.version,
-		 h->queues.version, t.count);
+		 "version=%" PRIu64 " before=%" PRIu64 " queues=%zu "
+		 "offset=%" PRIu64 " end=%" PRIu64 " read_ms=%lld "
+		 "reply_bytes=%zu decode_ms=%lld",
+		 t.version, h->queues.version, t.count, r->offset, f->reply_end,
+		 (long long)f->reply_took_ms, f->reply_bytes,
+		 (long long)(clock_boot_ms() - began));
+	h->counts.configs_applied++;
 	queue_table_finish(&h->queues);
 	h->queues = t;
 }
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -42,6 +42,9 @@
  * @generation: generation of the group, after a join
  * @assigned: bit set of the partitions assigned to the member, after a join
  * @sent_ms: boot time at which the call was sent, in milliseconds
+ * @received_ms: boot time at which the reply arrived, or the call failed
+ * @bytes: length of the reply's body
+ * @not_sent: no connection was made; with STORE_REFUSED
  */
 struct store_reply {
 	enum store_status status;
@@ -54,6 +57,9 @@
 	uint64_t generation;
 	uint64_t assigned;
 	int64_t sent_ms;
+	int64_t received_ms;
+	size_t bytes;
+	bool not_sent;
 };
 
 typedef void (*store_done)(void *ctx, const struct store_reply *r);
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -104,6 +104,8 @@
 			std::vector<store_record> out;
 			store_reply copy = r;
 
+			copy.received_ms = now;
+
 			if (m == REFUSE)
 				copy.status = STORE_REFUSED;
 			else if (m != SERVE)
