--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -579,6 +579,29 @@
 	EXPECT_EQ(status("GET", path("q"), "a1"), 200);
 }
 
+/*
+ * Against a 404 for a queue that was added, and a count for one that was
+ * removed: a host that had not read the configuration for long answered as if
+ * its own was the newest.
+ */
+TEST_F(HostCall, DeniesAndCountsNoQueueByAnOldConfiguration)
+{
+	publish(config(1, ""));
+	EXPECT_EQ(status("GET", "/none/", ""), 404);
+	EXPECT_EQ(status("GET", "/q/", ""), 200);
+	age(3000);
+	for (const char *method : {"POST", "GET", "DELETE"}) {
+		Reply r = call(method, path("none"), "",
+			       *method == 'P' ? JOB : "");
+
+		EXPECT_EQ(r.status, 503) << method;
+		EXPECT_NE(r.text.find("Retry-After: 1\r\n"), std::string::npos);
+	}
+	EXPECT_EQ(status("GET", "/q/", ""), 503);
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 200)
+		<< "a cut-off host serves what it can";
+}
+
 /*
  * A host that refuses all requests with a key must not be sent more of them,
  * also where the bound on withdrawn keys is short.
--- a/tests/platform_call_test.cc
+++ b/tests/platform_call_test.cc
@@ -87,6 +87,15 @@
 		return ordered;
 	}
 
+	store_status read(const ScriptedServer &s)
+	{
+		name_set(p.store_addr, s.address.c_str());
+		platform_store_ops.read(&p, "keyed.op", 0, 0, 0, on_stored,
+					this);
+		run();
+		return stored;
+	}
+
 	struct platform p = {};
 	loop l;
 	loop_ops ops;
@@ -155,4 +164,26 @@
 	EXPECT_EQ(join(s), STORE_REFUSED);
 }
 
+/*
+ * Against reads of a weak link that began again and again: one whose reply took
+ * longer than the time-out was dropped while the reply was arriving.
+ */
+TEST_F(PlatformCall, WaitsForAReplyThatIsArriving)
+{
+	ScriptedServer s({200}, std::string(1600, '\0'));
+
+	s.send_in_pieces(8, 300);
+	EXPECT_EQ(read(s), STORE_OK);
+}
+
+TEST_F(PlatformCall, GivesUpAReplyThatHasStoppedArriving)
+{
+	ScriptedServer s({200}, std::string(1600, '\0'));
+	int64_t began = clock_boot_ms();
+
+	s.send_in_pieces(8, 300, 2);
+	EXPECT_EQ(read(s), STORE_UNKNOWN);
+	EXPECT_LT(clock_boot_ms() - began, 5000);
+}
+
 } /* namespace */
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -2,6 +2,7 @@
 #define TESTS_SCRIPTED_SERVER_H
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -63,6 +64,15 @@
 			shutdown(fd, SHUT_RDWR);
 	}
 
+	/* Sends each reply in @n pieces with a pause before each; the last
+	 * @missing of them are not sent. */
+	void send_in_pieces(size_t n, int64_t pause_ms, size_t missing = 0)
+	{
+		pieces = n;
+		piece_pause_ms = pause_ms;
+		pieces_missing = missing;
+	}
+
 	std::string address;
 	std::atomic<int> requests{0}; /* that the script was for */
 	std::atomic<int> connections{0};
@@ -138,13 +148,33 @@
 			connect(fd, &none, sizeof(none));
 		if (status == HANG)
 			return true;
-		return status > 0 &&
-		       send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) > 0;
+		return status > 0 && send_reply(fd, reply);
+	}
+
+	bool send_reply(int fd, const std::string &reply)
+	{
+		size_t part = reply.size() / pieces, i;
+
+		for (i = 0; i + pieces_missing < pieces; i++) {
+			size_t at = i * part, end = at + part;
+
+			if (i + 1 == pieces)
+				end = reply.size();
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(piece_pause_ms));
+			if (send(fd, reply.data() + at, end - at,
+				 MSG_NOSIGNAL) <= 0)
+				return false;
+		}
+		return true;
 	}
 
 	std::vector<int> steps;
 	std::string body;
 	std::string only;
+	size_t pieces = 1;
+	int64_t piece_pause_ms = 0;
+	size_t pieces_missing = 0;
 	int listen_fd;
 	std::atomic<bool> stopping{false};
 	std::mutex lock; /* guards @accepted and @handlers */
