follower: ask at once whether a new configuration is the newest

Cause: the age of the configuration counts from the sending of a read that waits up to a second for a record, so that it reached 2.65 s with a change each 1.4 s.

After records or a listing the next read does not wait. It costs a read call a change. OperatorLink.IsFreshWhileConfigurationsFollowEachOther failed before and passes.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -139,6 +139,7 @@
 		 f->listed_count, (unsigned long long)f->list_end_offset);
 	f->next = f->list_end_offset;
 	f->caught_up_ms = f->list_sent_ms;
+	f->confirming = f->ops->newest_only;
 	f->loaded = true;
 	listed_clear(f);
 }
@@ -223,6 +224,7 @@
 			continue;
 		f->ops->apply(f->ctx, &r->records[i]);
 	}
+	f->confirming = f->ops->newest_only && r->count;
 	if (f->next >= r->end && r->sent_ms > f->caught_up_ms)
 		f->caught_up_ms = r->sent_ms;
 }
@@ -278,8 +280,8 @@
 		follower_relist(f, "outage");
 	if (f->loaded) {
 		f->read_in_flight = true;
-		f->store->read(f->port, f->topic, f->part, f->next, f->wait_ms,
-			       on_read, f);
+		f->store->read(f->port, f->topic, f->part, f->next,
+			       f->confirming ? 0 : f->wait_ms, on_read, f);
 		return;
 	}
 	if (f->listed_count)
