loop: do not cut off a reply that is arriving

A host behind a weak link read the same records again and again: with 3,000 routes reads of the jobs were given up after 2.5 s, twice in a row, 4 and 7 s after the end of a cut, and each began anew after a pause of 0.96 s. Cause: the time-out of a call counts for the whole reply, whatever the link carries beside it.

PlatformCall.WaitsForAReplyThatIsArriving failed before and passes; one that stops arriving still fails.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -39,6 +39,7 @@
 	int64_t sent_ms;
 	int64_t begun_ms;
 	int64_t due_ms;
+	int64_t stall_ms;
 	bool in_flight;
 	bool sent;
 	bool post;
@@ -260,6 +261,19 @@
 	close(l->epoll_fd);
 }
 
+/* A reply that is arriving is not cut off: the next attempt would begin it
+ * anew. */
+static void call_extend(struct loop_call *c)
+{
+	int64_t due;
+
+	if (!c->stall_ms)
+		return;
+	due = clock_boot_ms() + c->stall_ms;
+	if (due > c->due_ms)
+		c->due_ms = due;
+}
+
 static size_t on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct loop_call *c = ctx;
@@ -267,6 +281,7 @@
 	if (c->reply.len + size * n > LOOP_BODY_MAX)
 		return 0;
 	buf_add(&c->reply, data, size * n);
+	call_extend(c);
 	return size * n;
 }
 
@@ -393,6 +408,7 @@
 	c->activity = f->activity;
 	c->sent_ms = clock_boot_ms();
 	c->due_ms = c->sent_ms + f->timeout_ms;
+	c->stall_ms = f->stall_ms;
 	call_link(l, c);
 	buf_clear(&c->url);
 	buf_clear(&c->body);
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -31,6 +31,8 @@
  * @content_type: type of @body; read for a POST only
  * @header: an additional header line, or NULL
  * @timeout_ms: time after which the request fails unless its reply has arrived
+ * @stall_ms: once a part of the reply has arrived, the request fails only when
+ *	no more of it arrives for this long; 0 if @timeout_ms is for all of it
  * @activity: what the time of the callback belongs to
  * @lane: requests of one lane, such as those to one address, are in flight
  *	LOOP_LANE_MAX at a time, and the others wait for them; 0 for none
@@ -42,6 +44,7 @@
 	const char *content_type;
 	const char *header;
 	long timeout_ms;
+	long stall_ms;
 	enum activity activity;
 	uint64_t lane;
 };
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -38,8 +38,8 @@
  * @loaded: a listing has been applied, and reads go on from its end
  * @stopped: nothing is read, and replies are ignored
  * @extra_read_in_flight: a read by follower_read_now() has no reply yet
- * @confirming: the last reply brought records or a listing: the next read does
- *not wait for more, so that it soon tells that these are the newest
+ * @confirming: the next read does not wait for records: it is to tell whether
+ *	those of the last reply are the newest
  * @failures: failed reads and listings since the last successful one
  * @failed_ms: boot time of the first of these failures
  * @answered_ms: boot time of the last successful reply
