follower: try again soon where no connection was made

After a cut a host began to read up to 1.7 s after its end: each attempt to connect takes 0.7 s, and a pause of 0.96 s follows it, which spares a store that refuses calls, but not one that receives none. With 700 KB a configuration and half of a link of 10 Mbit/s that is later than the 3 s after which the bounds count.

The pause after an attempt without a connection is 0.24 s at most. OperatorLink.ReadsALargeConfigurationSoonAfterACut fails without the change at a cut of 12.1 s and passes with it.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -8,6 +8,8 @@
  * as long as it is below RETRY_DOUBLE_BELOW_MS. */
 #define RETRY_PAUSE_FIRST_MS 60
 #define RETRY_DOUBLE_BELOW_MS 800
+/* The same where no connection was made, so that the store has no work. */
+#define RETRY_DOUBLE_BELOW_UNSENT_MS 200
 #define LISTED_CAP_INITIAL 256
 /* Without an answer for this long, more than one record of a key may have been
  * missed, and a listing is shorter than all of them. */
@@ -61,10 +63,12 @@
 static void follower_note_failure(struct follower *f,
 				  const struct store_reply *r)
 {
+	int64_t limit = r->not_sent ? RETRY_DOUBLE_BELOW_UNSENT_MS
+				    : RETRY_DOUBLE_BELOW_MS;
 	int64_t pause = RETRY_PAUSE_FIRST_MS;
 	uint32_t i;
 
-	for (i = 0; i < f->failures && pause < RETRY_DOUBLE_BELOW_MS; i++)
+	for (i = 0; i < f->failures && pause < limit; i++)
 		pause *= 2;
 	if (!f->failures++)
 		f->failed_ms = r->received_ms;
--- a/tests/operator_link_test.cc
+++ b/tests/operator_link_test.cc
@@ -10,7 +10,6 @@
 namespace
 {
 
-const size_t CONFIG_BYTES = 345000;
 const size_t READ_MAX_BYTES = 1024 * 1024;
 const int64_t CONNECT_MS = 700;
 /* Of the users' rules: how long after the end of a cut the bounds count again,
@@ -201,7 +200,7 @@
 			"\"pathPrefix\":\"/a/\",\"service\":\"pool\"}],"
 			"\"limits\":{}}";
 
-		text.resize(CONFIG_BYTES, ' ');
+		text.resize(config_bytes, ' ');
 		link.records.push_back({text, link.now});
 	}
 
@@ -245,6 +244,7 @@
 
 	Link link;
 	std::unique_ptr<host> h;
+	size_t config_bytes = 345000;
 	int64_t publish_ms = 0;
 	int64_t decode_ms = 160;
 };
@@ -298,4 +298,28 @@
 	});
 }
 
+/*
+ * Against a large configuration that is late on a weak link, of which the read
+ * of the jobs takes half: each failed attempt to connect was followed by a
+ * pause of a second, and the last of them went on after the cut.
+ */
+TEST_F(OperatorLink, ReadsALargeConfigurationSoonAfterACut)
+{
+	int64_t cut_ms;
+
+	link.bytes_per_ms = 625;
+	config_bytes = 700000;
+	decode_ms = 320;
+	for (cut_ms = 12000; cut_ms < 13700; cut_ms += 100) {
+		run(link.now + 10000, 1000000, [] {});
+		link.cut_from = link.now;
+		link.cut_until = link.cut_from + cut_ms;
+		run(link.cut_until, 1000000, [] {});
+		publish();
+		run(link.cut_until + CONTACT_MS, 1000000, [] {});
+		EXPECT_EQ(h->queues.version, link.records.size())
+			<< "cut of " << cut_ms << " ms";
+	}
+}
+
 } /* namespace */
