host_call: deny and count no queue by an old configuration

Calls with a key had a bound on that age, those without had none.

Beyond the bound on unknown keys both are answered 503, so that the caller asks another host. Jobs are taken and answered for as before.

HostCall.NeedsNoKeyWithoutAccounts expected a count from a host that had read nothing for 1,000 s; the platform's interface allows a count to be 2 s old. It now expects 503 there, checks that no answer is for the key, and checks the count and the state of the job with and without a key.

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -29,7 +29,7 @@
  * @not_found: calls answered with 410: no such job
  * @unauthorized: calls answered with 401: no key, or an unknown one
  * @config_too_old: calls answered with 503 as the configuration was too old to
- *	judge their keys
+ *	judge their keys, or to deny or count their queue
  * @unknown_queue: calls answered with 404: no queue for the host and the path
  * @configs_applied: configurations that have come into force here
  * @other_account: calls about a job of another account, answered with 410 or
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -330,11 +330,23 @@
 	arena_finish(&a);
 }
 
+/* Whether the configuration can be taken for the newest one, to deny a queue
+ * that it does not contain or to count the jobs of one that it does. */
+static bool is_config_current(const struct host *h)
+{
+	return host_config_age_ms(h) <= h->auth_bounds.refuse_age_ms;
+}
+
 static void reply_pending_count(struct host *h, struct http_request *r,
 				const struct queue *q)
 {
 	char body[CALLER_BODY_SIZE];
 
+	if (!is_config_current(h)) {
+		h->counts.config_too_old++;
+		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		return;
+	}
 	if (!h->job_follower.loaded) {
 		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
 		return;
@@ -395,10 +407,18 @@
 
 static void answer_unknown_queue(struct host *h, struct http_request *r)
 {
-	h->counts.unknown_queue++;
+	bool is_current = is_config_current(h);
+
 	log_line(LOG_INFO, "no queue for a call",
-		 "method=%s config=%" PRIu64 " config_age_ms=%lld", r->method,
-		 h->queues.version, (long long)host_config_age_ms(h));
+		 "method=%s status=%d config=%" PRIu64 " config_age_ms=%lld",
+		 r->method, is_current ? 404 : 503, h->queues.version,
+		 (long long)host_config_age_ms(h));
+	if (!is_current) {
+		h->counts.config_too_old++;
+		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		return;
+	}
+	h->counts.unknown_queue++;
 	reply(h, r, 404, 0, "{}");
 }
 
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -322,8 +322,12 @@
 	publish(config(1, ""));
 	EXPECT_EQ(status("POST", path("q"), "", JOB), 200);
 	EXPECT_EQ(status("GET", path("q"), "x"), 200);
-	age(1000000);
 	EXPECT_EQ(status("GET", "/q/", ""), 200);
+	EXPECT_EQ(status("GET", "/q/", "x"), 200);
+	age(1000000);
+	EXPECT_EQ(status("GET", path("q"), "x"), 200);
+	EXPECT_EQ(status("GET", "/q/", ""), 503) << "not for the key";
+	EXPECT_EQ(h.counts.unauthorized, 0u);
 	EXPECT_EQ(status("DELETE", path("q"), ""), 200);
 }
 
