follower: stay fresh while the partition is listed again

A host that lists the configuration again still knows what it knew: its age counts on, and it need not leave the rotation for the time of the listing. The metrics test covers the age and the counters of the configuration.

--- a/src/host/caller_auth.h
+++ b/src/host/caller_auth.h
@@ -22,8 +22,8 @@
 /**
  * struct auth_bounds - greatest age of a configuration for decisions on
  *	requests
- * @refuse_age_ms: to refuse a missing key, or one that it does not contain;
- *also to deny a queue that it does not contain, and to count the jobs of one
+ * @refuse_age_ms: to refuse a missing key, or one that it does not contain, to
+ *	deny a queue, and to count the jobs of one
  * @serve_age_ms: to serve a key that it contains; INT64_MAX for no bound
  *
  * The age counts from the time at which the configuration was the newest one
--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -307,5 +307,5 @@
 
 bool follower_is_fresh(const struct follower *f, int64_t now_ms, int64_t age_ms)
 {
-	return f->loaded && now_ms - f->caught_up_ms <= age_ms;
+	return f->caught_up_ms && now_ms - f->caught_up_ms <= age_ms;
 }
--- a/tests/host_metrics_test.cc
+++ b/tests/host_metrics_test.cc
@@ -27,6 +27,28 @@
 		<< text;
 }
 
+/* Operators tell from these which hosts have no recent configuration. */
+TEST(HostMetrics, TellsTheAgeOfTheConfiguration)
+{
+	std::unique_ptr<host> h(new host());
+	std::string text;
+	buf b;
+
+	h->now_ms = 5000;
+	h->operator_follower.caught_up_ms = 3800;
+	h->queues.version = 17;
+	h->counts.configs_applied = 4;
+	h->counts.unknown_queue = 2;
+	buf_init(&b);
+	host_write_metrics(h.get(), &b);
+	text.assign(b.data, b.len);
+	buf_finish(&b);
+	expect_line(text, "basilshift_config_version 17");
+	expect_line(text, "basilshift_config_age_ms 1200");
+	expect_line(text, "basilshift_configs_applied 4");
+	expect_line(text, "basilshift_unknown_queue 2");
+}
+
 /* Operators tell from these why short work waits on a full cell. */
 TEST(HostMetrics, TellsTheUseOfTheCell)
 {
