follower: take no reply that is older than what is known

Suspected, not seen in a play: a store whose reads lie behind answers a listing or a read by an old end. The old configuration counted as the newest one, and a listing took back the evacuation of a zone. Since a host lists the operators' topic after each longer outage, this weighs more than before.

A listing that was requested after the last reply and ends before it is dropped and tried again; such a read does not count as read to the end. Follower.TakesNoReplyThatIsOlderThanWhatItKnows fails without the change.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -150,6 +150,15 @@
 	listed_clear(f);
 }
 
+/* Whether a call that was sent after the last reply has an answer from before
+ * it: a store whose reads lie behind tells nothing about what is newest. */
+static bool is_older_than_known(const struct follower *f,
+				const struct store_reply *r)
+{
+	return f->caught_up_ms && r->end < f->next &&
+	       r->sent_ms >= f->answered_ms;
+}
+
 static void on_listed(void *ctx, const struct store_reply *r)
 {
 	struct follower *f = ctx;
@@ -172,6 +181,15 @@
 		follower_note_failure(f, r);
 		return;
 	}
+	if (is_older_than_known(f, r)) {
+		log_line(LOG_WARN, "listing is older than what is known",
+			 "topic=%s part=%u end=%llu next=%llu", f->topic,
+			 f->part, (unsigned long long)r->end,
+			 (unsigned long long)f->next);
+		listed_clear(f);
+		follower_note_failure(f, r);
+		return;
+	}
 	follower_note_recovery(f, r);
 	if (!f->listed_count) {
 		f->list_end_offset = r->end;
@@ -217,6 +235,10 @@
 {
 	size_t i;
 
+	if (is_older_than_known(f, r)) {
+		f->confirming = false;
+		return;
+	}
 	follower_note_reply(f, r);
 	if (f->ops->newest_only && !reaches_end(f, r)) {
 		follower_relist(f, "behind");
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -157,6 +157,65 @@
 	EXPECT_TRUE(follower_is_fresh(&f, now, 500));
 }
 
+/*
+ * Against an evacuation that is taken back, and an old configuration that is
+ * taken for the newest: a store whose reads lie behind answers a listing, or a
+ * read, by an end before what is known.
+ */
+TEST_F(Follower, TakesNoReplyThatIsOlderThanWhatItKnows)
+{
+	follower_ops newest = sink_ops;
+	store_ops stale = store.ops;
+
+	newest.newest_only = true;
+	f.ops = &newest;
+	store.put("keyed.t", "a", "1");
+	store.put("keyed.t", "b", "1");
+	run(50);
+	stale.read_newest = [](void *p, const char *, uint32_t, str,
+			       store_done d, void *ctx) {
+		FakeStore *s = (FakeStore *)p;
+		int64_t sent = s->now;
+
+		s->pending.push_back([=]() {
+			store_record row = {str_of("a"), str_of("0"), 0};
+			store_reply r = {};
+
+			r.records = &row;
+			r.count = 1;
+			r.end = 1;
+			r.sent_ms = sent;
+			r.received_ms = s->now;
+			d(ctx, &r);
+		});
+	};
+	stale.read = [](void *p, const char *, uint32_t, uint64_t, uint32_t,
+			store_done d, void *ctx) {
+		FakeStore *s = (FakeStore *)p;
+		int64_t sent = s->now;
+
+		s->pending.push_back([=]() {
+			store_reply r = {};
+
+			r.end = 1;
+			r.sent_ms = sent;
+			r.received_ms = s->now;
+			d(ctx, &r);
+		});
+	};
+	f.store = &stale;
+	run(3000);
+	EXPECT_FALSE(follower_is_fresh(&f, now, 2000));
+	f.loaded = false;
+	run(3000);
+	EXPECT_EQ(sink.keys,
+		  (std::map<std::string, std::string>{{"a", "1"}, {"b", "1"}}));
+	f.store = &store.ops;
+	run(2000);
+	EXPECT_TRUE(follower_is_fresh(&f, now, 500));
+	EXPECT_EQ(sink.keys.size(), 2u);
+}
+
 /* The listing ended with a page of which nothing could be decoded, and all that
  * the pages after it hold counted as deleted. */
 TEST_F(Follower, TakesNoListingForCompleteThatGoesOn)
