--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -108,7 +108,6 @@
 			store_reply copy = r;
 
 			copy.received_ms = now;
-
 			copy.not_sent = m == UNREACHABLE;
 			if (m == REFUSE || m == UNREACHABLE)
 				copy.status = STORE_REFUSED;
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -172,9 +172,9 @@
 	std::vector<int> steps;
 	std::string body;
 	std::string only;
-	size_t pieces = 1;
-	int64_t piece_pause_ms = 0;
-	size_t pieces_missing = 0;
+	std::atomic<size_t> pieces{1};
+	std::atomic<int64_t> piece_pause_ms{0};
+	std::atomic<size_t> pieces_missing{0};
 	int listen_fd;
 	std::atomic<bool> stopping{false};
 	std::mutex lock; /* guards @accepted and @handlers */
