--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -101,7 +101,7 @@
 	FakeStore *store;
 	job_view view;
 	job_view_ops view_ops;
-	follower_ops follow_ops;
+	follower_ops follow_ops = {};
 	follower jobs;
 	struct member membership;
 	struct owner owner = {};
