--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -330,6 +330,13 @@
 	arena_finish(&a);
 }
 
+/* Another host may have read a newer configuration. */
+static void refuse_old_config(struct host *h, struct http_request *r)
+{
+	h->counts.config_too_old++;
+	reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+}
+
 /* Whether the configuration can be taken for the newest one, to deny a queue
  * that it does not contain or to count the jobs of one that it does. */
 static bool is_config_current(const struct host *h)
@@ -343,8 +350,7 @@
 	char body[CALLER_BODY_SIZE];
 
 	if (!is_config_current(h)) {
-		h->counts.config_too_old++;
-		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		refuse_old_config(h, r);
 		return;
 	}
 	if (!h->job_follower.loaded) {
@@ -396,8 +402,7 @@
 		 q->name, r->method, auth_verdict_name(v), h->queues.version,
 		 (long long)host_config_age_ms(h));
 	if (v == AUTH_CONFIG_TOO_OLD) {
-		h->counts.config_too_old++;
-		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		refuse_old_config(h, r);
 	} else {
 		h->counts.unauthorized++;
 		reply(h, r, 401, 0, "{}");
@@ -414,8 +419,7 @@
 		 r->method, is_current ? 404 : 503, h->queues.version,
 		 (long long)host_config_age_ms(h));
 	if (!is_current) {
-		h->counts.config_too_old++;
-		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		refuse_old_config(h, r);
 		return;
 	}
 	h->counts.unknown_queue++;
