Review: case 10, foreign entries end all scheduling (LOST)

Rule: LOST, an accepted job has nothing running though the workers are idle.

Seen: another writer leaves 600 entries with a line feed in their keys among those of the workers. The next owner of the cell cannot use the first page of the listing and begins it again for ever: it knows no worker.

--- a/review/src-2/rv.c
+++ b/review/src-2/rv.c
@@ -6,8 +6,12 @@
  *                                       X-Deadline-Ms is DEADLINE_MS of the
  *                                       environment, else TIMEOUT_MS; @FILE for
  *                                       a body from a file
- *   rv proxy PORT_FILE TARGET_IP:PORT CONTROL_FILE SEED LOG_FILE
+ *   rv proxy PORT_FILE TARGET CONTROL_FILE SEED LOG_FILE
+ *                                       TARGET: IP:PORT, or @FILE for the port of
+ *                                       127.0.0.1 in a file, read each time
  *   rv collect OUT_FILE                 copies standard input to OUT_FILE
+ *   rv entries COUNT                    prints records of another writer, whose
+ *                                       keys end in a line feed
  *
  * The proxy reads CONTROL_FILE for each call:
  *   pass                                forward
@@ -16,7 +20,8 @@
  *                                       out that much later, and not answered
  * With KEEP_MS in its environment, the proxy stands for a store whose records of
  * the topic keyed.jobs expire after that time: it answers reads that begin at an
- * expired record with 410.
+ * expired record with 410. With PAGE in its environment, it answers a listing
+ * (log-newest) with that many records at most, in the order of their keys.
  */
 #define _GNU_SOURCE
 
@@ -51,8 +56,9 @@
 };
 
 struct proxy {
-	struct sockaddr_in target;
+	const char *target;
 	long keep_ms;
+	long page;
 	struct log_end *ends;
 	size_t end_count;
 	const char *control;
@@ -116,6 +122,29 @@
 	return fd;
 }
 
+static int dial_target(void)
+{
+	struct sockaddr_in to;
+	char text[40] = "";
+	FILE *f;
+	int port;
+
+	if (*proxy.target != '@') {
+		to = parse_address(proxy.target);
+		return dial(&to);
+	}
+	f = fopen(proxy.target + 1, "r");
+	if (!f)
+		return -1;
+	if (fscanf(f, "%d", &port) == 1)
+		snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+	fclose(f);
+	if (!*text)
+		return -1;
+	to = parse_address(text);
+	return dial(&to);
+}
+
 static int send_all(int fd, const char *data, size_t len)
 {
 	while (len) {
@@ -263,7 +292,7 @@
 	int fd;
 
 	sleep_ms(c->wait_ms);
-	fd = dial(&proxy.target);
+	fd = dial_target();
 	if (fd >= 0) {
 		send_all(fd, c->request.data, c->request.len);
 		read_message(fd, &answer, 5000);
@@ -355,6 +384,106 @@
 	return 1;
 }
 
+struct item {
+	const char *text;
+	size_t len;
+	const char *key;
+	size_t key_len;
+};
+
+static int item_cmp(const void *pa, const void *pb)
+{
+	const struct item *a = pa, *b = pb;
+	size_t n = a->key_len < b->key_len ? a->key_len : b->key_len;
+	int d = memcmp(a->key, b->key, n);
+
+	return d ? d : (a->key_len > b->key_len) - (a->key_len < b->key_len);
+}
+
+/* Splits the items of a listing of the stand-in, whose keys hold no quotes. */
+static size_t split_items(const char *body, struct item *items, size_t max)
+{
+	static const char head[] = "{\"key\":\"";
+	const char *at = body, *end;
+	size_t n = 0;
+
+	while (n < max && (at = strstr(at, head))) {
+		items[n].text = at;
+		items[n].key = at + strlen(head);
+		end = strchr(items[n].key, '"');
+		if (!end)
+			break;
+		items[n].key_len = (size_t)(end - items[n].key);
+		at = strchr(end, '}');
+		if (!at)
+			break;
+		items[n].len = (size_t)(++at - items[n].text);
+		n++;
+	}
+	qsort(items, n, sizeof(*items), item_cmp);
+	return n;
+}
+
+static void url_decode(char *text)
+{
+	char *to = text;
+	unsigned int c;
+
+	for (; *text; text++)
+		if (*text == '%' && sscanf(text + 1, "%2x", &c) == 1) {
+			*to++ = (char)c;
+			text += 2;
+		} else {
+			*to++ = *text;
+		}
+	*to = '\0';
+}
+
+/* Replaces the whole listing in @answer by a page of it. */
+static void cut_page(const char *path, struct message *answer)
+{
+	size_t max = 20000, n, i, used = 0, first = 0;
+	const char *query = strstr(path, "&after="), *last;
+	struct item *items, after = {0};
+	char *body, key[200] = "", *out;
+
+	if (!proxy.page || strncmp(path, "/api/log-newest", 15) ||
+	    strncmp(answer->data + 9, "200", 3))
+		return;
+	answer->data = realloc(answer->data, answer->len + 1);
+	answer->data[answer->len] = '\0';
+	body = strstr(answer->data, "\r\n\r\n") + 4;
+	last = strstr(body, "],\"hasMore\":false");
+	if (!last)
+		return;
+	items = calloc(max, sizeof(*items));
+	n = split_items(body, items, max);
+	if (query) {
+		snprintf(key, sizeof(key), "%s", query + 7);
+		url_decode(key);
+		after.key = key;
+		after.key_len = strlen(key);
+		while (first < n && item_cmp(&items[first], &after) <= 0)
+			first++;
+	}
+	out = malloc(strlen(body) + 400);
+	used = (size_t)sprintf(out, "{\"items\":[");
+	for (i = first; i < n && i < first + (size_t)proxy.page; i++)
+		used += (size_t)sprintf(out + used, "%s%.*s", i > first ? "," : "",
+					(int)items[i].len, items[i].text);
+	used += (size_t)sprintf(out + used, "],\"hasMore\":%s%s",
+				i < n ? "true" : "false", last + 17);
+	free(items);
+	free(answer->data);
+	answer->data = malloc(used + 200);
+	answer->len = (size_t)sprintf(answer->data,
+				      "HTTP/1.1 200 OK\r\nContent-Type: "
+				      "application/json\r\nContent-Length: "
+				      "%zu\r\n\r\n%s",
+				      used, out);
+	free(out);
+}
+
 static void drop_request(struct message *request, size_t len)
 {
 	memmove(request->data, request->data + len, request->len - len);
@@ -368,10 +497,11 @@
 	int err = -1;
 
 	if (*server < 0)
-		*server = dial(&proxy.target);
+		*server = dial_target();
 	if (*server >= 0 && !send_all(*server, request->data, len) &&
 	    !read_message(*server, &answer, -1)) {
 		note_end(path, &answer);
+		cut_page(path, &answer);
 		if (is_cut())
 			hold(client);
 		else
@@ -422,11 +552,12 @@
 	socklen_t len = sizeof(sin);
 	FILE *f;
 
-	proxy.target = parse_address(argv[3]);
+	proxy.target = argv[3];
 	proxy.control = argv[4];
 	proxy.seed = (unsigned int)atoi(argv[5]);
 	proxy.log = fopen(argv[6], "a");
 	proxy.keep_ms = getenv("KEEP_MS") ? atol(getenv("KEEP_MS")) : 0;
+	proxy.page = getenv("PAGE") ? atol(getenv("PAGE")) : 0;
 	proxy.ends = calloc(ENDS_MAX, sizeof(*proxy.ends));
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	if (fd < 0 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) ||
@@ -464,6 +595,24 @@
 	return 0;
 }
 
+static int do_entries(unsigned int count)
+{
+	static const char value[] = "{\"state\":\"up\"}";
+	unsigned char head[5] = {0};
+	char key[20];
+	unsigned int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(key, sizeof(key), "probe-%04u\n", i);
+		head[3] = (unsigned char)(1 + strlen(key) + strlen(value));
+		head[4] = (unsigned char)strlen(key);
+		fwrite(head, 1, sizeof(head), stdout);
+		fputs(key, stdout);
+		fputs(value, stdout);
+	}
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -473,6 +622,8 @@
 		return do_proxy(argv);
 	if (argc == 3 && !strcmp(argv[1], "collect"))
 		return do_collect(argv[2]);
-	fprintf(stderr, "usage: rv call|proxy|collect ...\n");
+	if (argc == 3 && !strcmp(argv[1], "entries"))
+		return do_entries((unsigned int)atoi(argv[2]));
+	fprintf(stderr, "usage: rv call|proxy|collect|entries ...\n");
 	return 2;
 }
