--- a/review/src-2/common.sh
+++ b/review/src-2/common.sh
@@ -1,9 +1,10 @@
-# Sourced by the scripts of the cases, which run in the root of the repository:
-# starts hosts with the command of the deploy file, and the stand-ins, as separate
+# Sourced by the scripts of the cases, which go on in the root of the repository: starts
+# hosts with the command of the deploy file, and the stand-ins, as separate
 # processes on loopback addresses. All of them are ended on exit, by their ids.
 TOOLS=target/review-2/bin
 HOSTD=target/bin/basilshift-hostd
 CASE=$(cd "$(dirname "$0")" && pwd)
+cd "$CASE/../.." || exit 2
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d)
