tests: crowds of unfinished requests against a host

A host buffers every body whatever the memory of its machine, and accepts connections beyond its descriptors. tools/crowd_test.sh starts a host with 48 MB and 400 descriptors and plays crowds of 400 connections with standin-crowd: bodies one byte short sent whole, in pieces and chunked, one byte a chunk, and far over the limit. It checks that the process lives, its memory, its descriptors and that an ordinary request is answered. It is the last step of `make check`.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	'standins/*.[ch]' 'bench/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.cc')
 C_SOURCES = $(filter %.c,$(SOURCES))
 
-.PHONY: all deps build demo demo-requests host-test soak soak-quick takeover check format lint docs docs-check test faults bench policy process-test \
+.PHONY: all deps build demo demo-requests host-test crowd-test soak soak-quick takeover check format lint docs docs-check test faults bench policy process-test \
 	sanitize-address sanitize-thread clean
 
 all: build
@@ -38,7 +38,7 @@
 PROGRAMS = basilshift-hostd basilshift-entryd basilshift-schedd basilshift-ctl \
 	basilshift-timeline basilshift-load basilshift-faults \
 	standin-platform standin-worker standin-gridstore standin-gridworker \
-	standin-proxy
+	standin-proxy standin-crowd
 
 build/SETTINGS.md: build
 	@printf '# Settings\n\nWritten by `make docs` from the tables of the programs.\n\n' >$@
@@ -64,7 +64,7 @@
 	@GTEST_FILTER="$$(bash tools/known_red.sh $*)" \
 		ctest --test-dir build-$* --output-on-failure -j$(JOBS) $(SKIP_$*)
 
-check: lint docs-check test sanitize-address sanitize-thread process-test host-test soak-quick
+check: lint docs-check test sanitize-address sanitize-thread process-test host-test soak-quick crowd-test
 
 # Each case of the fault matrix runs in one thread without shared memory, so the
 # thread sanitizer has nothing to find in it.
@@ -83,6 +83,9 @@
 host-test: build
 	@bash tools/host_test.sh 2>/dev/null
 
+crowd-test: build
+	@bash tools/crowd_test.sh 2>/dev/null
+
 soak: build
 	@bash tools/soak.sh --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS_),30) --calls
 
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -66,7 +66,7 @@
 {\"name\":\"watch\",\"host\":\"desk.example\",\"pathPrefix\":\"/watch/\",
 \"timeoutMs\":3000,\"targetLatencyMs\":2500,\"priority\":0,\"service\":\"desk\",
 \"maxAttempts\":3,\"stretch\":2.0,\"public\":true}],\"services\":[],
-${2:+\"tenants\":[$2],}\"limits\":{}}"
+${2:+\"tenants\":[$2],}\"limits\":{${CONFIG_LIMITS:-}}}"
 }
 
 # grid_start_worker ID ZONE
@@ -84,7 +84,8 @@
 	{"nodeName":"$1","zone":"$2","ip":"127.0.0.1","heartbeatMs":1000,
 	"internalPorts":[0,0],
 	"listen":{"front":"127.0.0.1:0","readiness":"127.0.0.1:0"},
-	"limits":{"cpuShare":0.25,"memoryMb":260,"maxFds":4100},
+	"limits":{"cpuShare":0.25,"memoryMb":${HOST_MEMORY_MB:-260},
+	"maxFds":${HOST_MAX_FDS:-4100}},
 	"bounds":{"maxHoldMs":6000,"configApplyMs":2000,"visible_ms":3000,
 	"status_s":120,"graceS":6,"early_ms":250,"strictRevocation":true,
 	"revokeMs":3000},
