adapters: bounds on the memory and the connections of requests

The memory of a host grew with the number of its callers: each body was buffered up to 1 MB, and 30,000 connections were accepted. Bodies now share an eighth of limits.memoryMb, counted as allocated capacity; connections are bounded by a quarter of limits.maxFds and of the memory.

--- a/src/base/buf.c
+++ b/src/base/buf.c
@@ -58,6 +58,14 @@
 		b->data[0] = '\0';
 }
 
+void buf_set_capacity(struct buf *b, size_t cap)
+{
+	if (cap <= b->cap)
+		return;
+	b->data = xrealloc(b->data, cap);
+	b->cap = cap;
+}
+
 /* Reserves @more bytes and the NUL; growth at least doubles the capacity. */
 static void buf_reserve(struct buf *b, size_t more)
 {
@@ -67,8 +75,7 @@
 		return;
 	if (needed < b->cap * 2)
 		needed = b->cap * 2;
-	b->data = xrealloc(b->data, needed);
-	b->cap = needed;
+	buf_set_capacity(b, needed);
 }
 
 void buf_add(struct buf *b, const void *data, size_t len)
--- a/src/base/buf.h
+++ b/src/base/buf.h
@@ -34,6 +34,11 @@
  * buf_clear() - set the length to 0 and keep the allocated memory
  */
 void buf_clear(struct buf *b);
+
+/**
+ * buf_set_capacity() - allocate @cap bytes; nothing if there are as many already
+ */
+void buf_set_capacity(struct buf *b, size_t cap);
 void buf_add(struct buf *b, const void *data, size_t len);
 void buf_adds(struct buf *b, const char *s);
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -11,8 +11,18 @@
 #include "platform/config.h"
 
 #define SECOND_MS 1000
-/* Largest body of a request, in bytes. */
-#define BODY_MAX (1024 * 1024)
+/* Largest body of a request before there is a configuration, in bytes. */
+#define BODY_MAX_UNCONFIGURED (1024 * 1024)
+#define MB (1024 * 1024)
+/* Parts of the memory that the bodies and the connections of callers may take.
+ */
+#define BODIES_DIVISOR 8
+#define CONNECTIONS_DIVISOR 4
+/* Connections to the probe and to the metrics server: a part of the
+ * descriptors, which leaves some for several monitors on the smallest host. */
+#define PROBE_FDS_DIVISOR 32
+#define PROBE_CONNECTIONS_MIN 8
+#define PROBE_CONNECTIONS_MAX 64
 /* Number of the only cell of a deployment, and of its partition of the jobs'
  * topic. */
 #define CELL_INDEX 0
@@ -171,6 +181,10 @@
 {
 	struct host *h = ctx;
 
+	if (r->too_large) {
+		http_reply(r, 413, 0, "{}", 2);
+		return;
+	}
 	if (!strcmp(r->path, METRICS_PATH)) {
 		host_post_request(h, r);
 		return;
@@ -345,20 +359,41 @@
 	return 0;
 }
 
+static uint32_t probe_connections(const struct host *h)
+{
+	uint32_t n = h->settings.fd_limit / PROBE_FDS_DIVISOR;
+
+	if (n < PROBE_CONNECTIONS_MIN)
+		return PROBE_CONNECTIONS_MIN;
+	return n < PROBE_CONNECTIONS_MAX ? n : PROBE_CONNECTIONS_MAX;
+}
+
+/* Servers other than that of the callers accept no bodies. */
 static int start_server(struct http_server *s, const char *address,
 			struct host *h,
 			void (*handle)(void *ctx, struct http_request *r))
 {
+	uint64_t memory = (uint64_t)h->settings.memory_mb * MB;
 	char ip[NAME_SIZE];
 	uint16_t port;
 	int err = split_address(address, ip, &port);
+	size_t body_max = 0;
 
 	if (err)
 		return err;
+	s->connections_max = probe_connections(h);
+	if (s == &h->callers) {
+		body_max = BODY_MAX_UNCONFIGURED;
+		s->bodies_max = memory / BODIES_DIVISOR;
+		s->connections_max =
+			request_memory_connections(h->settings.fd_limit,
+						   memory / CONNECTIONS_DIVISOR,
+						   HTTP_CONNECTION_BYTES);
+	}
 	s->threads = 1;
 	s->handle = handle;
 	s->ctx = h;
-	err = http_server_start(s, ip, port, BODY_MAX);
+	err = http_server_start(s, ip, port, body_max);
 	if (err)
 		log_line(LOG_ERROR, "cannot listen", "address=%s error=%d",
 			 address, err);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -157,7 +157,7 @@
 /**
  * host_write_metrics() - append all metrics in the Prometheus text format
  */
-void host_write_metrics(const struct host *h, struct buf *out);
+void host_write_metrics(struct host *h, struct buf *out);
 
 /* host_call.c */
 
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -5,12 +5,14 @@
 #define NS_PER_US 1000
 #define CORE 1000 /* thousandths */
 
-void host_write_metrics(const struct host *h, struct buf *out)
+void host_write_metrics(struct host *h, struct buf *out)
 {
 	const struct host_counts *n = &h->counts;
 	struct cell_counts cell = {0};
+	struct http_counts calls;
 	int a;
 
+	http_server_get_counts(&h->callers, &calls);
 	if (h->owner.cell)
 		cell_get_counts(h->owner.cell, &cell);
 #define METRIC(name, value) \
@@ -30,6 +32,13 @@
 	METRIC("unauthorized", n->unauthorized);
 	METRIC("config_too_old", n->config_too_old);
 	METRIC("other_account", n->other_account);
+	METRIC("caller_connections", calls.connections);
+	METRIC("caller_connections_closed", calls.connections_closed);
+	METRIC("caller_body_bytes", calls.body_bytes);
+	METRIC("caller_uploads_closed", calls.uploads_closed);
+	METRIC("caller_uploads_stalled", calls.uploads_stalled);
+	METRIC("caller_uploads_refused", calls.uploads_refused);
+	METRIC("caller_bodies_too_large", calls.too_large);
 	METRIC("call_appends", n->appends);
 	METRIC("call_append_failures", n->append_failures);
 	METRIC("append_batches_via_owner", h->record_relay.sent);
--- a/src/host/host_operators.c
+++ b/src/host/host_operators.c
@@ -43,6 +43,7 @@
 	h->counts.configs_applied++;
 	queue_table_finish(&h->queues);
 	h->queues = t;
+	http_server_set_body_max(&h->callers, t.body_max);
 	h->config_offset = r->offset;
 }
 
