--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -160,6 +160,117 @@
 	curl_global_cleanup();
 }
 
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in to = {};
+	struct timeval limit = {WAIT_MS / 1000, 0};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	to.sin_family = AF_INET;
+	to.sin_port = htons(port);
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	return fd;
+}
+
+static int send_on(int fd, const std::string &text)
+{
+	EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+	return fd;
+}
+
+static std::string read_end(int fd)
+{
+	std::string text;
+	char part[1000];
+	ssize_t n;
+
+	while ((n = read(fd, part, sizeof(part))) > 0)
+		text.append(part, (size_t)n);
+	EXPECT_TRUE(!n || errno == ECONNRESET) << "still open";
+	close(fd);
+	return text;
+}
+
+/* A caller that asks first would send a body that is refused, if it got
+ * 100 Continue. */
+TEST(HttpServer, RefusesBodiesOverTheLimitInForceAtTheHeader)
+{
+	const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+	struct http_server s = {};
+	struct http_counts n;
+	std::string reply;
+
+	s.handle = echo;
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	http_server_set_body_max(&s, 4);
+	reply = read_end(send_on(connect_to(s.port),
+				 head + "Expect: 100-continue\r\n"
+					"Content-Length: 5\r\n\r\n"));
+	EXPECT_EQ(reply.find("HTTP/1.1 413"), 0u) << reply;
+	reply = read_end(send_on(connect_to(s.port),
+				 head + "Transfer-Encoding: chunked\r\n"
+					"Connection: close\r\n\r\n"
+					"5\r\nabcde\r\n0\r\n\r\n"));
+	EXPECT_EQ(reply.find("HTTP/1.1 413"), 0u) << reply;
+	reply = read_end(send_on(connect_to(s.port),
+				 head + "Transfer-Encoding: chunked\r\n"
+					"Connection: close\r\n\r\n"
+					"4\r\nabcd\r\n0\r\n\r\n"));
+	EXPECT_EQ(reply.find("HTTP/1.1 200"), 0u) << reply;
+	http_server_get_counts(&s, &n);
+	EXPECT_EQ(n.too_large, 2u);
+	EXPECT_EQ(n.body_bytes, 0u);
+	http_server_stop(&s);
+}
+
+/* Stalled uploads held their memory for 30 s, and new callers found no room. */
+TEST(HttpServer, MakesRoomForANewCaller)
+{
+	const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n"
+				 "Connection: close\r\n"
+				 "Content-Length: 1000\r\n\r\n";
+	const std::string body(1000, 'x');
+	struct http_server s = {};
+	struct http_counts n = {};
+	std::string reply;
+	int stalled[4], i;
+
+	s.handle = echo;
+	s.threads = 2;
+	s.stall_s = 2;
+	s.bodies_max = 2500;
+	s.connections_max = 4;
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	for (i = 0; i < 2; i++) {
+		stalled[i] = connect_to(s.port);
+		send_on(stalled[i], head + body.substr(1));
+	}
+	for (i = 0; i < 1000 && n.body_bytes < 2002; i++, usleep(1000))
+		http_server_get_counts(&s, &n);
+	reply = read_end(send_on(connect_to(s.port), head + body));
+	EXPECT_EQ(reply.find("HTTP/1.1 503"), 0u) << reply;
+	EXPECT_NE(reply.find("Retry-After: 1\r\n"), std::string::npos);
+	usleep(REQUEST_QUIET_MS * 1000);
+	reply = read_end(send_on(connect_to(s.port), head + body));
+	EXPECT_EQ(reply.find("HTTP/1.1 200"), 0u) << reply;
+	for (i = 2; i < 4; i++)
+		stalled[i] = connect_to(s.port);
+	reply = read_end(send_on(connect_to(s.port), head + body));
+	EXPECT_EQ(reply.find("HTTP/1.1 200"), 0u) << reply;
+	stalled[2] = send_on(stalled[2], head + "x");
+	for (i = 0; i < 3; i++)
+		EXPECT_EQ(read_end(stalled[i]), "");
+	http_server_get_counts(&s, &n);
+	EXPECT_EQ(n.uploads_refused, 1u);
+	EXPECT_EQ(n.uploads_closed, 1u);
+	EXPECT_GE(n.uploads_stalled, 1u);
+	EXPECT_EQ(n.body_bytes, 0u);
+	close(stalled[3]);
+	http_server_stop(&s);
+}
+
 TEST(LogHttp, ParsesAReadAndRejectsMalformedReplies)
 {
 	struct log_read r;
