--- a/src/base/buf.h
+++ b/src/base/buf.h
@@ -36,7 +36,7 @@
 void buf_clear(struct buf *b);
 
 /**
- * buf_set_capacity() - allocate @cap bytes; nothing if there are as many already
+ * buf_set_capacity() - make the allocated size @cap bytes at least
  */
 void buf_set_capacity(struct buf *b, size_t cap);
 void buf_add(struct buf *b, const void *data, size_t len);
--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+
 /* Bound on each wait: the users' limit for a configuration change. */
 #define WAIT_MS 11000
 
@@ -271,6 +273,36 @@
 	http_server_stop(&s);
 }
 
+/* A caller whose connection is closed while its job is stored would not learn
+ * that the job was accepted. */
+TEST(HttpServer, ClosesNoConnectionWhoseRequestIsHandled)
+{
+	static std::atomic<http_request *> waiting;
+	const std::string head = "GET /x HTTP/1.1\r\nHost: h\r\n"
+				 "Connection: close\r\n\r\n";
+	struct http_server s = {};
+	struct http_counts n;
+	std::string reply;
+	int handled, i;
+
+	waiting = nullptr;
+	s.handle = [](void *, http_request *r) { waiting = r; };
+	s.threads = 1;
+	s.connections_max = 1;
+	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
+	handled = send_on(connect_to(s.port), head);
+	for (i = 0; i < WAIT_MS && !waiting; i++)
+		usleep(1000);
+	for (i = 0; i < 20; i++)
+		EXPECT_EQ(read_end(connect_to(s.port)), "");
+	http_reply(waiting, 200, 0, "x", 1);
+	reply = read_end(handled);
+	EXPECT_EQ(reply.find("HTTP/1.1 200"), 0u) << reply;
+	http_server_get_counts(&s, &n);
+	EXPECT_EQ(n.connections_closed, 20u);
+	http_server_stop(&s);
+}
+
 TEST(LogHttp, ParsesAReadAndRejectsMalformedReplies)
 {
 	struct log_read r;
--- a/tests/host_metrics_test.cc
+++ b/tests/host_metrics_test.cc
@@ -49,6 +49,25 @@
 	expect_line(text, "basilshift_unknown_queue 2");
 }
 
+/* Operators tell from these that callers are over their limits. */
+TEST(HostMetrics, TellsTheMemoryOfRequests)
+{
+	std::unique_ptr<host> h(new host());
+	std::string text;
+	buf b;
+
+	h->callers.memory.connections = 7;
+	h->callers.memory.held = 5000;
+	h->callers.counts.uploads_refused = 3;
+	buf_init(&b);
+	host_write_metrics(h.get(), &b);
+	text.assign(b.data, b.len);
+	buf_finish(&b);
+	expect_line(text, "basilshift_caller_connections 7");
+	expect_line(text, "basilshift_caller_body_bytes 5000");
+	expect_line(text, "basilshift_caller_uploads_refused 3");
+}
+
 /* Operators tell from these why short work waits on a full cell. */
 TEST(HostMetrics, TellsTheUseOfTheCell)
 {
