relay: count no time that this host needed itself against its peers

An owner whose event loop needs seconds for a round reads answers late. The next check of time-outs then gave up calls whose answers had arrived, closed the connections of all peers, avoided them for 4 s and called their workers directly, at ten times the cost. After a round of more than 600 ms, time-outs and contacts are now judged as of the round before: what had arrived by then has been read.

--- a/src/host/relay.c
+++ b/src/host/relay.c
@@ -31,6 +31,9 @@
  * rest is for the transfer of the call and the answer. */
 #define ORDER_TIMEOUT_MS 1400
 #define CHECK_PERIOD_MS 50
+/* An answer waits for up to two rounds of the event loop. When a round takes
+ * longer than this, that may be most of ORDER_TIMEOUT_MS. */
+#define LONG_ROUND_MS 600
 /* Period after which older answers do not tell a peer's clock any more. */
 #define AHEAD_PERIOD_MS 60000
 /* The connection is closed after more unanswered pings than this. */
@@ -186,10 +189,12 @@
 	return p->cpu_milli * WORKERS_PER_CORE / MILLI;
 }
 
+/* This host may be short of processor time itself: a peer is silent, or late,
+ * only if that shows in what has been received. */
 static bool is_usable(const struct relay *r, const struct relay_peer *p)
 {
 	return !p->is_draining && p->last_contact_ms &&
-	       r->now_ms - p->last_contact_ms <= CONTACT_TIMEOUT_MS &&
+	       r->read_ms - p->last_contact_ms <= CONTACT_TIMEOUT_MS &&
 	       r->now_ms >= p->avoid_until_ms;
 }
 
@@ -387,7 +392,7 @@
 
 	do {
 		for (p = r->first_pending, late = NULL; p && !late; p = p->next)
-			if (r->now_ms >= p->due_ms)
+			if (r->read_ms >= p->due_ms)
 				late = p;
 		if (late)
 			fail_peer(r, late->peer);
@@ -415,6 +420,9 @@
 {
 	struct relay_peer *p;
 
+	r->read_ms = now_ms;
+	if (r->now_ms && now_ms - r->now_ms > LONG_ROUND_MS)
+		r->read_ms = r->now_ms;
 	r->now_ms = now_ms;
 	if (now_ms - r->checked_ms >= CHECK_PERIOD_MS) {
 		r->checked_ms = now_ms;
--- a/src/host/relay.h
+++ b/src/host/relay.h
@@ -81,6 +81,9 @@
  * @active: peers that get calls
  * @slots: number of workers that the active peers can serve
  * @seq: sequence number of the last relayed call
+ * @now_ms: boot time of the last tick
+ * @read_ms: what had arrived by this boot time has been received: that of the
+ *	last tick, or of the one before if that was long ago
  * @checked_ms: boot time of the last check of time-outs and active peers
  * @lost_calls: relayed calls that ended because the peer did not answer
  */
@@ -99,6 +102,7 @@
 	struct relay_suspect *first_suspect;
 	uint64_t seq;
 	int64_t now_ms;
+	int64_t read_ms;
 	int64_t checked_ms;
 	uint64_t relayed_calls;
 	uint64_t direct_calls;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -347,6 +347,46 @@
 	EXPECT_EQ(direct.calls.size(), 1u);
 }
 
+/* An owner that was short of processor time read answers late. It gave up all
+ * calls, closed the connections of all peers, and called all workers itself,
+ * which takes ten times as long. */
+TEST_F(Relay, GivesUpNoCallWhoseAnswerItHasNotRead)
+{
+	add_host("a", 8000);
+	activate_peers();
+	start("w1");
+	relay_tick(&r, now);
+	ASSERT_EQ(relayed.calls.size(), 1u);
+	now += 3000;
+	relay_tick(&r, now);
+	EXPECT_EQ(r.active_count, 1u);
+	EXPECT_EQ(r.lost_calls, 0u);
+	EXPECT_EQ(disconnects, 0);
+	relayed.answer(ORDER_OK);
+	for (auto &h : hosts) {
+		sender = h.first;
+		relay_server_tick(&h.second, now + 10);
+	}
+	EXPECT_EQ(statuses, std::vector<order_status>({ORDER_OK}));
+	start("w2");
+	EXPECT_TRUE(direct.calls.empty());
+}
+
+/* It waits once for the answers of the time in which it stood still. */
+TEST_F(Relay, GivesUpACallWithoutAnAnswerAfterALongRound)
+{
+	add_host("a", 8000);
+	activate_peers();
+	lose_batches = true;
+	start("w1");
+	relay_tick(&r, now);
+	now += 3000;
+	relay_tick(&r, now);
+	EXPECT_TRUE(statuses.empty());
+	run(100);
+	EXPECT_EQ(statuses, std::vector<order_status>({ORDER_UNKNOWN}));
+}
+
 TEST_F(Relay, CallsAWorkerDirectlyAfterALostAnswer)
 {
 	add_host("a", 8000);
