cell: remember starts without an answer in proportion to the workers

The limit of 27,600 starts without an answer allows for the 2,300 starts a second of 490 workers. 3,000 workers get 13,200 a second: those of 2 s without answers, as after the loss of the relaying hosts, held back all further starts for 10 s although workers were free. The limit is now 56 for each worker where that is more, 16 MB with 3,000 workers, and the same as before with up to 492.

--- a/src/cell/cell_late.c
+++ b/src/cell/cell_late.c
@@ -43,9 +43,16 @@
 	index_finish(&c->late.workers);
 }
 
+static size_t starts_max(const struct cell *c)
+{
+	size_t max = index_count(&c->worker_ids) * LATE_STARTS_PER_WORKER;
+
+	return max > LATE_STARTS_MAX ? max : LATE_STARTS_MAX;
+}
+
 bool cell_late_has_room(const struct cell *c, size_t starts)
 {
-	return c->late.count + c->late.in_flight + starts <= LATE_STARTS_MAX;
+	return c->late.count + c->late.in_flight + starts <= starts_max(c);
 }
 
 static bool is_same_run(const struct task_ref *a, const struct task_ref *b)
@@ -332,8 +339,8 @@
 	if (held_back == c->late.full_logged)
 		return;
 	log_line(LOG_WARN, "starts held back: too many have no answer",
-		 "unanswered=%zu in_flight=%zu max=%d held_back=%" PRIu64,
-		 c->late.count, c->late.in_flight, LATE_STARTS_MAX,
+		 "unanswered=%zu in_flight=%zu max=%zu held_back=%" PRIu64,
+		 c->late.count, c->late.in_flight, starts_max(c),
 		 held_back - c->late.full_logged);
 	c->late.full_logged = held_back;
 }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -523,6 +523,9 @@
 #define STARTS_PER_S_MAX 2300
 /* Starts that may have no answer at a time: all of LATE_MAX_MS. */
 #define LATE_STARTS_MAX (STARTS_PER_S_MAX * (LATE_MAX_MS / 1000))
+/* The same for each worker of a cell with more workers than the 490 that this
+ * allows for: 4.7 starts a second. */
+#define LATE_STARTS_PER_WORKER 56
 
 /**
  * struct late_start - a start without an answer, see cell_late.h
--- a/tests/cell_late_test.cc
+++ b/tests/cell_late_test.cc
@@ -1,6 +1,8 @@
 #include "tests/cell_world.h"
 
-#include "cell/cell_types.h"
+extern "C" {
+#include "cell/cell_late.h"
+}
 
 namespace
 {
@@ -178,6 +180,23 @@
 	EXPECT_EQ(w.runs(7), 1u);
 }
 
+/* With 3,000 workers, the starts of 2 s without answers held back all further
+ * ones for 10 s. */
+TEST(CellLate, RemembersMoreStartsOfMoreWorkers)
+{
+	const size_t workers = 600, max = workers * LATE_STARTS_PER_WORKER;
+	CellWorld w;
+
+	w.take_over(1);
+	w.add_worker("w0");
+	EXPECT_TRUE(cell_late_has_room(w.c, LATE_STARTS_MAX));
+	EXPECT_FALSE(cell_late_has_room(w.c, LATE_STARTS_MAX + 1));
+	for (size_t i = 1; i < workers; i++)
+		w.add_worker("w" + std::to_string(i));
+	EXPECT_TRUE(cell_late_has_room(w.c, max));
+	EXPECT_FALSE(cell_late_has_room(w.c, max + 1));
+}
+
 /* The limit was reached among the members of a gang: one was started, and
  * waited in vain for the others, which were taken back. */
 TEST(CellLate, StartsNoGangThatItCannotRememberAsAWhole)
