cell: look at some hundred workers in each tick, and poll the due ones

Each tick, at most 5 ms apart, looked at all workers for expired leases and due polls, and every 50 ms at all tasks for stops to repeat: 600,000 workers and 560,000 tasks a second with 3,000 workers. Workers without a poll in flight are now listed, so that due polls are still sent in the next tick, and workers with a task that is being stopped are counted. The rest is done for all workers within 50 ms; up to 500 workers, still in each tick.

--- a/bench/owner_load.h
+++ b/bench/owner_load.h
@@ -168,29 +168,39 @@
 	 * arrived. */
 	void step()
 	{
-		double charged_us;
-		int64_t passed;
+		int64_t tick_ms;
 
-		work_us = charge.round_us;
+		work_us += charge.round_us;
 		read_answers(now);
+		pass_spent(0);
+		tick_ms = now;
 		cell_set_authority(c, authority ? now + 4000 : 0);
-		timed(times.tick, [&] { cell_tick(c, now, now); });
+		timed(times.tick, [&] { cell_tick(c, tick_ms, tick_ms); });
 		commit_batch();
-		timed(times.relay_encode, [&] { relay_tick(&relay, now); });
+		pass_spent(0);
+		timed(times.relay_encode, [&] { relay_tick(&relay, tick_ms); });
 		rounds++;
-		charged_us = work_us + carried_us;
-		work_us = 0;
-		passed = (int64_t)(charged_us / 1000);
-		carried_us = charged_us - (double)passed * 1000;
-		if (passed > longest_round_ms)
-			longest_round_ms = passed;
-		others(passed > ROUND_MS ? passed : ROUND_MS);
+		pass_spent(ROUND_MS);
+		longest_round_ms =
+			std::max(longest_round_ms, now - round_began_ms);
+		round_began_ms = now;
+	}
+
+	/* The time passes by what the owner has spent, and by @least. */
+	void pass_spent(int64_t least)
+	{
+		int64_t ms = (int64_t)(work_us / 1000);
+
+		work_us -= (double)ms * 1000;
+		others(std::max(ms, least));
 	}
 
 	void reset()
 	{
 		times = OwnerTimes();
-		rounds = longest_round_ms = 0;
+		rounds = 0;
+		longest_round_ms = 0;
+		round_began_ms = now;
 		bytes_out = bytes_in = stored_bytes = 0;
 		polls_answered = 0;
 		before = counts();
@@ -716,7 +726,7 @@
 	int64_t next_batch_ms = 0;
 	double work_us = 0;
 	double timed_from = 0;
-	double carried_us = 0;
+	int64_t round_began_ms = 0;
 	bool is_ending = false;
 };
 
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -278,7 +278,7 @@
 			w->stale_polls--;
 		return;
 	}
-	w->poll_in_flight = false;
+	cell_worker_set_polled(c, w, false);
 	if (r->status == ORDER_OK) {
 		apply_poll_reply(c, w, a, r);
 		return;
@@ -342,7 +342,7 @@
 		h.wait_ms = w->trials || has_mixed_load(w)
 				    ? POLL_SAMPLE_MS
 				    : c->opt.poll_wait_ms;
-	w->poll_in_flight = true;
+	cell_worker_set_polled(c, w, true);
 	w->poll_seq = p->seq;
 	cell_call_begin(c);
 	c->worker_ops->poll(c->port, &w->entry.addr, &h, on_poll_reply, p);
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -82,6 +82,8 @@
 		t->worker->first_task = t->next;
 	if (t->next)
 		t->next->prev = t->prev;
+	if (t->state == TASK_STOPPING)
+		t->worker->stopping--;
 	cell_worker_mark_changed(c, t->worker);
 	t->worker = NULL;
 	t->state = TASK_WAITING;
@@ -451,6 +453,8 @@
 	    (t->stop_confirmed_ms ||
 	     c->now_ms - t->stop_sent_ms < STOP_RETRY_MS))
 		return;
+	if (t->state != TASK_STOPPING)
+		t->worker->stopping++;
 	t->state = TASK_STOPPING;
 	send_stop(c, t);
 }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -358,6 +358,8 @@
  *	extended until a record that takes it back is stored
  * @poll_in_flight: a poll of the present process has not been answered yet;
  *	@poll_seq identifies it
+ * @next_unpolled: next in the list @unpolled of the cell, and @prev_unpolled
+ *	the one before, while @poll_in_flight is not set
  * @stale_polls: unanswered polls of former processes
  * @accepts_tasks: takes new tasks, evaluated at the start of each placement
  *	pass
@@ -390,7 +392,8 @@
  * @cpu_used: declared processors of the tasks there except best-effort ones, in
  *	thousandths of a core; @cpu_serving is the part of latency-critical
  *	tasks, @cpu_best_effort what best-effort tasks declare
- * @first_task: list of the tasks there, @task_count of them
+ * @first_task: list of the tasks there, @task_count of them, @stopping of them
+ *	in TASK_STOPPING
  * @orphans: runs there that no task stands for, as of the last poll reply
  * @headroom: headroom of the latency-critical steps there, @headroom_count of
  *	them; recomputed when @headroom_stale is set
@@ -424,6 +427,7 @@
 	uint32_t cpu_serving;
 	uint32_t cpu_best_effort;
 	uint32_t task_count;
+	uint32_t stopping;
 	struct cell_task *first_task;
 	const struct cell_step *reserved_for;
 	int64_t reserved_until_ms;
@@ -440,6 +444,8 @@
 	bool lease_frozen;
 	bool freeze_sent;
 	bool poll_in_flight;
+	struct cell_worker *next_unpolled;
+	struct cell_worker *prev_unpolled;
 	uint64_t poll_seq;
 	uint32_t stale_polls;
 	bool accepts_tasks;
@@ -691,6 +697,11 @@
  * @round: jobs with progress to store before that of those in @dirty; more than
  *	one batch may be needed for all of them
  * @taken_bytes: bytes of @pending_records that batches have taken so far
+ * @unpolled: list of the workers without a poll in flight
+ * @workers_at: the next worker that cell_workers_tick() looks at; NULL at the
+ *	beginning of a pass over all workers
+ * @stops_due: the present pass sends stops
+ * @workers_seen: workers that these passes have looked at
  * @calls: calls to workers in flight
  * @poll_seq: number of the last poll
  * @trials: sum of @trials of all workers
@@ -759,6 +770,11 @@
 	int64_t doubts_due_ms;
 	struct index worker_ids;
 	struct cell_worker *workers;
+	struct cell_worker *unpolled;
+	struct cell_worker **workers_at;
+	bool stops_due;
+	int64_t workers_ms;
+	uint64_t workers_seen;
 	struct cell_job *dirty; /* jobs with progress to store */
 	struct cell_job *round;
 	uint64_t taken_bytes;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -24,6 +24,10 @@
 #define BACKOFF_MAX_MS 4800
 /* Period of the pass that sends stops and repeats unconfirmed ones. */
 #define STOPS_PERIOD_MS 50
+/* Workers looked at in each tick at least; of more, as many as are needed to
+ * look at all of them in WORKERS_PERIOD_MS. */
+#define WORKERS_TICK_MIN 500
+#define WORKERS_PERIOD_MS 50
 /* Time before a draining worker leaves at which its long-running and
  * checkpointing tasks are stopped. */
 #define DRAIN_MARGIN_MS 1500
@@ -63,6 +67,37 @@
 	c->changed = w;
 }
 
+static void unpolled_add(struct cell *c, struct cell_worker *w)
+{
+	w->prev_unpolled = NULL;
+	w->next_unpolled = c->unpolled;
+	if (c->unpolled)
+		c->unpolled->prev_unpolled = w;
+	c->unpolled = w;
+}
+
+static void unpolled_remove(struct cell *c, struct cell_worker *w)
+{
+	if (w->prev_unpolled)
+		w->prev_unpolled->next_unpolled = w->next_unpolled;
+	else
+		c->unpolled = w->next_unpolled;
+	if (w->next_unpolled)
+		w->next_unpolled->prev_unpolled = w->prev_unpolled;
+}
+
+void cell_worker_set_polled(struct cell *c, struct cell_worker *w,
+			    bool in_flight)
+{
+	if (in_flight == w->poll_in_flight)
+		return;
+	w->poll_in_flight = in_flight;
+	if (in_flight)
+		unpolled_remove(c, w);
+	else
+		unpolled_add(c, w);
+}
+
 static struct cell_worker *worker_add(struct cell *c, const char *id)
 {
 	struct cell_worker *w = xcalloc(1, sizeof(*w));
@@ -74,6 +109,7 @@
 	w->answered_ms = c->now_ms - WORKER_REACHABLE_MS;
 	w->next = c->workers;
 	c->workers = w;
+	unpolled_add(c, w);
 	cell_worker_mark_changed(c, w);
 	index_put(&c->worker_ids, w->id, w);
 	return w;
@@ -161,7 +197,7 @@
 		 w->entry.addr.id, born, before, source, runs, unlisted,
 		 confirmed, w->task_count);
 	w->stale_polls += w->poll_in_flight;
-	w->poll_in_flight = false;
+	cell_worker_set_polled(c, w, false);
 	w->missed_polls = 0;
 	w->clock = 0;
 	w->clock_received_ms = 0;
@@ -318,6 +354,7 @@
 	if (w->recorded)
 		cell_record_add(c, str_of(key), none);
 	*at = w->next;
+	unpolled_remove(c, w);
 	cell_recovery_resolve(c, w);
 	cell_quota_release_orphans(c, w);
 	cell_fence_removed(c, w);
@@ -332,6 +369,8 @@
 	bool leave = w->leaving_at_ms &&
 		     w->leaving_at_ms - c->now_ms < DRAIN_MARGIN_MS;
 
+	if (!leave && !w->stopping)
+		return;
 	for (t = w->first_task; t; t = next) {
 		next = t->next;
 		if (t->state == TASK_STOPPING ||
@@ -361,9 +400,30 @@
 	cell_lease_tick(c, w);
 	if (stops_due)
 		stop_due_tasks(c, w);
-	if (!w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
-	    c->now_ms < c->renew_until_ms)
-		cell_poll_send(c, w);
+}
+
+static bool is_poll_due(const struct cell *c, const struct cell_worker *w)
+{
+	return !w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
+	       c->now_ms < c->renew_until_ms;
+}
+
+static bool should_remove(const struct cell *c, const struct cell_worker *w)
+{
+	return !w->registered && !w->first_task && !w->poll_in_flight &&
+	       w->missed_polls && !is_poll_due(c, w) &&
+	       cell_lease_is_expired(c, w);
+}
+
+static void send_due_polls(struct cell *c)
+{
+	struct cell_worker *w, *next;
+
+	for (w = c->unpolled; w; w = next) {
+		next = w->next_unpolled;
+		if (is_poll_due(c, w))
+			cell_poll_send(c, w);
+	}
 }
 
 static void log_renewals(struct cell *c)
@@ -380,22 +440,44 @@
 	c->renews = renews;
 }
 
-void cell_workers_tick(struct cell *c)
+static size_t workers_due(struct cell *c)
 {
-	struct cell_worker **at = &c->workers;
-	bool stops_due = c->now_ms >= c->stops_due_ms;
+	size_t all = index_count(&c->worker_ids);
+	int64_t passed = c->now_ms - c->workers_ms;
+
+	c->workers_ms = c->now_ms;
+	if (all <= WORKERS_TICK_MIN || passed >= WORKERS_PERIOD_MS)
+		return all;
+	all = all * (size_t)passed / WORKERS_PERIOD_MS + 1;
+	return all > WORKERS_TICK_MIN ? all : WORKERS_TICK_MIN;
+}
 
-	log_renewals(c);
-	if (stops_due)
+static void begin_pass(struct cell *c)
+{
+	c->workers_at = &c->workers;
+	c->stops_due = c->now_ms >= c->stops_due_ms;
+	if (c->stops_due)
 		c->stops_due_ms = c->now_ms + STOPS_PERIOD_MS;
-	while (*at) {
-		struct cell_worker *w = *at;
+}
 
-		worker_tick(c, w, stops_due);
-		if (!w->registered && !w->first_task && !w->poll_in_flight &&
-		    w->missed_polls && cell_lease_is_expired(c, w))
-			worker_remove(c, at);
+void cell_workers_tick(struct cell *c)
+{
+	size_t n = workers_due(c);
+
+	log_renewals(c);
+	if (!c->workers_at)
+		begin_pass(c);
+	for (; n && *c->workers_at; n--) {
+		struct cell_worker *w = *c->workers_at;
+
+		c->workers_seen++;
+		worker_tick(c, w, c->stops_due);
+		if (should_remove(c, w))
+			worker_remove(c, c->workers_at);
 		else
-			at = &w->next;
+			c->workers_at = &w->next;
 	}
+	if (!*c->workers_at)
+		c->workers_at = NULL;
+	send_due_polls(c);
 }
--- a/src/cell/cell_worker.h
+++ b/src/cell/cell_worker.h
@@ -20,8 +20,18 @@
 bool cell_worker_has_address(const struct cell_worker *w,
 			     const struct worker_addr *a);
 
+/**
+ * cell_worker_set_polled() - note that a poll of a worker's present process has
+ * been sent, or that it is not in flight any more
+ */
+void cell_worker_set_polled(struct cell *c, struct cell_worker *w,
+			    bool in_flight);
+
 /**
  * cell_workers_tick() - poll workers, retry stops, expire leases
+ *
+ * Due polls are sent in each call. What else is due is done for all workers
+ * within WORKERS_PERIOD_MS, and in one call for a few hundred of them.
  */
 void cell_workers_tick(struct cell *c);
 
--- /dev/null
+++ b/tests/owner_growth_test.cc
@@ -0,0 +1,53 @@
+#include "tests/cell_world.h"
+
+#include "cell/cell_types.h"
+
+/* Work of the owner that must not grow with the number of workers, or not with
+ * its square, counted at 3,000 workers. */
+
+namespace
+{
+
+void begin(CellWorld *w, size_t workers)
+{
+	w->long_polls = true;
+	w->take_over(1);
+	for (size_t i = 0; i < workers; i++)
+		w->add_worker("w" + std::to_string(i));
+	w->run(300);
+}
+
+/* Each tick looked at all workers, 600,000 a second with 3,000 of them. */
+TEST(OwnerGrowth, LooksAtABoundedNumberOfWorkersInEachTick)
+{
+	for (size_t workers : {300, 3000}) {
+		CellWorld w;
+		uint64_t before;
+
+		begin(&w, workers);
+		before = w.c->workers_seen;
+		w.run(500);
+		before = w.c->workers_seen - before;
+		EXPECT_LE(before, 100 * 500u) << workers;
+		/* Each of them within 50 ms. */
+		EXPECT_GE(before, workers * 9) << workers;
+	}
+}
+
+/* A poll must not wait for the pass over all workers. */
+TEST(OwnerGrowth, SendsDuePollsOfManyWorkersAtOnce)
+{
+	CellWorld w;
+	size_t before;
+
+	begin(&w, 3000);
+	w.run(1500);
+	before = w.polls;
+	for (int i = 0; i < 3000; i += 10)
+		w.submit((uint64_t)i + 1, {CellWorld::task_step(10, 16000)});
+	w.run(100);
+	EXPECT_GE(w.polls - before, 3000u);
+	EXPECT_GE(w.counts().starts, 3000u);
+}
+
+} /* namespace */
