host: give freed memory back to the system

A host with three allocating threads had an arena for each, and the allocator raised its thresholds to the largest buffer that was freed, so that reads of up to 1 MB came from the heap and left it fragmented. Finished calls of the loop, connections between hosts and the array of a listing kept their largest size. Now there is one arena, buffers from 128 KB on are mapped, large buffers are freed after use, and each 5 s the host returns free memory if 1 MB more is free than before.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -15,6 +15,8 @@
 #define ROUNDS_MAX 8
 #define HEADER_MAX 128
 #define FDS_MIN 256
+/* Buffers of a finished call are kept up to this size. */
+#define KEEP_BYTES 4096
 /* Unanswered TCP keep-alive probes reveal an unreachable peer. */
 #define KEEPALIVE_IDLE_S 2L
 #define KEEPALIVE_PERIOD_S 1L
@@ -477,6 +479,10 @@
 	before = activity_enter(&l->activity, c->activity);
 	c->done(c->ctx, &f);
 	activity_enter(&l->activity, before);
+	buf_clear(&c->body);
+	buf_shrink(&c->body, KEEP_BYTES);
+	buf_clear(&c->reply);
+	buf_shrink(&c->reply, KEEP_BYTES);
 	c->next = l->idle;
 	l->idle = c;
 }
--- a/src/adapters/peer_net.c
+++ b/src/adapters/peer_net.c
@@ -243,6 +243,7 @@
 		if (err)
 			return err;
 	} while (more > 0);
+	buf_shrink(&c->in, READ_BYTES);
 	return more;
 }
 
@@ -264,6 +265,7 @@
 		return -errno;
 	if (done > 0)
 		buf_drop(&c->out, (size_t)done);
+	buf_shrink(&c->out, READ_BYTES);
 	epoll_update(n, c, EPOLL_CTL_MOD);
 	return 0;
 }
--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -34,6 +34,9 @@
 {
 	arena_finish(&f->listed_memory);
 	arena_init(&f->listed_memory);
+	free(f->listed);
+	f->listed = NULL;
+	f->listed_cap = 0;
 	f->listed_count = 0;
 }
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -325,6 +325,7 @@
 	log_busy_loop(h);
 	peers_wait = host_peers_tick(h);
 	update_readiness(h);
+	heap_trim_tick(&h->heap, h->now_ms);
 	if (peers_wait < wait)
 		wait = peers_wait;
 	return wait < TICK_MS ? wait : TICK_MS;
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -3,6 +3,7 @@
 
 #include "adapters/http_server.h"
 #include "adapters/loop.h"
+#include "base/heap.h"
 #include "base/histogram.h"
 #include "cell/queue_table.h"
 #include "host/append_route.h"
@@ -86,6 +87,7 @@
  * @busy_logged_ms: boot time at which @logged_ns was set
  * @logged_ns: time by activity up to the last look at how busy the loop is
  * @accept_ms: time from the arrival of a submission to its acceptance
+ * @heap: gives memory back that has become free
  *
  * The struct belongs to the loop's thread. Other threads only read @ready, run
  * the HTTP servers and post to @loop.
@@ -134,6 +136,7 @@
 	int64_t busy_logged_ms;
 	uint64_t logged_ns[ACTIVITY_COUNT];
 	struct histogram accept_ms;
+	struct heap_trim heap;
 };
 
 /**
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -39,6 +39,7 @@
 	METRIC("owner_phase", h->owner.phase);
 	METRIC("fetches", h->loop.fetches);
 	METRIC("fetches_unanswered", h->loop.unanswered);
+	METRIC("heap_trims", h->heap.trims);
 	METRIC("cell_epoch", cell.epoch);
 	METRIC("cell_jobs", cell.jobs);
 	METRIC("cell_workers", cell.workers);
--- a/src/programs/hostd.c
+++ b/src/programs/hostd.c
@@ -1,3 +1,4 @@
+#include "base/heap.h"
 #include "base/logger.h"
 #include "base/setting.h"
 #include "host/host.h"
@@ -44,6 +45,7 @@
 		settings_finish(&s);
 		return EXIT_CODE_USAGE;
 	}
+	heap_setup();
 	h = xcalloc(1, sizeof(*h));
 	buf_init(&error);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
