host: tell refused callers when they can be served

All callers of an outage were told the same seconds, whether their job was late by then or had time left, and the wait kept its length when the store answered again. retry_advise() decides by the age of the outage, whether the store has taken records a moment ago, the calls that wait on the host, the owner's load table and the class of the queue: urgent callers (objective below a second) are told 2 s, the least constant with which five tries outlast 8 s; queues with a priority above 0 the seconds after. Queues of neither kind are told what they were told before. A refusal logs retry_ms and retry_reason; metrics count both.

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -14,6 +14,7 @@
 #include "host/peers.h"
 #include "host/record_relay.h"
 #include "host/relay_server.h"
+#include "host/retry_after.h"
 #include "platform/platform.h"
 #include "platform/settings.h"
 
@@ -36,6 +37,8 @@
  * @other_account: calls about a job of another account, answered with 410 or
  *	409
  * @appends: appends of callers' records, retries included
+ * @retries: refused calls that were told when to come back
+ * @retry_ms: sum of the times that they were told
  */
 struct host_counts {
 	uint64_t submits;
@@ -52,6 +55,8 @@
 	uint64_t other_account;
 	uint64_t appends;
 	uint64_t append_failures;
+	uint64_t retries[RETRY_REASON_COUNT];
+	uint64_t retry_ms[RETRY_REASON_COUNT];
 };
 
 /**
@@ -77,6 +82,8 @@
  * @batches_in_flight: appends of callers' records without a reply
  * @append_route: by which way callers' records are stored
  * @append_due_ms: after a failed append, boot time of the next one
+ * @call_count: length of @calls
+ * @stored_ms: boot time of the last successful append; 0 before
  * @store_failures: appends that failed since the last successful one
  * @store_failed_ms: boot time of the first of these failures
  * @stop_began_ms: boot time at which the shutdown began; 0 before
@@ -125,8 +132,10 @@
 	struct host_call *calls;
 	struct host_call *append_queue;
 	uint32_t batches_in_flight;
+	uint32_t call_count;
 	uint32_t store_failures;
 	int64_t store_failed_ms;
+	int64_t stored_ms;
 	int64_t now_ms;
 	int64_t stop_began_ms;
 	int64_t settings_due_ms;
--- a/src/host/host_append.c
+++ b/src/host/host_append.c
@@ -148,10 +148,12 @@
 	} else {
 		append_route_note(&h->append_route, b->via_owner, status,
 				  h->now_ms);
-		if (status == STORE_OK)
+		if (status == STORE_OK) {
 			h->store_failures = 0;
-		else
+			h->stored_ms = h->now_ms;
+		} else {
 			note_failure(b, status);
+		}
 	}
 	for (c = b->calls; c; c = next) {
 		next = c->append_next;
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -49,6 +49,7 @@
 		h->calls = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
+	h->call_count--;
 	buf_finish(&c->record);
 	free(c);
 }
@@ -61,6 +62,13 @@
 		       : -1;
 }
 
+static void note_retry(struct host *h, enum retry_reason reason,
+		       uint32_t retry_ms)
+{
+	h->counts.retries[reason]++;
+	h->counts.retry_ms[reason] += retry_ms;
+}
+
 void call_answer(struct host *h, struct host_call *c, int status,
 		 uint32_t retry_ms, const char *body)
 {
@@ -69,10 +77,15 @@
 	if (c->kind != CALL_QUERY || status >= 500)
 		log_line(status == 200 ? LOG_INFO : LOG_WARN, "call answered",
 			 "job=%016" PRIx64 " call=%s status=%d after_ms=%lld "
-			 "may_be_stored=%d log_age_ms=%lld",
+			 "may_be_stored=%d log_age_ms=%lld retry_ms=%u "
+			 "retry_reason=%s",
 			 c->id, kinds[c->kind], status,
 			 (long long)(h->now_ms - c->arrived_ms),
-			 c->may_be_stored, (long long)log_age_ms(h));
+			 c->may_be_stored, (long long)log_age_ms(h), retry_ms,
+			 retry_ms ? retry_reason_name(c->retry_reason)
+				  : "none");
+	if (retry_ms)
+		note_retry(h, c->retry_reason, retry_ms);
 	if (c->kind == CALL_SUBMIT) {
 		h->counts.accepted += status == 200;
 		h->counts.refused += status == 503 || status == 429;
@@ -108,14 +121,37 @@
 				  2 * STORE_DOWN_MS);
 }
 
+/* @q: of the job; NULL if the configuration does not contain it any more */
+static struct retry_advice advise_retry(const struct host *h,
+					const struct queue *q, uint64_t id,
+					int64_t waited_ms)
+{
+	const struct load_table *loads = &h->job_view.loads;
+	struct retry_state s = {0};
+
+	s.outage_ms = outage_ms(h);
+	if (s.outage_ms < waited_ms)
+		s.outage_ms = waited_ms;
+	s.store_answers = !h->store_failures && h->stored_ms &&
+			  h->now_ms - h->stored_ms <= STORE_DOWN_MS;
+	s.queued = h->call_count;
+	if (q) {
+		s.is_full =
+			load_table_is_current(loads, h->now_ms) &&
+			load_table_is_full(loads, q->service, q->priority, 0);
+		s.retry_class = retry_class_of(q->objective_ms, q->priority);
+	}
+	return retry_advise(&s, id);
+}
+
 void call_refuse(struct host *h, struct host_call *c)
 {
-	int64_t waited = h->now_ms - c->arrived_ms;
-	int64_t outage = outage_ms(h);
+	struct retry_advice a =
+		advise_retry(h, queue_table_find(&h->queues, c->queue), c->id,
+			     h->now_ms - c->arrived_ms);
 
-	if (outage < waited)
-		outage = waited;
-	call_answer(h, c, 503, retry_after_ms(outage, c->id), "{}");
+	c->retry_reason = a.reason;
+	call_answer(h, c, 503, a.wait_ms, "{}");
 }
 
 bool call_is_expiring(const struct host *h, const struct host_call *c)
@@ -197,6 +233,12 @@
 	call_answer(h, c, 200, 0, "{}");
 }
 
+static void refuse_unread(struct host *h, struct host_call *c)
+{
+	c->retry_reason = RETRY_UNREAD;
+	call_answer(h, c, 503, RETRY_AFTER_SHORT_MS, "{}");
+}
+
 /* Answers a submission or a cancel once the log shows its effect, a query once
  * the job is known, and a query or a cancel once the job is known not to exist,
  * or to belong to another account. Queues the record of a cancel once the job
@@ -232,14 +274,14 @@
 	if (store_is_down(h))
 		call_refuse(h, c);
 	else if (h->now_ms - c->arrived_ms > LOG_READ_WAIT_MS)
-		call_answer(h, c, 503, RETRY_AFTER_SHORT_MS, "{}");
+		refuse_unread(h, c);
 	else
 		follower_read_now(&h->job_follower);
 }
 
 static struct host_call *call_new(struct host *h, struct http_request *r,
-				  enum call_kind kind, uint64_t id,
-				  const struct account *account)
+				  enum call_kind kind, const struct queue *q,
+				  uint64_t id, const struct account *account)
 {
 	const char *deadline = http_header(r, CALLER_DEADLINE_HEADER);
 	struct host_call *c = xcalloc(1, sizeof(*c));
@@ -250,6 +292,7 @@
 	c->request = r;
 	c->kind = kind;
 	c->id = id;
+	name_set(c->queue, q->name);
 	if (account)
 		name_set(c->account, account->name);
 	c->arrived_ms = h->now_ms;
@@ -259,6 +302,7 @@
 	if (h->calls)
 		h->calls->prev = c;
 	h->calls = c;
+	h->call_count++;
 	return c;
 }
 
@@ -271,6 +315,7 @@
 {
 	char body[CALLER_BODY_SIZE];
 	const struct job_step *s;
+	uint32_t retry_ms;
 	enum admission a;
 	size_t step;
 
@@ -278,16 +323,19 @@
 	if (a == ADMISSION_OK)
 		return false;
 	s = job_spec_step(spec, step);
+	retry_ms = a == ADMISSION_FULL ? retry_after_full_ms(spec->id) : 0;
+	if (retry_ms)
+		note_retry(h, RETRY_CELL_FULL, retry_ms);
 	h->counts.refused++;
 	log_line(LOG_WARN, "job refused",
 		 "job=%016" PRIx64 " queue=%s reason=%s step=%zu count=%u "
-		 "cpu=%u memory_mb=%u accelerators=%u label=%s sizes=%zu",
+		 "cpu=%u memory_mb=%u accelerators=%u label=%s sizes=%zu "
+		 "retry_ms=%u",
 		 spec->id, q->name, admission_name(a), step, s->count, s->cpu,
 		 s->memory_mb, s->accelerators, s->worker_label,
-		 h->job_view.sizes.count);
+		 h->job_view.sizes.count, retry_ms);
 	snprintf(body, sizeof(body), "{\"error\":\"%s\"}", admission_name(a));
-	reply(h, r, 503,
-	      a == ADMISSION_FULL ? retry_after_full_ms(spec->id) : 0, body);
+	reply(h, r, 503, retry_ms, body);
 	return true;
 }
 
@@ -297,6 +345,7 @@
 {
 	struct str text = {r->body.data, r->body.len};
 	struct job_entry *e = job_view_get(&h->job_view, id);
+	struct retry_advice advice;
 	struct job_spec spec;
 	struct host_call *c;
 	struct arena a;
@@ -313,13 +362,18 @@
 	}
 	if (!h->job_follower.loaded || store_is_down(h)) {
 		h->counts.refused++;
+		advice = advise_retry(h, q, id, 0);
+		if (!h->job_follower.loaded)
+			advice.reason = RETRY_UNREAD;
+		note_retry(h, advice.reason, advice.wait_ms);
 		log_line(LOG_WARN, "job refused",
 			 "job=%016" PRIx64 " queue=%s reason=%s "
-			 "log_age_ms=%lld",
+			 "retry_ms=%u retry_reason=%s log_age_ms=%lld",
 			 id, q->name,
 			 h->job_follower.loaded ? "store_down" : "jobs_unread",
+			 advice.wait_ms, retry_reason_name(advice.reason),
 			 (long long)log_age_ms(h));
-		reply(h, r, 503, retry_after_ms(outage_ms(h), id), "{}");
+		reply(h, r, 503, advice.wait_ms, "{}");
 		return;
 	}
 	arena_init(&a);
@@ -330,7 +384,7 @@
 			 text.len);
 		reply(h, r, 400, 0, "{\"error\":\"job not readable\"}");
 	} else if (!refuse_unservable(h, r, q, account, &spec)) {
-		c = call_new(h, r, CALL_SUBMIT, id, account);
+		c = call_new(h, r, CALL_SUBMIT, q, id, account);
 		name_set(spec.account, c->account);
 		job_spec_write(&spec, &c->record);
 		call_queue_append(h, c);
@@ -338,11 +392,17 @@
 	arena_finish(&a);
 }
 
+static void reply_unread(struct host *h, struct http_request *r)
+{
+	note_retry(h, RETRY_UNREAD, RETRY_AFTER_SHORT_MS);
+	reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+}
+
 /* Another host may have read a newer configuration. */
 static void refuse_old_config(struct host *h, struct http_request *r)
 {
 	h->counts.config_too_old++;
-	reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+	reply_unread(h, r);
 }
 
 /* Whether the configuration can be taken for the newest one, to deny a queue
@@ -362,7 +422,7 @@
 		return;
 	}
 	if (!h->job_follower.loaded) {
-		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		reply_unread(h, r);
 		return;
 	}
 	caller_pending_body(job_view_pending(&h->job_view, q->name), body);
@@ -377,10 +437,10 @@
 		submit(h, r, q, account, id);
 	} else if (!strcmp(r->method, "GET")) {
 		h->counts.queries++;
-		call_resolve(h, call_new(h, r, CALL_QUERY, id, account));
+		call_resolve(h, call_new(h, r, CALL_QUERY, q, id, account));
 	} else if (!strcmp(r->method, "DELETE")) {
 		h->counts.cancels++;
-		call_resolve(h, call_new(h, r, CALL_CANCEL, id, account));
+		call_resolve(h, call_new(h, r, CALL_CANCEL, q, id, account));
 	} else {
 		reply(h, r, 405, 0, "{}");
 	}
@@ -444,7 +504,7 @@
 
 	h->now_ms = clock_boot_ms();
 	if (!h->queues.version) {
-		reply(h, r, 503, RETRY_AFTER_SHORT_MS, "{}");
+		reply_unread(h, r);
 		return;
 	}
 	if (r->too_large || r->body.len > h->queues.body_max) {
--- a/src/host/host_call.h
+++ b/src/host/host_call.h
@@ -13,6 +13,7 @@
  * struct host_call - a caller's request that waits for the log or an append
  * @request: NULL once it is answered
  * @id: id of the job that the call is about
+ * @queue: name of the job's queue
  * @account: name of the account of the caller's key; empty for none
  * @record: record to be appended to the log; empty for a query
  * @append_pending: the record is queued, or its append is in flight
@@ -20,12 +21,14 @@
  * @may_be_stored: an append of it got no answer, so that it may be stored
  * @arrived_ms: boot time
  * @deadline_ms: boot time by which the call has to be answered
+ * @retry_reason: what its caller has to wait for; read if it is told to
  * @append_next: next call in the append queue or in the same batch
  */
 struct host_call {
 	struct http_request *request;
 	enum call_kind kind;
 	uint64_t id;
+	char queue[NAME_SIZE];
 	char account[NAME_SIZE];
 	struct buf record;
 	bool append_pending;
@@ -33,6 +36,7 @@
 	bool may_be_stored;
 	int64_t arrived_ms;
 	int64_t deadline_ms;
+	enum retry_reason retry_reason;
 	struct host_call *next;
 	struct host_call *prev;
 	struct host_call *append_next;
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -78,6 +78,15 @@
 	METRIC("cell_free_cores{piece=\"larger\"}",
 	       cell.cpu_free[PIECE_LARGER] / CORE);
 #undef METRIC
+	for (a = 0; a < RETRY_REASON_COUNT; a++) {
+		const char *reason = retry_reason_name((enum retry_reason)a);
+
+		buf_addf(out, "basilshift_retries{reason=\"%s\"} %" PRIu64 "\n",
+			 reason, n->retries[a]);
+		buf_addf(out,
+			 "basilshift_retry_ms{reason=\"%s\"} %" PRIu64 "\n",
+			 reason, n->retry_ms[a]);
+	}
 	for (a = 0; a < ACTIVITY_COUNT; a++)
 		buf_addf(out,
 			 "basilshift_loop_us{activity=\"%s\"} %" PRIu64 "\n",
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -315,6 +315,37 @@
 	EXPECT_NE(log.find("log_age_ms=60"), std::string::npos) << log;
 }
 
+/* Operators could not tell from the log or the metrics why callers waited, nor
+ * for how long. */
+TEST_F(HostCall, TellsWhyAndForHowLongCallersWait)
+{
+	std::string log;
+	uint64_t ms;
+
+	publish(config(1, ""));
+	reads = false;
+	h.store_failures = 1;
+	h.store_failed_ms = clock_boot_ms() - 5000;
+	h.job_follower.caught_up_ms = clock_boot_ms() - 5000;
+	testing::internal::CaptureStderr();
+	Reply r = call("POST", path("q"), "", JOB);
+	log = testing::internal::GetCapturedStderr();
+	ms = h.counts.retry_ms[RETRY_OUTAGE];
+	EXPECT_EQ(r.status, 503);
+	EXPECT_NE(r.text.find("Retry-After: " + std::to_string(ms / 1000)),
+		  std::string::npos)
+		<< r.text;
+	EXPECT_NE(log.find("retry_ms=" + std::to_string(ms) +
+			   " retry_reason=outage "),
+		  std::string::npos)
+		<< log;
+	EXPECT_EQ(h.counts.retries[RETRY_OUTAGE], 1u);
+	h.job_follower.loaded = false;
+	EXPECT_EQ(status("POST", path("q"), "", JOB), 503);
+	EXPECT_EQ(h.counts.retries[RETRY_UNREAD], 1u);
+	EXPECT_EQ(h.counts.retries[RETRY_OUTAGE], 1u);
+}
+
 /* Deployments without client accounts must go on as before. */
 TEST_F(HostCall, NeedsNoKeyWithoutAccounts)
 {
