loop, record_relay: end connections that have gone silent

A link may drop the packets of its open connections without a reset while new ones work. Each idle connection to the store was then found out by a time-out of its own, up to six calls in turn, and a host whose connection to the owner was silent lost all its records on it, as nothing ended it. After a time-out the loop ends the idle connections to that address that have carried no reply since the call began; a host whose records get no answer, and which hears nothing of the owner for 1 s, connects anew.

With four idle connections to a server that fell silent, three calls timed out before, one does now; of a silent connection to the owner three batches of records were lost before and no end was in sight, now the fourth is taken. Both tests fail with the calls left out. The connections of peer_net are covered by a test over a proxy that goes silent, which passes on the code as it was.

--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "adapters/clock.h"
@@ -45,6 +46,7 @@
 	bool in_flight;
 	bool sent;
 	bool post;
+	int opened_fd;
 	uint64_t lane;
 	struct loop_call *next_waiting;
 	struct loop_call *next;
@@ -100,6 +102,7 @@
 static void fd_release(struct loop_fd *f)
 {
 	f->in_use = false;
+	f->used_ms = clock_boot_ms();
 	if (!f->is_own)
 		f->epoll_events = 0;
 }
@@ -148,6 +151,8 @@
 	f = fd_state(c->loop, fd);
 	memset(f, 0, sizeof(*f));
 	f->is_own = true;
+	f->opener = c;
+	c->opened_fd = fd;
 	return fd;
 }
 
@@ -345,6 +350,7 @@
 static void call_send(struct loop *l, struct loop_call *c)
 {
 	c->sent = true;
+	c->opened_fd = -1;
 	c->begun_ms = clock_boot_ms();
 	curl_multi_add_handle(l->multi, c->easy);
 }
@@ -449,6 +455,57 @@
 		call_send(l, c);
 }
 
+/* Scheme and authority of the URL of a call. */
+static uint64_t call_peer(const struct loop_call *c)
+{
+	const char *at = strstr(c->url.data, "://");
+	size_t len;
+
+	len = at ? (size_t)(at - c->url.data) + 3 : 0;
+	len += strcspn(c->url.data + len, "/");
+	return bytes_hash((struct str){c->url.data, len});
+}
+
+/* The connection that was opened for a call has carried a reply. */
+static void note_peer(struct loop *l, const struct loop_call *c)
+{
+	struct loop_fd *f;
+
+	if (c->opened_fd < 0)
+		return;
+	f = fd_state(l, c->opened_fd);
+	if (f->is_own && f->opener == c)
+		f->peer = call_peer(c);
+}
+
+/*
+ * A call got no reply. The connections to that address that have carried no
+ * reply since it began may have gone silent in the same way, such as by a link
+ * that drops their packets without a reset; curl opens a new one instead of one
+ * that has ended. Only sockets that have connected are named: the loop learns
+ * when curl closes these.
+ */
+static void distrust_idle(struct loop *l, const struct loop_call *c)
+{
+	uint64_t peer = call_peer(c);
+	uint32_t ended = 0;
+	size_t fd;
+
+	for (fd = 0; fd < l->fd_count; fd++) {
+		struct loop_fd *f = &l->fds[fd];
+
+		if (f->peer != peer || f->in_use || !f->is_own ||
+		    f->used_ms > c->begun_ms)
+			continue;
+		shutdown((int)fd, SHUT_RDWR);
+		f->peer = 0;
+		ended++;
+	}
+	if (ended)
+		log_line(LOG_WARN, "no reply: idle connections ended",
+			 "url=%s connections=%u", c->url.data, ended);
+}
+
 static void call_finish(struct loop *l, struct loop_call *c, CURLcode result)
 {
 	struct fetch_result f = {0};
@@ -456,6 +513,11 @@
 	long error = 0;
 
 	call_unlink(l, c);
+	if (result == CURLE_OK)
+		note_peer(l, c);
+	else if (result == CURLE_OPERATION_TIMEDOUT && c->sent &&
+		 http_was_sent(c->easy))
+		distrust_idle(l, c);
 	if (c->sent)
 		curl_multi_remove_handle(l->multi, c->easy);
 	f.sent_ms = c->sent_ms;
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -87,11 +87,17 @@
  * @in_use: a request is in flight on the connection
  * @is_own: the loop has created it and not closed it; if it has not connected,
  *	curl closes it when it is not in use any more
+ * @opener: call that it was created for
+ * @peer: hash of the address, once a reply has arrived on it; 0 before
+ * @used_ms: boot time of the end of the last request on it
  */
 struct loop_fd {
 	uint32_t epoll_events;
 	bool in_use;
 	bool is_own;
+	const struct loop_call *opener;
+	uint64_t peer;
+	int64_t used_ms;
 };
 
 /**
--- a/src/host/record_relay.c
+++ b/src/host/record_relay.c
@@ -1,6 +1,7 @@
 #include "host/record_relay.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/logger.h"
@@ -12,6 +13,11 @@
  * lets an append wait and that of the append before. Appending them a second
  * time meanwhile would only lengthen the queue at the partition. */
 #define OUTCOME_TIMEOUT_MS 2700
+/* An owner that has said nothing for so long since it was sent records, and has
+ * not taken the last of them, is sent the next ones on a new connection. More
+ * than one batch is lost before, as an owner that is short of processor time
+ * may miss the time for one. */
+#define SILENT_MS 1000
 
 enum record_message_kind {
 	RECORDS,
@@ -180,6 +186,29 @@
 		withdraw_batch(r, from, rows[i].seq);
 }
 
+static void note_asked(struct record_relay *r, uint64_t owner)
+{
+	if (r->asked == owner && r->asked_ms)
+		return;
+	r->asked = owner;
+	r->asked_ms = r->now_ms;
+}
+
+/* The connection to an owner that says nothing may have gone silent without an
+ * error: the next records are sent on a new one. */
+static void note_lost(struct record_relay *r, uint64_t owner)
+{
+	r->lost++;
+	if (owner != r->asked || !r->asked_ms ||
+	    r->now_ms - r->asked_ms < SILENT_MS)
+		return;
+	log_line(LOG_WARN, "owner silent: connection ended",
+		 "owner=%016" PRIx64 " silent_ms=%lld", owner,
+		 (long long)(r->now_ms - r->asked_ms));
+	r->net.disconnect(r->net.ctx, owner);
+	r->asked_ms = 0;
+}
+
 uint64_t record_relay_send(struct record_relay *r, uint64_t owner,
 			   struct str records, records_done done, void *ctx)
 {
@@ -196,10 +225,12 @@
 	b->next = r->first_pending;
 	r->first_pending = b;
 	r->sent++;
-	if (owner != r->self)
+	if (owner != r->self) {
+		note_asked(r, owner);
 		send_message(r, owner, &m);
-	else if (!r->ops->accept(r->ctx, owner, r->seq, records))
+	} else if (!r->ops->accept(r->ctx, owner, r->seq, records)) {
 		note_outcome(r, r->seq, STORE_REFUSED);
+	}
 	return b->seq;
 }
 
@@ -256,6 +287,8 @@
 	struct arena a;
 	int err;
 
+	if (from == r->asked)
+		r->asked_ms = 0;
 	arena_init(&a);
 	err = shape_read(&message_shape, message, &m, &a);
 	if (err || m.status > STORE_TRIMMED || m.kind > RECORDS_WITHDRAW ||
@@ -288,7 +321,8 @@
 			continue;
 		}
 		*at = b->next;
-		r->lost += !b->is_answered;
+		if (!b->is_answered)
+			note_lost(r, b->owner);
 		b->done(b->ctx, b->is_answered ? b->status : STORE_UNKNOWN);
 		free(b);
 		/* @done may have sent another batch, at the front. */
--- a/src/host/record_relay.h
+++ b/src/host/record_relay.h
@@ -35,6 +35,9 @@
  * @first_pending: batches without an outcome
  * @sent: batches passed to an owner, and @lost of them got no answer
  * @now_ms: boot time of the last tick
+ * @asked: the owner that records were sent to last
+ * @asked_ms: boot time of the first of them since a message from it has
+ *	arrived; 0 if none was sent since
  *
  * A record may be stored twice when a batch gets no answer and its sender
  * appends it again. That is harmless: of several equal records the first one
@@ -50,6 +53,8 @@
 	uint64_t sent;
 	uint64_t lost;
 	int64_t now_ms;
+	uint64_t asked;
+	int64_t asked_ms;
 };
 
 void record_relay_init(struct record_relay *r, const struct relay_net *net,
--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -40,6 +41,106 @@
 	return true;
 }
 
+/* Forwards connections to a port; takes the bytes of those that are silenced
+ * and forwards nothing of them, nor their end. */
+class SilentProxy
+{
+      public:
+	explicit SilentProxy(uint16_t to_port) : to(to_port)
+	{
+		sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(listen_fd, (sockaddr *)&sin, len);
+		listen(listen_fd, 8);
+		getsockname(listen_fd, (sockaddr *)&sin, &len);
+		port = ntohs(sin.sin_port);
+		thread = std::thread([this] { run(); });
+	}
+
+	~SilentProxy()
+	{
+		stopping = true;
+		thread.join();
+		for (auto &p : pairs) {
+			close(p.fds[0]);
+			close(p.fds[1]);
+		}
+		close(listen_fd);
+	}
+
+	void silence()
+	{
+		silent = connections.load();
+	}
+
+	uint16_t port;
+	std::atomic<int> connections{0};
+
+      private:
+	struct Pair {
+		int fds[2];
+		bool ended[2];
+	};
+
+	void accept_one()
+	{
+		sockaddr_in sin = {};
+		int fd = accept(listen_fd, nullptr, nullptr);
+		int other = socket(AF_INET, SOCK_STREAM, 0);
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(to);
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		connect(other, (sockaddr *)&sin, sizeof(sin));
+		pairs.push_back({{fd, other}, {false, false}});
+		connections++;
+	}
+
+	void pass(size_t i, int side)
+	{
+		char data[4096];
+		ssize_t n = read(pairs[i].fds[side], data, sizeof(data));
+
+		if (n <= 0)
+			pairs[i].ended[side] = true;
+		else if ((int)i >= silent)
+			send(pairs[i].fds[!side], data, (size_t)n,
+			     MSG_NOSIGNAL);
+	}
+
+	void run()
+	{
+		while (!stopping) {
+			std::vector<pollfd> fds = {{listen_fd, POLLIN, 0}};
+
+			for (auto &p : pairs)
+				for (int side = 0; side < 2; side++)
+					fds.push_back({p.ended[side]
+							       ? -1
+							       : p.fds[side],
+						       POLLIN, 0});
+			if (poll(fds.data(), fds.size(), 10) <= 0)
+				continue;
+			for (size_t i = 1; i < fds.size(); i++)
+				if (fds[i].revents)
+					pass((i - 1) / 2, (int)((i - 1) % 2));
+			if (fds[0].revents)
+				accept_one();
+		}
+	}
+
+	uint16_t to;
+	int listen_fd;
+	std::atomic<int> silent{0};
+	std::atomic<bool> stopping{false};
+	std::vector<Pair> pairs;
+	std::thread thread;
+};
+
 class PeerNet : public ::testing::Test
 {
       protected:
@@ -98,6 +199,43 @@
 	EXPECT_EQ(in_a.last_job, 12u);
 }
 
+/*
+ * A connection that has gone silent stays open at both ends. Once its host has
+ * given it up, messages both ways go by the new one.
+ */
+TEST_F(PeerNet, ReplacesAConnectionThatHasGoneSilent)
+{
+	SilentProxy proxy(b.port);
+	struct listed_host h = {};
+	struct msg m = {};
+
+	h.id = name_hash("b");
+	snprintf(h.addr, sizeof(h.addr), "127.0.0.1:%u", proxy.port);
+	peer_net_set_hosts(&a, &h, 1);
+	m.kind = MSG_SUBMIT;
+	m.job = 21;
+	peer_net_send(&a, name_hash("b"), &m);
+	ASSERT_TRUE(wait_for(&in_b, 1));
+	proxy.silence();
+	m.job = 22;
+	peer_net_send(&a, name_hash("b"), &m);
+	peer_net_disconnect(&a, name_hash("b"));
+	/* The network thread frees it, and connections are tried each 500 ms.
+	 */
+	m.job = 23;
+	for (int i = 0; i < 400 && in_b.received < 2; i++) {
+		peer_net_send(&a, name_hash("b"), &m);
+		usleep(10000);
+	}
+	ASSERT_TRUE(wait_for(&in_b, 2));
+	EXPECT_EQ(in_b.last_job, 23u);
+	EXPECT_EQ(proxy.connections, 2);
+	m.job = 24;
+	peer_net_send(&b, name_hash("a"), &m);
+	ASSERT_TRUE(wait_for(&in_a, 1));
+	EXPECT_EQ(in_a.last_job, 24u);
+}
+
 TEST_F(PeerNet, MessageToAnUnknownHostIsDropped)
 {
 	struct msg m = {};
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -383,6 +383,74 @@
 	EXPECT_EQ(s.connections, 2);
 }
 
+/*
+ * A link that drops the packets of its open connections without a reset: each
+ * idle connection to the store had to be found out by a time-out of its own,
+ * six calls in turn, although a new connection would have worked.
+ */
+TEST_F(Loop, TrustsNoIdleConnectionAfterOneHasGoneSilent)
+{
+	ScriptedServer s(std::vector<int>(20, 200));
+	std::string url = "http://" + s.address + "/x";
+	std::vector<long> statuses;
+	struct fetch f = {};
+
+	s.send_in_pieces(1, 50); /* so that four connections are open */
+	f.url = url.c_str();
+	f.timeout_ms = 4000;
+	Results first = {&l, 4, {}, {}, ""};
+	for (int i = 0; i < 4; i++)
+		loop_fetch(&l, &f, on_result, &first);
+	loop_run(&l);
+	EXPECT_EQ(first.statuses, std::vector<long>(4, 200));
+	ASSERT_EQ(s.connections, 4);
+	s.silence_connections();
+	f.timeout_ms = 400;
+	for (int i = 0; i < 3; i++) {
+		Results a = {&l, 1, {}, {}, ""};
+
+		loop_fetch(&l, &f, on_result, &a);
+		l.stopping = false;
+		loop_run(&l);
+		statuses.push_back(a.statuses[0]);
+	}
+	EXPECT_EQ(statuses, std::vector<long>({0, 200, 200}));
+	EXPECT_EQ(s.connections, 5);
+}
+
+/* A time-out of one slow call must not cost the connections that work. */
+TEST_F(Loop, KeepsConnectionsThatAnsweredWhileACallTimedOut)
+{
+	ScriptedServer s({200, 200, ScriptedServer::HANG, 200, 200, 200});
+	std::string url = "http://" + s.address + "/x";
+	struct fetch f = {};
+
+	s.send_in_pieces(1, 50);
+	f.url = url.c_str();
+	f.timeout_ms = 4000;
+	Results a = {&l, 2, {}, {}, ""};
+	loop_fetch(&l, &f, on_result, &a);
+	loop_fetch(&l, &f, on_result, &a);
+	loop_run(&l);
+	ASSERT_EQ(s.connections, 2);
+	f.timeout_ms = 600;
+	Results b = {&l, 1, {}, {}, ""}, c = {&l, 1, {}, {}, ""};
+	loop_fetch(&l, &f, on_result, &b);
+	loop_fetch(&l, &f, on_result, &c); /* one of the two hangs */
+	l.stopping = false;
+	loop_run(&l);
+	l.stopping = false;
+	loop_run(&l);
+	ASSERT_EQ(b.statuses.size() + c.statuses.size(), 2u);
+	EXPECT_NE(b.statuses[0], c.statuses[0]);
+	Results d = {&l, 1, {}, {}, ""};
+	loop_fetch(&l, &f, on_result, &d);
+	l.stopping = false;
+	loop_run(&l);
+	EXPECT_EQ(d.statuses, std::vector<long>({200}));
+	EXPECT_EQ(s.connections, 2);
+}
+
 TEST_F(Loop, FailsACallWithoutAReplyAfterItsTimeout)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/record_relay_test.cc
+++ b/tests/record_relay_test.cc
@@ -18,6 +18,7 @@
 	std::vector<std::pair<uint64_t, uint64_t>> accepted;
 	std::vector<std::pair<uint64_t, uint64_t>> withdrawn;
 	std::vector<store_status> outcomes;
+	std::vector<uint64_t> disconnected;
 	bool owns = true;
 	bool appends = false; /* what is accepted is in an append at once */
 
@@ -28,7 +29,9 @@
 				->outbox.push_back(
 					{to, std::string(text.data, text.len)});
 		};
-		net.disconnect = [](void *, uint64_t) {};
+		net.disconnect = [](void *ctx, uint64_t to) {
+			((Node *)ctx)->disconnected.push_back(to);
+		};
 		net.ctx = this;
 		ops.accept = [](void *ctx, uint64_t from, uint64_t seq, str) {
 			Node *n = (Node *)ctx;
@@ -124,6 +127,49 @@
 	EXPECT_EQ(host.outcomes[0], STORE_UNKNOWN);
 }
 
+/*
+ * The connection to the owner goes silent without an error: all records of the
+ * host were lost on it, as nothing ended it.
+ */
+TEST(RecordRelay, UsesANewConnectionToAnOwnerThatHasGoneSilent)
+{
+	Node host(1), owner(2);
+
+	host.send(2, record("a"));
+	record_relay_tick(&host.relay, 1410);
+	EXPECT_TRUE(host.disconnected.empty()); /* it may be busy */
+	host.send(2, record("b"));
+	record_relay_tick(&host.relay, 1820);
+	host.send(2, record("c"));
+	record_relay_tick(&host.relay, 2230);
+	EXPECT_EQ(host.outcomes.size(), 3u);
+	EXPECT_EQ(host.disconnected, std::vector<uint64_t>({2}));
+	host.outbox.clear();
+	host.send(2, record("d"));
+	host.deliver_to(owner, 1);
+	owner.deliver_to(host, 2);
+	record_relay_tick(&host.relay, 2640);
+	EXPECT_EQ(host.outcomes.size(), 3u); /* taken */
+	EXPECT_EQ(host.disconnected.size(), 1u);
+}
+
+/* An owner that is late with one answer keeps its connection, on which further
+ * answers may be on their way. */
+TEST(RecordRelay, KeepsTheConnectionToAnOwnerThatAnswersLate)
+{
+	Node host(1), owner(2);
+	int64_t now = 1000;
+
+	for (int i = 0; i < 10; i++) {
+		host.send(2, record("a"));
+		record_relay_tick(&host.relay, now += 410);
+		host.deliver_to(owner, 1);
+		owner.deliver_to(host, 2);
+	}
+	EXPECT_EQ(host.outcomes.size(), 10u);
+	EXPECT_TRUE(host.disconnected.empty());
+}
+
 /* A host that has lost the cell must say so at once, and has stored nothing. */
 TEST(RecordRelay, IsRefusedByAHostThatDoesNotOwnTheCell)
 {
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -64,6 +65,15 @@
 			shutdown(fd, SHUT_RDWR);
 	}
 
+	/* The open connections take requests and answer none of them any more;
+	 * new ones work. */
+	void silence_connections()
+	{
+		std::lock_guard<std::mutex> hold(lock);
+
+		silent.insert(accepted.begin(), accepted.end());
+	}
+
 	/* Sends each reply in @n pieces with a pause before each; the last
 	 * @missing of them are not sent. */
 	void send_in_pieces(size_t n, int64_t pause_ms, size_t missing = 0)
@@ -124,6 +134,13 @@
 		return true;
 	}
 
+	bool is_silent(int fd)
+	{
+		std::lock_guard<std::mutex> hold(lock);
+
+		return silent.count(fd) > 0;
+	}
+
 	int next_status(const std::string &method)
 	{
 		size_t n;
@@ -136,6 +153,8 @@
 
 	bool handle(int fd, const std::string &method)
 	{
+		if (is_silent(fd))
+			return true;
 		int status = next_status(method);
 		sockaddr none = {};
 		std::string reply =
@@ -177,8 +196,9 @@
 	std::atomic<size_t> pieces_missing{0};
 	int listen_fd;
 	std::atomic<bool> stopping{false};
-	std::mutex lock; /* guards @accepted and @handlers */
+	std::mutex lock; /* guards @accepted, @silent and @handlers */
 	std::vector<int> accepted;
+	std::set<int> silent;
 	std::vector<std::thread> handlers;
 	std::thread acceptor;
 };
