owner_test: give the relays of the test a disconnect()

record_relay ends the connection to an owner that says nothing, so the network that the test gives it needs the call. What the test checks is the same.

--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -591,6 +591,7 @@
 			return found;
 		};
 		for (int i = 0; i < 2; i++) {
+			nets[i].disconnect = [](void *, uint64_t) {};
 			nets[i].send = [](void *ctx, uint64_t to, str text) {
 				((Wire *)ctx)->send(to, text);
 			};
