--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -48,6 +48,7 @@
 	METRIC("owner_phase", h->owner.phase);
 	METRIC("fetches", h->loop.fetches);
 	METRIC("fetches_unanswered", h->loop.unanswered);
+	METRIC("heap_trims", h->heap.trims);
 	METRIC("cell_epoch", cell.epoch);
 	METRIC("cell_jobs", cell.jobs);
 	METRIC("cell_workers", cell.workers);
@@ -86,6 +87,15 @@
 	METRIC("cell_free_cores{piece=\"larger\"}",
 	       cell.cpu_free[PIECE_LARGER] / CORE);
 #undef METRIC
+	for (a = 0; a < RETRY_REASON_COUNT; a++) {
+		const char *reason = retry_reason_name((enum retry_reason)a);
+
+		buf_addf(out, "basilshift_retries{reason=\"%s\"} %" PRIu64 "\n",
+			 reason, n->retries[a]);
+		buf_addf(out,
+			 "basilshift_retry_ms{reason=\"%s\"} %" PRIu64 "\n",
+			 reason, n->retry_ms[a]);
+	}
 	for (a = 0; a < ACTIVITY_COUNT; a++)
 		buf_addf(out,
 			 "basilshift_loop_us{activity=\"%s\"} %" PRIu64 "\n",
