cell: choose among 1,000 workers at most for a step

A step examined all workers that had changed, which is workers times jobs: with 3,000 workers, half of a tick. The candidates of a step are now the first 1,000 suitable ones, those changed last, and one for each of its tasks: a task takes up one at most, so they never run out before the workers do. Cells with up to 1,000 workers place as before.

--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -9,6 +9,9 @@
 /* No further worker is reserved while more than one in this many is. */
 #define RESERVE_SHARE 20
 #define CANDIDATES_INITIAL_CAP 64
+/* Workers among which the cheapest are chosen, in excess of one for each task,
+ * so that there are always enough: a task takes up one at most. */
+#define CANDIDATES_MAX 1000
 /* What is known not to fit is tried again after this time: the end of a
  * back-off, the opening of a zone and updates of the effect model change what
  * workers accept without a new version of the worker. */
@@ -158,12 +161,14 @@
 void cell_candidates_fill(struct cell *c, const struct cell_task *t,
 			  uint64_t service, uint64_t since_version)
 {
+	size_t max = CANDIDATES_MAX + t->step->waiting, i;
 	struct cell_worker *w;
 	double cost;
-	size_t i;
 
 	c->candidate_count = 0;
-	for (w = c->changed; w && w->version > since_version; w = w->older) {
+	for (w = c->changed;
+	     w && w->version > since_version && c->candidate_count < max;
+	     w = w->older) {
 		c->counts.examined++;
 		if (may_take(c, w, t->step, service) &&
 		    !cell_placement_cost(c, t, w, false, &cost))
--- a/tests/owner_growth_test.cc
+++ b/tests/owner_growth_test.cc
@@ -50,4 +50,32 @@
 	EXPECT_GE(w.counts().starts, 3000u);
 }
 
+/* Each step examined all workers: jobs times workers. */
+TEST(OwnerGrowth, ExaminesABoundedNumberOfWorkersForAStep)
+{
+	CellWorld w;
+	uint64_t before;
+
+	begin(&w, 3000);
+	before = w.counts().examined;
+	for (uint64_t i = 1; i <= 50; i++)
+		w.submit(i, {CellWorld::task_step(10)});
+	w.run(100);
+	EXPECT_EQ(w.counts().placed, 500u);
+	/* And the workers that are full, 31 at most. */
+	EXPECT_LE(w.counts().examined - before, 50 * (1010u + 31));
+}
+
+/* A step with more tasks than the workers that are always examined, of which
+ * each takes up one. */
+TEST(OwnerGrowth, PlacesAStepThatNeedsMostWorkers)
+{
+	CellWorld w;
+
+	begin(&w, 3000);
+	w.submit(1, {CellWorld::task_step(2500, 16000)});
+	w.run(15);
+	EXPECT_EQ(w.counts().placed, 2500u);
+}
+
 } /* namespace */
