cell: break off a placement pass that takes longer than 250 ms

No worker is polled during a placement pass. Shown by OwnerGrowth.BreaksOffAPlacementPassThatTakesTooLong.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -15,6 +15,10 @@
  * less than half of the pool in use. */
 #define STARVED_MS 1200
 #define STARVED_USE_PERCENT 55
+/* A pass is broken off after this time, with the most urgent steps placed:
+ * workers are not polled during a pass, and their leases last for some seconds.
+ */
+#define PASS_MAX_MS 250
 
 /* Evaluated once per placement pass: the result does not change within one. */
 static bool worker_accepts_tasks(const struct cell *c,
@@ -32,12 +36,19 @@
  * struct pass - state of one placement pass
  * @pool: service whose utilisation was computed last; 0 for none
  * @pool_underused: whether its utilisation was below STARVED_USE_PERCENT
+ * @until_ms: it is broken off then
  */
 struct pass {
 	uint64_t pool;
 	bool pool_underused;
+	int64_t until_ms;
 };
 
+static bool is_over(const struct cell *c, const struct pass *p)
+{
+	return c->ops->now(c->ctx) >= p->until_ms;
+}
+
 static bool is_pool_underused(const struct cell *c, uint64_t service)
 {
 	uint64_t cpu = 0, used = 0, memory = 0, memory_used = 0;
@@ -202,16 +213,21 @@
  * Places the steps of one class. Tasks that bring an account above its share
  * come after all tasks of accounts within theirs, and take what these leave.
  *
- * Return: the number of steps.
+ * Return: the number of steps; @n when the pass is broken off.
  */
 static size_t place_class(struct cell *c, struct cell_queued_step *q, size_t n,
 			  struct pass *p)
 {
 	size_t count = 0, deferred = 0, i;
 
-	for (; count < n && is_same_class(&q[0], &q[count]); count++)
+	for (; count < n && is_same_class(&q[0], &q[count]); count++) {
 		if (!place_step(c, q[count].step, p, true))
 			q[deferred++] = q[count];
+		if (is_over(c, p)) {
+			c->place_due = true;
+			return n;
+		}
+	}
 	for (i = 0; i < deferred; i++)
 		q[i].over_share = cell_quota_share_percent(q[i].step);
 	cell_queue_sort(q, deferred);
@@ -242,6 +258,7 @@
 	}
 	n = cell_queue_fill(c);
 	cell_quota_begin_pass(c, n);
+	p.until_ms = c->ops->now(c->ctx) + PASS_MAX_MS;
 	for (i = 0; i < n;)
 		i += place_class(c, c->queue + i, n - i, &p);
 	cell_quota_end_pass(c);
--- a/tests/owner_growth_test.cc
+++ b/tests/owner_growth_test.cc
@@ -97,4 +97,36 @@
 	EXPECT_GE(sums, 4u);
 }
 
+/* Each look at the clock takes a millisecond, as on a slow machine. */
+class SlowWorld : public CellWorld
+{
+      public:
+	SlowWorld()
+	{
+		ops.now = [](void *ctx) { return ++((SlowWorld *)ctx)->now; };
+	}
+};
+
+/* A pass over the steps of a long queue took seconds on a machine that is short
+ * of processor time. No worker was polled meanwhile, and leases ended. */
+TEST(OwnerGrowth, BreaksOffAPlacementPassThatTakesTooLong)
+{
+	SlowWorld w;
+	int64_t before;
+
+	w.begin({"w1", "w2"}, 300);
+	for (uint64_t i = 1; i <= 2000; i++)
+		w.submit(i, {CellWorld::task_step(1, 10)});
+	for (int i = 0; i < 20; i++) {
+		cell_set_authority(w.c, w.now + 60000);
+		before = w.now;
+		w.tick();
+		EXPECT_LE(w.now - before, 300);
+		w.commit();
+		w.answer_all();
+		w.now += 200;
+	}
+	EXPECT_EQ(w.counts().placed, 1280u);
+}
+
 } /* namespace */
