--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 bench: build
 	@bash tools/bench.sh
 	@build/bin/cell_bench 2>/dev/null
+	@build/bin/owner_bench 2>/dev/null
 
 policy: build
 	@build/bin/basilshift-policy
