--- a/src/cell/cell_late.h
+++ b/src/cell/cell_late.h
@@ -12,8 +12,8 @@
  * needed: a process that has answered refuses the start, see cell_fence.h.
  *
  * None is forgotten before its time: while LATE_STARTS_MAX starts have no
- * answer, or LATE_STARTS_PER_WORKER for each worker where that is more, no other
- * is sent.
+ * answer, or LATE_STARTS_PER_WORKER for each worker where that is more, no
+ * other is sent.
  */
 
 void cell_late_init(struct cell *c);
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -381,6 +381,12 @@
 	}
 }
 
+static bool is_poll_due(const struct cell *c, const struct cell_worker *w)
+{
+	return !w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
+	       c->now_ms < c->renew_until_ms;
+}
+
 static void worker_tick(struct cell *c, struct cell_worker *w, bool stops_due)
 {
 	cell_recovery_expire(c, w);
@@ -400,21 +406,17 @@
 	cell_lease_tick(c, w);
 	if (stops_due)
 		stop_due_tasks(c, w);
-}
-
-static bool is_poll_due(const struct cell *c, const struct cell_worker *w)
-{
-	return !w->poll_in_flight && c->now_ms >= w->poll_due_ms &&
-	       c->now_ms < c->renew_until_ms;
+	if (is_poll_due(c, w))
+		cell_poll_send(c, w);
 }
 
 static bool should_remove(const struct cell *c, const struct cell_worker *w)
 {
 	return !w->registered && !w->first_task && !w->poll_in_flight &&
-	       w->missed_polls && !is_poll_due(c, w) &&
-	       cell_lease_is_expired(c, w);
+	       w->missed_polls && cell_lease_is_expired(c, w);
 }
 
+/* Of the workers that this tick has not looked at. */
 static void send_due_polls(struct cell *c)
 {
 	struct cell_worker *w, *next;
