--- a/tests/owner_growth_test.cc
+++ b/tests/owner_growth_test.cc
@@ -50,4 +50,83 @@
 	EXPECT_GE(w.counts().starts, 3000u);
 }
 
+/* Each step examined all workers: jobs times workers. */
+TEST(OwnerGrowth, ExaminesABoundedNumberOfWorkersForAStep)
+{
+	CellWorld w;
+	uint64_t before;
+
+	begin(&w, 3000);
+	before = w.counts().examined;
+	for (uint64_t i = 1; i <= 50; i++)
+		w.submit(i, {CellWorld::task_step(10)});
+	w.run(100);
+	EXPECT_EQ(w.counts().placed, 500u);
+	/* And the workers that are full, 31 at most. */
+	EXPECT_LE(w.counts().examined - before, 50 * (1010u + 31));
+}
+
+/* A step with more tasks than the workers that are always examined, of which
+ * each takes up one. */
+TEST(OwnerGrowth, PlacesAStepThatNeedsMostWorkers)
+{
+	CellWorld w;
+
+	begin(&w, 3000);
+	w.submit(1, {CellWorld::task_step(2500, 16000)});
+	w.run(15);
+	EXPECT_EQ(w.counts().placed, 2500u);
+}
+
+/* All tasks of all jobs were looked at 20 times a second. */
+TEST(OwnerGrowth, SumsUpTheTimesOfManyJobsLessOften)
+{
+	int64_t last = 0;
+	size_t sums = 0;
+	CellWorld w;
+
+	w.take_over(1);
+	for (uint64_t i = 1; i <= 3000; i++)
+		w.submit(i, {CellWorld::task_step(1)});
+	for (int i = 0; i < 200; i++) {
+		w.run(5);
+		sums += w.c->accounted_ms != last;
+		last = w.c->accounted_ms;
+	}
+	EXPECT_LE(sums, 6u);
+	EXPECT_GE(sums, 4u);
+}
+
+/* Each look at the clock takes a millisecond, as on a slow machine. */
+class SlowWorld : public CellWorld
+{
+      public:
+	SlowWorld()
+	{
+		ops.now = [](void *ctx) { return ++((SlowWorld *)ctx)->now; };
+	}
+};
+
+/* A pass over the steps of a long queue took seconds on a machine that is short
+ * of processor time. No worker was polled meanwhile, and leases ended. */
+TEST(OwnerGrowth, BreaksOffAPlacementPassThatTakesTooLong)
+{
+	SlowWorld w;
+	int64_t before;
+
+	w.begin({"w1", "w2"}, 300);
+	for (uint64_t i = 1; i <= 2000; i++)
+		w.submit(i, {CellWorld::task_step(1, 10)});
+	for (int i = 0; i < 20; i++) {
+		cell_set_authority(w.c, w.now + 60000);
+		before = w.now;
+		w.tick();
+		EXPECT_LE(w.now - before, 300);
+		w.commit();
+		w.answer_all();
+		w.now += 200;
+	}
+	EXPECT_EQ(w.counts().placed, 1280u);
+}
+
 } /* namespace */
