--- a/tests/adapters_test.cc
+++ b/tests/adapters_test.cc
@@ -29,11 +29,16 @@
 	__atomic_add_fetch(&in->received, 1, __ATOMIC_RELEASE);
 }
 
+static bool has(const struct inbox *in, uint32_t count)
+{
+	return __atomic_load_n(&in->received, __ATOMIC_ACQUIRE) >= count;
+}
+
 static bool wait_for(const struct inbox *in, uint32_t count)
 {
 	int64_t end = clock_mono_ms() + WAIT_MS;
 
-	while (__atomic_load_n(&in->received, __ATOMIC_ACQUIRE) < count) {
+	while (!has(in, count)) {
 		if (clock_mono_ms() > end)
 			return false;
 		usleep(1000);
@@ -223,12 +228,12 @@
 	/* The network thread frees it, and connections are tried each 500 ms.
 	 */
 	m.job = 23;
-	for (int i = 0; i < 400 && in_b.received < 2; i++) {
+	for (int i = 0; i < 400 && !has(&in_b, 2); i++) {
 		peer_net_send(&a, name_hash("b"), &m);
 		usleep(10000);
 	}
 	ASSERT_TRUE(wait_for(&in_b, 2));
-	EXPECT_EQ(in_b.last_job, 23u);
+	EXPECT_EQ(__atomic_load_n(&in_b.last_job, __ATOMIC_ACQUIRE), 23u);
 	EXPECT_EQ(proxy.connections, 2);
 	m.job = 24;
 	peer_net_send(&b, name_hash("a"), &m);
