--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -90,10 +90,17 @@
 	return false;
 }
 
+bool cell_gang_choose(struct cell *c, struct cell_step *st, uint64_t service,
+		      struct cell_worker **chosen)
+{
+	return (step_has_flag(st, STEP_SAME_RACK) &&
+		gang_choose_rack(c, st, service, chosen)) ||
+	       gang_choose(c, st, service, NULL, chosen);
+}
+
 void cell_place_gang(struct cell *c, struct cell_step *st, uint64_t service)
 {
 	struct cell_worker **chosen;
-	bool found = false;
 	uint32_t i;
 
 	if (!is_gang_unplaced(st))
@@ -107,11 +114,7 @@
 	if (!cell_quota_fits(c, st, st->spec->count))
 		return;
 	chosen = xcalloc(st->spec->count, sizeof(struct cell_worker *));
-	if (step_has_flag(st, STEP_SAME_RACK))
-		found = gang_choose_rack(c, st, service, chosen);
-	if (!found)
-		found = gang_choose(c, st, service, NULL, chosen);
-	if (found) {
+	if (cell_gang_choose(c, st, service, chosen)) {
 		gang_sync_runs(st);
 		for (i = 0; i < st->spec->count; i++)
 			cell_task_place(c, &st->tasks[i], chosen[i]);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -16,16 +16,24 @@
 #define STARVED_MS 1200
 #define STARVED_USE_PERCENT 55
 
-/* Evaluated once per placement pass: the result does not change within one. */
-static bool worker_accepts_tasks(const struct cell *c,
-				 const struct cell_worker *w)
+enum cell_block cell_worker_block(const struct cell *c,
+				  const struct cell_worker *w)
 {
-	return w->registered && w->confirmed && w->stored && !w->lease_frozen &&
-	       !w->entry.draining && w->clock_received_ms && !w->missed_polls &&
-	       c->now_ms >= w->backoff_until_ms &&
-	       c->now_ms - w->answered_ms < WORKER_REACHABLE_MS &&
-	       !cell_crash_trial_blocks(c, w) &&
-	       c->ops->zone_open(c->ctx, w->entry.zone);
+	if (!w->registered || !w->confirmed || !w->stored ||
+	    !w->clock_received_ms)
+		return BLOCK_UNCONFIRMED;
+	if (w->entry.draining)
+		return BLOCK_DRAINING;
+	if (w->lease_frozen || w->missed_polls ||
+	    c->now_ms - w->answered_ms >= WORKER_REACHABLE_MS)
+		return BLOCK_SILENT;
+	if (c->now_ms < w->backoff_until_ms)
+		return BLOCK_BACKOFF;
+	if (cell_crash_trial_blocks(c, w))
+		return BLOCK_TRIAL;
+	if (!c->ops->zone_open(c->ctx, w->entry.zone))
+		return BLOCK_ZONE;
+	return BLOCK_NONE;
 }
 
 /**
@@ -230,7 +238,8 @@
 	for (w = c->workers; w; w = w->next) {
 		bool accepted = w->accepts_tasks;
 
-		w->accepts_tasks = worker_accepts_tasks(c, w);
+		/* The result does not change within a pass. */
+		w->accepts_tasks = cell_worker_block(c, w) == BLOCK_NONE;
 		/* The end of a back-off, or its zone was opened. */
 		if (w->accepts_tasks && !accepted)
 			cell_worker_mark_changed(c, w);
--- a/src/cell/cell_place.h
+++ b/src/cell/cell_place.h
@@ -3,6 +3,32 @@
 
 #include "cell/cell_types.h"
 
+/**
+ * enum cell_block - what keeps a worker from taking any task
+ *
+ * @BLOCK_UNCONFIRMED: it is not registered, or not all that its leases need is
+ *	known or stored under this owner
+ * @BLOCK_SILENT: it has not answered of late, or its leases are not extended
+ * @BLOCK_TRIAL: a task with crashes is tried there
+ * @BLOCK_ZONE: its zone is evacuated
+ */
+enum cell_block {
+	BLOCK_NONE,
+	BLOCK_UNCONFIRMED,
+	BLOCK_DRAINING,
+	BLOCK_SILENT,
+	BLOCK_BACKOFF,
+	BLOCK_TRIAL,
+	BLOCK_ZONE,
+	BLOCK_KINDS,
+};
+
+/**
+ * cell_worker_block() - the first reason why a worker takes no tasks at present
+ */
+enum cell_block cell_worker_block(const struct cell *c,
+				  const struct cell_worker *w);
+
 /**
  * cell_place() - run one placement pass
  */
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -17,7 +17,7 @@
 /* Back-off from a worker that refused a start for lack of free capacity. */
 #define NO_ROOM_BACKOFF_MS 150
 
-static void task_add_usage(struct cell_task *t, int sign)
+void cell_task_add_usage(struct cell_task *t, int sign)
 {
 	const struct job_step *s = t->step->spec;
 	struct cell_worker *w = t->worker;
@@ -60,7 +60,7 @@
 	t->pace = PACE_FULL;
 	t->pace_sent = PACE_FULL;
 	t->pace_in_flight = false;
-	task_add_usage(t, 1);
+	cell_task_add_usage(t, 1);
 	cell_quota_hold(t);
 	cell_crash_attach(c, t);
 	if (w->poll_due_ms > c->now_ms && w->last_end == w->acked_end)
@@ -73,7 +73,7 @@
 {
 	if (!job_state_is_terminal(t->step->job->state))
 		cell_job_mark_dirty(c, t->step->job);
-	task_add_usage(t, -1);
+	cell_task_add_usage(t, -1);
 	cell_quota_release(c, t);
 	cell_crash_detach(c, t);
 	if (t->prev)
--- a/src/cell/cell_task.h
+++ b/src/cell/cell_task.h
@@ -3,6 +3,12 @@
 
 #include "cell/cell_types.h"
 
+/**
+ * cell_task_add_usage() - count what a task takes of its worker
+ * @sign: 1, or -1 to count it no longer
+ */
+void cell_task_add_usage(struct cell_task *t, int sign);
+
 /**
  * cell_task_place() - assign a task to a worker and start it there
  *
--- a/src/cell/cell_wait.c
+++ b/src/cell/cell_wait.c
@@ -152,22 +152,6 @@
 	return t;
 }
 
-/**
- * struct queue_place - place of a step in the order of placement
- * @entry: of the step
- * @ahead: tasks that wait and go before those of the step, and @ahead_cpu what
- *	they need
- * @short_waiting: short tasks that wait for a worker, and @short_waiting_cpu
- *	what they need
- */
-struct queue_place {
-	struct cell_queued_step entry;
-	uint64_t ahead;
-	uint64_t ahead_cpu;
-	uint64_t short_waiting;
-	uint64_t short_waiting_cpu;
-};
-
 static void add_to_place(const struct cell *c, struct cell_step *st, void *arg)
 {
 	struct queue_place *q = arg;
@@ -189,6 +173,11 @@
 	}
 }
 
+void cell_wait_place(const struct cell *c, struct queue_place *q)
+{
+	for_each_waiting_step(c, add_to_place, q);
+}
+
 /**
  * struct pool_fit - how the workers of a step's pool suit its tasks
  * @service: name_hash() of the service of the pool
@@ -245,7 +234,7 @@
 	for (w = c->workers; w; w = w->next)
 		add_worker(c, w, st, &p);
 	q.entry = cell_queue_entry(c, wait->step);
-	for_each_waiting_step(c, add_to_place, &q);
+	cell_wait_place(c, &q);
 	log_line(LOG_INFO, wait->kind->event,
 		 "job=%016" PRIx64 " step=%u index=%u waited_ms=%lld "
 		 "tried_ms_ago=%lld reason=%s cpu=%u cpu_free_max=%u "
