explain: basilshift-explain asks the owner where a job would be placed

POST /explain on the metrics port takes a job as callers send it, with the queue's host and path in the query, and answers on the loop's thread with the admission verdict and the explanation as text. Another host names the owner.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	@echo "lint: clean"
 
 PROGRAMS = basilshift-hostd basilshift-entryd basilshift-schedd basilshift-ctl \
-	basilshift-timeline basilshift-load basilshift-faults \
+	basilshift-timeline basilshift-explain basilshift-load basilshift-faults \
 	standin-platform standin-worker standin-gridstore standin-gridworker \
 	standin-proxy
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -165,13 +165,13 @@
 
 /*
  * Runs on the thread of the probe or metrics server and reads only the ready
- * flag. Requests for metrics are posted to the loop, which owns the counters.
+ * flag. Other requests are posted to the loop, which owns the state.
  */
 static void on_probe(void *ctx, struct http_request *r)
 {
 	struct host *h = ctx;
 
-	if (!strcmp(r->path, METRICS_PATH)) {
+	if (!strcmp(r->path, METRICS_PATH) || !strcmp(r->path, EXPLAIN_PATH)) {
 		host_post_request(h, r);
 		return;
 	}
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -159,6 +159,19 @@
  */
 void host_write_metrics(const struct host *h, struct buf *out);
 
+/* host_explain.c */
+
+#define EXPLAIN_PATH "/explain"
+
+/**
+ * host_explain() - tell where a job would be placed, on the loop's thread
+ *
+ * The body is a job as callers send it; the query has the "host" and the "path"
+ * that they would send it to, and may name an "account". Only the metrics port
+ * answers it.
+ */
+void host_explain(struct host *h, struct http_request *r);
+
 /* host_call.c */
 
 /**
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -29,8 +29,6 @@
 /* Retry-after time of refusals while the configuration or the state of a job
  * has not been read, or not for too long: another host may have read it. */
 #define RETRY_AFTER_SHORT_MS 500
-/* Largest payload of a job, in bytes. */
-#define PAYLOAD_MAX 4000
 /* A job of another account has the ID of a submission. */
 #define ID_TAKEN_BODY "{\"error\":\"ID in use\"}"
 
--- a/src/host/host_call.h
+++ b/src/host/host_call.h
@@ -9,6 +9,9 @@
 
 enum call_kind { CALL_SUBMIT, CALL_CANCEL, CALL_QUERY };
 
+/* Largest payload of a job, in bytes. */
+#define PAYLOAD_MAX 4000
+
 /**
  * struct host_call - a caller's request that waits for the log or an append
  * @request: NULL once it is answered
--- a/src/host/host_mail.c
+++ b/src/host/host_mail.c
@@ -44,6 +44,10 @@
 		activity_enter(&h->loop.activity, before);
 		return;
 	}
+	if (!strcmp(r->path, EXPLAIN_PATH)) {
+		host_explain(h, r);
+		return;
+	}
 	buf_init(&b);
 	host_write_metrics(h, &b);
 	http_reply(r, 200, 0, b.data, b.len);
--- a/src/programs/hostd.c
+++ b/src/programs/hostd.c
@@ -12,8 +12,8 @@
 	{"log-format", "format", SETTING_TEXT, 1, 8, "logfmt", "logfmt or json",
 	 true},
 	{"metrics-port", "port", SETTING_NUMBER, 0, 65535, "0",
-	 "additional port for GET /metrics on the host's address, beside the "
-	 "readiness port; 0 for none",
+	 "additional port on the host's address for GET /metrics, beside the "
+	 "readiness port, and for POST /explain; 0 for none",
 	 false},
 };
 
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -3,7 +3,7 @@
 
 BIN=${BIN:-build/bin}
 GRID=$(mktemp -d)
-declare -A HOST_PID HOST_PORT HOST_PROBE WORKER_PID
+declare -A HOST_PID HOST_PORT HOST_PROBE HOST_METRICS WORKER_PID
 STORE_PID=
 STORE=
 
@@ -77,6 +77,18 @@
 	WORKER_PID[$1]=$!
 }
 
+# grid_free_port: prints a port on which nothing listens, below those that the system
+# gives to connections
+grid_free_port()
+{
+	local port
+
+	while port=$((20000 + RANDOM % 10000)); do
+		(exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || break
+	done
+	echo "$port"
+}
+
 # grid_start_host NAME ZONE
 grid_start_host()
 {
@@ -92,7 +104,9 @@
 	"parts":24,"recordBytes":262144,"requestBytes":2097152,
 	"minTtlMs":1000}}
 	EOF
+	HOST_METRICS[$1]=$(grid_free_port)
 	BASILSHIFT_BOOT="$GRID/$1.json" "$BIN/basilshift-hostd" \
+		--metrics-port="${HOST_METRICS[$1]}" \
 		>>"$GRID/$1.log" 2>&1 &
 	HOST_PID[$1]=$!
 	grid_wait 10 grep -q 'event="started"' "$GRID/$1.log" ||
--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -82,6 +82,14 @@
 		grep -qx "basilshift_cell_workers_usable $1"
 }
 
+# explains HOST TEXT: HOST answers the question where a job would be placed with TEXT
+explains()
+{
+	grid_job 300 | "$BIN/basilshift-explain" --queue-host=desk.example \
+		--metrics="127.0.0.1:${HOST_METRICS[$1]}" --path=/check-in/ 2>&1 |
+		grep -q "$2"
+}
+
 grid_start_store
 grid_config 3
 for w in 1 2 3 4 5 6; do grid_start_worker "w$w" "zone-$((w % 2))"; done
@@ -109,6 +117,10 @@
 check "the owner keeps them when odd entries follow" knows_workers 6
 
 owner=$(grid_owner)
+check "the owner explains where a job would start" explains "$owner" \
+	'step 0: starts, 3 of 3 tasks start now'
+for h in a b c; do [ "host-$h" = "$owner" ] || other=host-$h; done
+check "another host names the owner" explains "$other" "owner=$owner "
 kill -9 "${HOST_PID[$owner]}"
 unset "HOST_PID[$owner]" "HOST_PORT[$owner]" "HOST_PROBE[$owner]"
 check "another host takes the cell" grid_wait 10 grid_owned_by_other "$owner"
