--- a/src/host/host.c
+++ b/src/host/host.c
@@ -18,6 +18,8 @@
  */
 #define BODIES_DIVISOR 8
 #define CONNECTIONS_DIVISOR 4
+/* All bodies that the metrics server holds at a time, in bytes. */
+#define EXPLAINED_BODIES_MAX (2 * MB)
 /* Connections to the probe and to the metrics server: a part of the
  * descriptors, which leaves some for several monitors on the smallest host. */
 #define PROBE_FDS_DIVISOR 32
@@ -175,12 +177,16 @@
 
 /*
  * Runs on the thread of the probe or metrics server and reads only the ready
- * flag. Requests for metrics are posted to the loop, which owns the counters.
+ * flag. Other requests are posted to the loop, which owns the state.
  */
 static void on_probe(void *ctx, struct http_request *r)
 {
 	struct host *h = ctx;
 
+	if (r->server == &h->metrics && !strcmp(r->path, EXPLAIN_PATH)) {
+		host_post_request(h, r);
+		return;
+	}
 	if (r->too_large) {
 		http_reply(r, 413, 0, "{}", 2);
 		return;
@@ -369,7 +375,8 @@
 	return n < PROBE_CONNECTIONS_MAX ? n : PROBE_CONNECTIONS_MAX;
 }
 
-/* Servers other than that of the callers accept no bodies. */
+/* The readiness server accepts no bodies, that of the metrics the jobs that
+ * operators have explained. */
 static int start_server(struct http_server *s, const char *address,
 			struct host *h,
 			void (*handle)(void *ctx, struct http_request *r))
@@ -390,6 +397,9 @@
 			request_memory_connections(h->settings.fd_limit,
 						   memory / CONNECTIONS_DIVISOR,
 						   HTTP_CONNECTION_BYTES);
+	} else if (s == &h->metrics) {
+		body_max = BODY_MAX_UNCONFIGURED;
+		s->bodies_max = EXPLAINED_BODIES_MAX;
 	}
 	s->threads = 1;
 	s->handle = handle;
