follower: pause extra reads that the store refuses

All hosts share the store's limit on reads. A query of a job that its host does not know yet makes the host read the log at once, and a host that was refused read again without a pause. Extra reads now pause after a refusal, 40 to 640 ms, and the pause halves with each answer.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -10,6 +10,12 @@
 #define RETRY_DOUBLE_BELOW_MS 800
 /* The same where no connection was made, so that the store has no work. */
 #define RETRY_DOUBLE_BELOW_UNSENT_MS 200
+/* Least pause between extra reads after one that the store has refused; it
+ * doubles with each refusal and halves with each answer. All hosts share the
+ * store's limit on reads: where each caller's query made its host read at once,
+ * refused hosts that read again without a pause kept the store refusing. */
+#define EXTRA_PAUSE_FIRST_MS 40
+#define EXTRA_PAUSE_MAX_MS 640
 #define LISTED_CAP_INITIAL 256
 /* Without an answer for this long, more than one record of a key may have been
  * missed, and a listing is shorter than all of them. */
@@ -289,11 +295,25 @@
 		follower_handle_read(f, r);
 }
 
+static void pace_extra_reads(struct follower *f, enum store_status status)
+{
+	if (status == STORE_OK)
+		f->extra_pause_ms /= 2;
+	else if (!f->extra_pause_ms)
+		f->extra_pause_ms = EXTRA_PAUSE_FIRST_MS;
+	else if (f->extra_pause_ms < EXTRA_PAUSE_MAX_MS)
+		f->extra_pause_ms *= 2;
+	if (f->extra_pause_ms < EXTRA_PAUSE_FIRST_MS)
+		f->extra_pause_ms = 0;
+	f->extra_due_ms = f->now_ms + f->extra_pause_ms;
+}
+
 static void on_extra_read(void *ctx, const struct store_reply *r)
 {
 	struct follower *f = ctx;
 
 	f->extra_read_in_flight = false;
+	pace_extra_reads(f, r->status);
 	if (!f->stopped && f->loaded && r->status == STORE_OK)
 		follower_apply_records(f, r);
 }
@@ -323,7 +343,8 @@
 
 void follower_read_now(struct follower *f)
 {
-	if (f->stopped || !f->loaded || f->extra_read_in_flight)
+	if (f->stopped || !f->loaded || f->extra_read_in_flight ||
+	    f->now_ms < f->extra_due_ms)
 		return;
 	f->extra_read_in_flight = true;
 	f->store->read(f->port, f->topic, f->part, f->next, 0, on_extra_read,
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -39,6 +39,8 @@
  * @loaded: a listing has been applied, and reads go on from its end
  * @stopped: nothing is read, and replies are ignored
  * @extra_read_in_flight: a read by follower_read_now() has no reply yet
+ * @extra_pause_ms: least pause before the next such read, while the store
+ *	refuses them; it is not sent before @extra_due_ms
  * @confirming: the next read does not wait for records: it is to tell whether
  *	those of the last reply are the newest
  * @failures: failed reads and listings since the last successful one
@@ -71,6 +73,8 @@
 	bool list_in_flight;
 	bool read_in_flight;
 	bool extra_read_in_flight;
+	int64_t extra_pause_ms;
+	int64_t extra_due_ms;
 	bool confirming;
 	uint32_t failures;
 	bool unconnected;
@@ -108,6 +112,8 @@
 /**
  * follower_read_now() - read new records without waiting for a long poll that
  *	is in flight
+ *
+ * Does nothing within a pause that follows reads which the store has refused.
  */
 void follower_read_now(struct follower *f);
 
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -125,6 +125,42 @@
 	EXPECT_EQ(f.caught_up_ms, 5000);
 }
 
+/*
+ * Against a store that stays overloaded: each waiting query of a caller makes
+ * its host read at once, and hosts that read again as soon as they are refused
+ * take up all reads of the store, so that none catches up.
+ */
+TEST_F(Follower, PausesExtraReadsThatTheStoreRefuses)
+{
+	size_t calls;
+
+	run(50);
+	store.mode = FakeStore::UNAVAILABLE;
+	f.held = true; /* no other reads */
+	calls = store.calls;
+	for (int i = 0; i < 200; i++) {
+		run(10);
+		follower_read_now(&f);
+		store.run();
+	}
+	EXPECT_GE(store.calls - calls, 3u);
+	EXPECT_LE(store.calls - calls, 8u);
+	store.mode = FakeStore::SERVE;
+	for (int i = 0; i < 200; i++) {
+		run(10);
+		follower_read_now(&f);
+		store.run();
+	}
+	/* Without refusals, it reads each time that it is asked to. */
+	calls = store.calls;
+	for (int i = 0; i < 20; i++) {
+		run(10);
+		follower_read_now(&f);
+		store.run();
+	}
+	EXPECT_EQ(store.calls - calls, 20u);
+}
+
 /*
  * Against keys that stay after they were deleted, where a follower that is
  * behind lists the partition instead of reading what it has missed.
