cell: learn running times of tasks

Callers declare running times that are off by up to 90 %, and the order of steps of one priority puts back those that miss their objective by these. The owner now learns from the runs that it started and that ended at full speed, by queue and position of the step: the ratio to the declared time and the measured time, weighted by the inverse of their variances in logarithms. Nothing is stored.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -108,6 +108,7 @@
 	quota_table_init(&c->quotas);
 	cell_late_init(c);
 	effect_model_init(&c->effect_model);
+	run_time_table_init(&c->run_times);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
 	size_table_init(&c->sizes);
@@ -140,6 +141,7 @@
 	cell_late_finish(c);
 	index_finish(&c->worker_ids);
 	effect_model_finish(&c->effect_model);
+	run_time_table_finish(&c->run_times);
 	size_table_finish(&c->sizes);
 	cell_load_finish(c);
 	buf_finish(&c->pending_records);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -53,6 +53,8 @@
  * @record_max_bytes: largest record that the store accepts
  * @append_max_bytes: largest append that the store accepts, with the framing of
  *	its records; 0 for both: no limit
+ * @look_ahead: placement considers learned running times, which tasks wait and
+ *	what will end soon; else it goes by declared times and is greedy
  */
 struct cell_options {
 	int64_t lease_ms;
@@ -66,6 +68,7 @@
 	int64_t violation_ms;
 	size_t record_max_bytes;
 	size_t append_max_bytes;
+	bool look_ahead;
 };
 
 struct cell;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -109,6 +109,7 @@
 
 	j->entry = e;
 	j->spec = e->spec;
+	j->queue = name_hash(e->spec->queue);
 	j->steps = e->spec->steps.count;
 	j->state = e->state;
 	j->recovered = recovered;
--- a/src/cell/cell_poll.c
+++ b/src/cell/cell_poll.c
@@ -12,6 +12,7 @@
 #include "cell/cell_pace.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
+#include "cell/cell_run_time.h"
 #include "cell/cell_task.h"
 #include "cell/cell_worker.h"
 
@@ -144,6 +145,7 @@
 		} else if (e->how == RUN_DONE) {
 			w->fail_streak = 0;
 			w->backoff_level = 0;
+			cell_run_time_note(c, t);
 		}
 		cell_task_end_run(c, t, e->how, e->checkpoint);
 		return;
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "cell/cell_run_time.h"
+
 /* A long-running step with a task unplaced for this long goes before short
  * work, and a worker is reserved for it. The platform tolerates 6 s, and 3 s
  * while there is free capacity. */
@@ -67,10 +69,10 @@
 	       c->now_ms - cell_step_unplaced_since(st) >= UNPLACED_MAX_MS;
 }
 
-/* Declared run time of the longest chain of steps that begins with @st. */
-static int64_t chain_from(const struct cell_step *st)
+/* Expected run time of the longest chain of steps that begins with @st. */
+static int64_t chain_from(const struct cell *c, const struct cell_step *st)
 {
-	const struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
+	struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
 	int64_t chains[JOB_STEPS_MAX], longest;
 	size_t k = st->job->steps, m;
 
@@ -80,17 +82,17 @@
 			if ((o->steps[m].spec->after >> k & 1) &&
 			    chains[m] > longest)
 				longest = chains[m];
-		chains[k] = longest + o->steps[k].spec->estimate_ms;
+		chains[k] = longest + cell_step_expected_ms(c, &o->steps[k]);
 	}
 	return chains[st->number];
 }
 
-/* Estimates may be far off, so they only order work of one priority. */
+/* Expected times may be far off, so they only order work of one priority. */
 static bool will_miss_deadline(const struct cell *c, const struct cell_step *st)
 {
 	return !step_has_flag(st, STEP_LONG_RUNNING) &&
 	       !st->job->spec->repeat &&
-	       c->now_ms + chain_from(st) >= st->job->deadline_ms;
+	       c->now_ms + chain_from(c, st) >= st->job->deadline_ms;
 }
 
 struct cell_queued_step cell_queue_entry(const struct cell *c,
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -60,6 +60,7 @@
 	t->pace = PACE_FULL;
 	t->pace_sent = PACE_FULL;
 	t->pace_in_flight = false;
+	t->is_timed = false;
 	task_add_usage(t, 1);
 	cell_quota_hold(t);
 	cell_crash_attach(c, t);
@@ -238,6 +239,7 @@
 	t->run = ++t->last_run;
 	t->start_sent_ms = c->now_ms;
 	t->confirmed_ms = 0;
+	t->is_timed = !t->checkpoint[0];
 	order_init(c, t, &o);
 	o.lease_deadline_ms = cell_lease_extend(c, w);
 	o.spec = t->step->job->spec->payload;
@@ -538,6 +540,7 @@
 	struct order o;
 
 	t->pace = percent;
+	t->is_timed &= percent == PACE_FULL;
 	if (t->pace_in_flight || t->pace_sent == percent ||
 	    t->state != TASK_RUNNING)
 		return;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,6 +6,7 @@
 #include "cell/fair_share.h"
 #include "cell/load_table.h"
 #include "cell/quota.h"
+#include "cell/run_time_table.h"
 #include "cell/size_table.h"
 
 /*
@@ -125,6 +126,8 @@
  * @settled: the worker has reported the run long enough after its start
  * @on_trial: counted in @trials of its worker
  * @in_quota: counted against the limits of its account
+ * @is_timed: its run was started by this owner, not from a checkpoint, and has
+ *	not been throttled: its running time can be learned
  * @started_clock: worker's clock when it confirmed or first reported the run; 0
  *	before
  * @late_held_until_ms: until then, it waits for a new process that may have
@@ -154,6 +157,7 @@
 	bool settled;
 	bool on_trial;
 	bool in_quota;
+	bool is_timed;
 	bool suspected;
 	bool held;
 	bool in_loss;
@@ -227,6 +231,8 @@
  * @tried_ms: when a placement pass last reached it; 0 before
  * @ready_ms: when a placement pass first found all steps before it done; 0
  *	before
+ * @expected_ms: running time that half of its tasks keep, looked up at
+ *	@expected_at_ms; 0 before
  * @is_recovered: the stored progress of a former owner has been applied
  */
 struct cell_step {
@@ -243,6 +249,8 @@
 	int64_t no_fit_at_ms;
 	int64_t tried_ms;
 	int64_t ready_ms;
+	int64_t expected_ms;
+	int64_t expected_at_ms;
 	bool is_recovered;
 	struct cell_task *tasks;
 };
@@ -258,6 +266,7 @@
 /**
  * struct cell_job - the scheduler's state of a job
  * @occurrences: @count of them
+ * @queue: name_hash() of its queue
  * @steps: steps of one occurrence
  * @waiting: tasks of open occurrences without a worker that are not done
  * @recovered: accepted under an earlier epoch: workers may run tasks of it that
@@ -279,6 +288,7 @@
 	struct job_entry *entry;
 	const struct job_spec *spec;
 	struct cell_occurrence *occurrences;
+	uint64_t queue;
 	size_t steps;
 	uint32_t count;
 	uint32_t occurrences_done;
@@ -634,8 +644,8 @@
  *	again; 0 for short work and for steps that lacked a task for too long
  * @over_share: how far its account is above its share, see
  *	cell_quota_share_percent(); 0 unless the step has been left out for that
- * @misses_deadline: 1 if it cannot meet its objective any more by its
- *	estimates, else 0
+ * @misses_deadline: 1 if it cannot meet its objective any more by the running
+ *	times that are known of its queue, else 0
  * @deadline_ms: the earliest goes first; for a step that has lacked a task for
  *	too long, the time since when
  */
@@ -698,6 +708,7 @@
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
+ * @run_times: running times of tasks that this owner has seen
  * @is_registry_read: the registry has been listed as a whole
  * @quotas: client accounts of the jobs
  * @has_accounts: the configuration has been read; no task of a client account
@@ -765,6 +776,7 @@
 	size_t no_fit_next;
 	struct cell_job *jobs;
 	struct effect_model effect_model;
+	struct run_time_table run_times;
 	struct size_table sizes;
 	bool is_registry_read;
 	int64_t sizes_due_ms;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -411,6 +411,7 @@
 					  : VIOLATION_DEFAULT_MS;
 	o->options.record_max_bytes = h->settings.record_max_bytes;
 	o->options.append_max_bytes = h->settings.append_max_bytes;
+	o->options.look_ahead = h->look_ahead;
 	owner_init(o);
 }
 
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -59,6 +59,7 @@
  * @callers: HTTP server for callers
  * @probes: HTTP server for readiness probes; also serves metrics
  * @metrics_port: port for metrics beside the readiness port; 0 for none
+ * @look_ahead: see struct cell_options
  * @evacuated_zones: zones in which no task may start
  * @listed_zones: evacuated zones found by the listing that is being applied
  * @job_view: state of all jobs, as read from the log
@@ -98,6 +99,7 @@
 	struct http_server probes;
 	struct http_server metrics;
 	uint16_t metrics_port;
+	bool look_ahead;
 	struct queue_table queues;
 	uint64_t config_offset;
 	int64_t config_until_ms;
@@ -138,7 +140,7 @@
 
 /**
  * host_run() - serve until SIGTERM or SIGINT
- * @h: zeroed, except for @settings and @metrics_port
+ * @h: zeroed, except for @settings, @metrics_port and @look_ahead
  *
  * Return: 0, or a negative error number when the host could not start.
  */
--- a/src/programs/hostd.c
+++ b/src/programs/hostd.c
@@ -15,6 +15,10 @@
 	 "additional port for GET /metrics on the host's address, beside the "
 	 "readiness port; 0 for none",
 	 false},
+	{"look-ahead", "0 or 1", SETTING_NUMBER, 0, 1, "1",
+	 "placement considers learned running times and what waits; 0: it goes "
+	 "by declared times and starts tasks wherever they fit",
+	 false},
 };
 
 int main(int argc, char **argv)
@@ -56,6 +60,7 @@
 			     h->settings.name);
 		logger_set_output(stdout);
 		h->metrics_port = (uint16_t)settings_number(&s, "metrics-port");
+		h->look_ahead = settings_number(&s, "look-ahead") != 0;
 		err = host_run(h);
 		code = err ? EXIT_CODE_ENV : EXIT_CODE_OK;
 	}
