cell: small short tasks leave workers to large ones

A short task took the worker that it filled best, also the only one that a large waiting task could use. Its cost now grows with the piece that a worker has beside its long-running tasks, up to the largest short task that waited in the last 5 s.

A step counts as missing its objective only if it does so by both the learned and the declared running times: with one of them wrong, work that could end in time was put back.

--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -42,6 +42,10 @@
  * processors leaves a fragment that short work seldom fits in. */
 #define FRAGMENT_SHARE 0.1
 #define FRAGMENT_COST 0.6
+/* Cost for a short task of a worker that the largest task that waits can use
+ * once no short work runs there; below that of slowing best-effort tasks
+ * down much. */
+#define LARGE_PIECE_COST 0.7
 /* Cost of a worker outside the rack of the task's data, where the task takes
  * several times as long. */
 #define FAR_DATA_COST 3.0
@@ -216,6 +220,25 @@
 	return rest < FRAGMENT_SHARE * w->entry.cpu ? FRAGMENT_COST : 0;
 }
 
+/*
+ * What a worker has beside its long-running tasks is the largest piece that it
+ * can release. Short tasks that fit elsewhere leave those alone that the large
+ * tasks which wait can use.
+ */
+static double large_piece_cost(const struct cell *c,
+			       const struct cell_worker *w)
+{
+	double piece = (double)w->entry.cpu - w->cpu_serving, large = 0;
+	size_t i;
+
+	for (i = 0; i < c->demand_count; i++)
+		if (c->demands[i].service == w->service)
+			large = c->demands[i].cpu_large;
+	if (piece <= 0 || !large)
+		return 0;
+	return (piece < large ? piece / large : 1) * LARGE_PIECE_COST;
+}
+
 static double serving_cost(const struct cell *c, const struct cell_step *st,
 			   const struct cell_worker *w)
 {
@@ -255,6 +278,7 @@
 		       cell_worker_cpu_free(w) / (w->entry.cpu + 1.0);
 	} else {
 		cost = left < 0 ? -left * 2 : left * 0.2;
+		cost += large_piece_cost(c, w);
 	}
 	if (s->data_rack[0] && strcmp(s->data_rack, cell_worker_rack(w)))
 		cost += FAR_DATA_COST;
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "cell/cell_place.h"
 #include "cell/cell_run_time.h"
 
 /* A long-running step with a task unplaced for this long goes before short
@@ -69,7 +70,17 @@
 	       c->now_ms - cell_step_unplaced_since(st) >= UNPLACED_MAX_MS;
 }
 
-/* Expected run time of the longest chain of steps that begins with @st. */
+/* The objective follows from the declared times. Where either these or the
+ * learned ones are wrong, work that can end in time must not be put back. */
+static int64_t step_run_ms(const struct cell *c, struct cell_step *st)
+{
+	int64_t expected = cell_step_expected_ms(c, st);
+
+	return expected < st->spec->estimate_ms ? expected
+						: st->spec->estimate_ms;
+}
+
+/* Least run time of the longest chain of steps that begins with @st. */
 static int64_t chain_from(const struct cell *c, const struct cell_step *st)
 {
 	struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
@@ -82,7 +93,7 @@
 			if ((o->steps[m].spec->after >> k & 1) &&
 			    chains[m] > longest)
 				longest = chains[m];
-		chains[k] = longest + cell_step_expected_ms(c, &o->steps[k]);
+		chains[k] = longest + step_run_ms(c, &o->steps[k]);
 	}
 	return chains[st->number];
 }
@@ -151,6 +162,48 @@
 	return queued_step_cmp(a, b) < 0;
 }
 
+/* The largest task of a moment is gone soon, and others like it come. */
+#define LARGE_KEEP_MS 5000
+/* Weight of one task in the mean of those that became ready. */
+#define MEAN_WEIGHT 0.002
+
+struct pool_demand *cell_pool_demand(struct cell *c, uint64_t service)
+{
+	size_t i;
+
+	for (i = 0; i < c->demand_count; i++)
+		if (c->demands[i].service == service)
+			return &c->demands[i];
+	if (i == POOL_DEMANDS_MAX)
+		return NULL;
+	c->demands[i].service = service;
+	c->demand_count++;
+	return &c->demands[i];
+}
+
+static void note_demand(struct cell *c, const struct cell_step *st)
+{
+	struct pool_demand *d;
+	double weight;
+
+	if (!c->opt.look_ahead || !step_is_short(st))
+		return;
+	d = cell_pool_demand(c, cell_step_service(c, st));
+	if (!d)
+		return;
+	if (st->spec->cpu >= d->cpu_large ||
+	    c->now_ms - d->large_at_ms >= LARGE_KEEP_MS) {
+		d->cpu_large = st->spec->cpu;
+		d->large_at_ms = c->now_ms;
+	}
+	if (st->ready_ms)
+		return;
+	weight = st->spec->count * MEAN_WEIGHT;
+	if (!d->cpu || weight > 1)
+		weight = 1;
+	d->cpu += (st->spec->cpu - d->cpu) * weight;
+}
+
 static void queue_push(struct cell *c, size_t n, struct cell_step *st)
 {
 	if (n == c->queue_cap) {
@@ -171,6 +224,7 @@
 
 			if (!st->waiting || !cell_step_is_ready(st))
 				continue;
+			note_demand(c, st);
 			if (!st->ready_ms)
 				st->ready_ms = c->now_ms;
 			queue_push(c, n++, st);
--- a/src/cell/cell_queue.h
+++ b/src/cell/cell_queue.h
@@ -28,6 +28,13 @@
 bool cell_queue_is_before(const struct cell_queued_step *a,
 			  const struct cell_queued_step *b);
 
+/**
+ * cell_pool_demand() - what the short tasks of a pool have needed of late
+ *
+ * Return: NULL if there are too many pools.
+ */
+struct pool_demand *cell_pool_demand(struct cell *c, uint64_t service);
+
 /**
  * cell_step_is_ready() - whether all steps that this one depends on are done
  */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -659,6 +659,22 @@
 	struct cell_step *step;
 };
 
+/**
+ * struct pool_demand - what the short tasks of a pool have needed of late
+ * @service: name_hash() of the service of the pool
+ * @cpu: mean of the tasks that became ready, newer ones weigh more
+ * @cpu_large: the most that a task that waited needed, as of @large_at_ms
+ */
+struct pool_demand {
+	uint64_t service;
+	double cpu;
+	uint32_t cpu_large;
+	int64_t large_at_ms;
+};
+
+/* Pools of which the demand is tracked; others are served as tasks come. */
+#define POOL_DEMANDS_MAX 8
+
 /**
  * struct cell_candidate - a worker that can take a task of the step being
  * placed
@@ -717,6 +733,7 @@
  * @shares: room for @share_cap accounts
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
+ * @demands: of the pools, @demand_count of them
  * @candidates: heap of @candidate_count workers, cheapest first
  * @place_gap_ms: least time between two placement passes
  */
@@ -790,6 +807,8 @@
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
+	struct pool_demand demands[POOL_DEMANDS_MAX];
+	size_t demand_count;
 	struct cell_candidate *candidates;
 	size_t candidate_count;
 	size_t candidate_cap;
