cell: planned starts for large short tasks

Small tasks took each piece of a worker that was released, and large ones waited beside more free processors than they needed. A short step that fits on no worker, can end in time and is larger than 1.3 times the mean now gets a planned start on the workers that will have room for it within 150 ms, the whole step at a time. Other tasks start there only if they end before, fit beside it, are of a higher class or have no slack left. At most a twentieth of the workers of a pool have plans, and a plan is dropped when its worker takes no tasks, when the step can no longer end in time, or by twice the uncertainty.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -11,6 +11,7 @@
 #include "cell/cell_late.h"
 #include "cell/cell_load.h"
 #include "cell/cell_place.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -405,6 +406,7 @@
 		cell_recovery_log(c);
 		cell_wait_update(c);
 		cell_late_log(c);
+		cell_plans_log(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -251,6 +251,12 @@
  *	the last second; @cpu_long_running those that long-running tasks hold
  * @cpu_free: free processors of the workers that accept tasks, by enum
  *	cpu_piece, in thousandths of a core, as of the last second
+ * @plans_made: planned starts on a worker, @plans_dropped of them without a
+ *task
+ * @plans_kept: tasks that were placed where their start was planned
+ * @backfilled: tasks placed on a worker with a plan that do not delay it
+ * @cpu_planned: free processors of the workers that have plans, in thousandths
+ *	of a core, as of the last pass
  * @short_accepted: declared work of the short jobs, see job_spec_is_short(),
  *	that were accepted under this owner, in core-seconds
  * @short_completed: of those that were completed under it; @short_in_time of
@@ -285,6 +291,11 @@
 	uint64_t cpu_short;
 	uint64_t cpu_long_running;
 	uint64_t cpu_free[PIECE_KINDS];
+	uint64_t plans_made;
+	uint64_t plans_kept;
+	uint64_t plans_dropped;
+	uint64_t backfilled;
+	uint64_t cpu_planned;
 	struct histogram short_accepted;
 	struct histogram short_completed;
 	struct histogram short_in_time;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -3,6 +3,7 @@
 #include "cell/cell_crash.h"
 #include "cell/cell_gang.h"
 #include "cell/cell_late.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_queue.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -136,6 +137,30 @@
 	}
 }
 
+/*
+ * Places tasks of a step that fits on no other worker where plans admit them,
+ * and plans the start of the rest.
+ */
+static void place_by_plans(struct cell *c, struct cell_step *st,
+			   uint64_t service)
+{
+	struct cell_worker *w;
+	uint32_t i;
+
+	for (i = 0; c->plan_count && i < st->spec->count && st->waiting; i++) {
+		if (st->tasks[i].suspected || !is_placeable(c, &st->tasks[i]))
+			continue;
+		if (!cell_quota_fits(c, st, 1))
+			return;
+		w = cell_plan_choose(c, &st->tasks[i], service);
+		if (!w)
+			break;
+		cell_task_place(c, &st->tasks[i], w);
+	}
+	if (st->waiting)
+		cell_plan_make(c, st, service);
+}
+
 /**
  * place_step() - place the tasks of a step
  * @within_share: only as long as its account stays within its share
@@ -163,8 +188,10 @@
 		place_starved(c, st, service);
 	place_suspects(c, st, service);
 	since_version = cell_step_no_fit_version(c, st, &demand);
-	if (since_version == c->version)
+	if (since_version == c->version) {
+		place_by_plans(c, st, service);
 		return true;
+	}
 	for (i = 0; i < st->spec->count && st->waiting; i++) {
 		struct cell_task *t = &st->tasks[i];
 		struct cell_worker *w;
@@ -183,6 +210,7 @@
 			cell_no_fit_record(c, st, &demand);
 			if (cell_is_long_unplaced(c, st))
 				cell_reserve_worker(c, st, service);
+			place_by_plans(c, st, service);
 			break;
 		}
 		cell_task_place(c, t, w);
@@ -240,6 +268,7 @@
 		c->counts.starts_held_back++;
 		return;
 	}
+	cell_plans_begin_pass(c);
 	n = cell_queue_fill(c);
 	cell_quota_begin_pass(c, n);
 	for (i = 0; i < n;)
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -31,7 +31,7 @@
  * Under overload, work that can still end in time goes before work that is
  * already late: earliest deadline first would make all work late.
  */
-static uint32_t lateness_of(const struct cell *c, const struct cell_job *j)
+uint32_t cell_job_lateness(const struct cell *c, const struct cell_job *j)
 {
 	int64_t objective = j->deadline_ms - j->entry->added_ms;
 
@@ -44,7 +44,7 @@
 
 bool cell_job_has_value(const struct cell *c, const struct cell_job *j)
 {
-	return lateness_of(c, j) < LATENESS_NO_VALUE;
+	return cell_job_lateness(c, j) < LATENESS_NO_VALUE;
 }
 
 int64_t cell_step_unplaced_since(const struct cell_step *st)
@@ -98,12 +98,18 @@
 	return chains[st->number];
 }
 
+int64_t cell_step_slack_ms(const struct cell *c, const struct cell_step *st)
+{
+	if (st->job->spec->repeat)
+		return INT64_MAX;
+	return st->job->deadline_ms - c->now_ms - chain_from(c, st);
+}
+
 /* Expected times may be far off, so they only order work of one priority. */
 static bool will_miss_deadline(const struct cell *c, const struct cell_step *st)
 {
 	return !step_has_flag(st, STEP_LONG_RUNNING) &&
-	       !st->job->spec->repeat &&
-	       c->now_ms + chain_from(c, st) >= st->job->deadline_ms;
+	       cell_step_slack_ms(c, st) <= 0;
 }
 
 struct cell_queued_step cell_queue_entry(const struct cell *c,
@@ -111,7 +117,7 @@
 {
 	const struct cell_job *j = st->job;
 	bool long_running = step_has_flag(st, STEP_LONG_RUNNING);
-	struct cell_queued_step r = {long_running ? 0 : lateness_of(c, j),
+	struct cell_queued_step r = {long_running ? 0 : cell_job_lateness(c, j),
 				     j->spec->priority,
 				     long_running,
 				     0,
--- a/src/cell/cell_queue.h
+++ b/src/cell/cell_queue.h
@@ -40,6 +40,19 @@
  */
 bool cell_step_is_ready(const struct cell_step *st);
 
+/**
+ * cell_job_lateness() - see @lateness of struct cell_queued_step
+ */
+uint32_t cell_job_lateness(const struct cell *c, const struct cell_job *j);
+
+/**
+ * cell_step_slack_ms() - for how long a step can wait and its job still end
+ * within its objective, by the running times that are known
+ *
+ * Return: negative if it cannot; INT64_MAX for a job that repeats.
+ */
+int64_t cell_step_slack_ms(const struct cell *c, const struct cell_step *st);
+
 /**
  * cell_job_has_value() - whether the end of a job still has value to its caller
  */
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -2,6 +2,7 @@
 
 #include "cell/cell_cost.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_queue.h"
 
 /* A reservation expires after this time; another worker may be chosen then. */
@@ -14,7 +15,7 @@
  * workers accept without a new version of the worker. */
 #define NO_FIT_KEEP_MS 1000
 
-static bool has_label(const struct cell_worker *w, const char *label)
+bool cell_worker_has_label(const struct cell_worker *w, const char *label)
 {
 	uint32_t i;
 
@@ -62,7 +63,7 @@
 		    w->memory_used + st->spec->memory_mb > w->entry.memory_mb ||
 		    w->accelerators_used + st->spec->accelerators >
 			    w->entry.accelerators ||
-		    !has_label(w, st->spec->worker_label) ||
+		    !cell_worker_has_label(w, st->spec->worker_label) ||
 		    !cell_may_add_task(st, w))
 			continue;
 		if (!best ||
@@ -86,9 +87,9 @@
 		return OBSTACLE_BLOCKED;
 	if (!cell_fits(st, w))
 		return OBSTACLE_CAPACITY;
-	if (is_reserved_for_other(c, w, st))
+	if (is_reserved_for_other(c, w, st) || cell_plan_holds(c, w, st))
 		return OBSTACLE_RESERVED;
-	if (!has_label(w, st->spec->worker_label))
+	if (!cell_worker_has_label(w, st->spec->worker_label))
 		return OBSTACLE_LABEL;
 	return OBSTACLE_NONE;
 }
--- a/src/cell/cell_room.h
+++ b/src/cell/cell_room.h
@@ -27,6 +27,12 @@
 				    const struct cell_step *st,
 				    uint64_t service);
 
+/**
+ * cell_worker_has_label() - whether a worker has a label; all have the empty
+ * one
+ */
+bool cell_worker_has_label(const struct cell_worker *w, const char *label);
+
 /**
  * cell_choose_worker() - find the cheapest worker for a task
  * @rack: only workers in this rack, or NULL for any
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -8,6 +8,7 @@
 #include "cell/cell_job.h"
 #include "cell/cell_late.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
 #include "cell/cell_worker.h"
@@ -273,6 +274,8 @@
  */
 void cell_task_place(struct cell *c, struct cell_task *t, struct cell_worker *w)
 {
+	if (w->plan.owner.job)
+		cell_plan_started(c, t, w);
 	task_attach(c, t, w);
 	t->state = TASK_STORING;
 	t->ordered = true;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -5,6 +5,7 @@
 #include "cell/effect_model.h"
 #include "cell/fair_share.h"
 #include "cell/load_table.h"
+#include "cell/place_plan.h"
 #include "cell/quota.h"
 #include "cell/run_time_table.h"
 #include "cell/size_table.h"
@@ -231,6 +232,8 @@
  * @tried_ms: when a placement pass last reached it; 0 before
  * @ready_ms: when a placement pass first found all steps before it done; 0
  *	before
+ * @planned: its tasks with a planned start, as of @planned_ms, when that was
+ *	tried last; 0 before
  * @expected_ms: running time that half of its tasks keep, looked up at
  *	@expected_at_ms; 0 before
  * @is_recovered: the stored progress of a former owner has been applied
@@ -249,6 +252,8 @@
 	int64_t no_fit_at_ms;
 	int64_t tried_ms;
 	int64_t ready_ms;
+	uint32_t planned;
+	int64_t planned_ms;
 	int64_t expected_ms;
 	int64_t expected_at_ms;
 	bool is_recovered;
@@ -410,6 +415,7 @@
  * @reserved_for: step for which it is reserved until @reserved_until_ms against
  *	all but best-effort tasks; may be a dangling pointer and is only
  *	compared
+ * @plan: planned start of tasks there, if it has an owner
  * @older: next in the list @changed of the cell
  * @last_end: greatest number of a reported end that has been applied
  * @round_end: @last_end when the cell began the present round of progress
@@ -437,6 +443,7 @@
 	struct cell_task *first_task;
 	const struct cell_step *reserved_for;
 	int64_t reserved_until_ms;
+	struct place_plan plan;
 	struct worker_entry entry;
 	uint64_t id;
 	bool registered;
@@ -672,6 +679,9 @@
 	int64_t large_at_ms;
 };
 
+/* Workers with a planned start. */
+#define PLANS_MAX 256
+
 /* Pools of which the demand is tracked; others are served as tasks come. */
 #define POOL_DEMANDS_MAX 8
 
@@ -733,6 +743,9 @@
  * @shares: room for @share_cap accounts
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
+ * @plans: workers with a plan, @plan_count of them
+ * @plans_in_pass: attempts to plan a step in this pass
+ * @plans_logged: @plans_made of the counts when they were logged last
  * @demands: of the pools, @demand_count of them
  * @candidates: heap of @candidate_count workers, cheapest first
  * @place_gap_ms: least time between two placement passes
@@ -807,6 +820,10 @@
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
+	struct cell_worker *plans[PLANS_MAX];
+	size_t plan_count;
+	uint32_t plans_in_pass;
+	uint64_t plans_logged;
 	struct pool_demand demands[POOL_DEMANDS_MAX];
 	size_t demand_count;
 	struct cell_candidate *candidates;
--- a/src/cell/cell_worker.c
+++ b/src/cell/cell_worker.c
@@ -10,6 +10,7 @@
 #include "cell/cell_job.h"
 #include "cell/cell_late.h"
 #include "cell/cell_lease.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_loss.h"
 #include "cell/cell_poll.h"
 #include "cell/cell_quota.h"
@@ -321,6 +322,7 @@
 	cell_recovery_resolve(c, w);
 	cell_quota_release_orphans(c, w);
 	cell_fence_removed(c, w);
+	cell_plan_drop(c, w, "gone");
 	changed_list_remove(c, w);
 	index_remove(&c->worker_ids, w->id);
 	free(w);
--- a/tests/cell_load.h
+++ b/tests/cell_load.h
@@ -129,6 +129,14 @@
 	}
 
       protected:
+	/* How long a task of a step with this declared run time runs. */
+	virtual double run_time(const order &sent, double mean_ms)
+	{
+		(void)sent;
+		return mean_ms *
+		       std::uniform_real_distribution<>(0.6, 1.4)(rng);
+	}
+
 	/* Called for each job that has arrived. */
 	virtual void on_submitted(uint64_t id, int64_t deadline_ms)
 	{
@@ -153,8 +161,8 @@
 					r.percent = 100;
 			return;
 		}
-		ends.push({now + (int64_t)run_time(s->estimate_ms), worker,
-			   sent.ref});
+		ends.push({now + (int64_t)run_time(sent, s->estimate_ms),
+			   worker, sent.ref});
 	}
 
 	void arrive(const LoadShape &s, int64_t ms)
@@ -202,12 +210,6 @@
 		int64_t deadline_ms;
 	};
 
-	double run_time(double mean_ms)
-	{
-		return mean_ms *
-		       std::uniform_real_distribution<>(0.6, 1.4)(rng);
-	}
-
 	/* Jobs of one kind differ in what they demand. */
 	uint32_t vary(uint32_t mean)
 	{
