--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -76,6 +76,11 @@
 	       cell.cpu_free[PIECE_BELOW_HALF] / CORE);
 	METRIC("cell_free_cores{piece=\"larger\"}",
 	       cell.cpu_free[PIECE_LARGER] / CORE);
+	METRIC("cell_plans_made", cell.plans_made);
+	METRIC("cell_plans_kept", cell.plans_kept);
+	METRIC("cell_plans_dropped", cell.plans_dropped);
+	METRIC("cell_backfilled", cell.backfilled);
+	METRIC("cell_planned_free_cores", cell.cpu_planned / CORE);
 #undef METRIC
 	for (a = 0; a < ACTIVITY_COUNT; a++)
 		buf_addf(out,
