cell: ask plans before other checks

A step that waits looks at all workers with plans in each pass. Most plans do not admit it, which is now found with one look-up of its running time. cell_bench with look-ahead on, 890 workers at 95 %, on a machine with other load: 22.2 us a task instead of 23.5; 21.1 with look-ahead off.

--- a/src/cell/cell_plan.c
+++ b/src/cell/cell_plan.c
@@ -169,6 +169,7 @@
 struct cell_worker *cell_plan_choose(struct cell *c, const struct cell_task *t,
 				     uint64_t service)
 {
+	struct plan_claim q = claim_of(c, t->step);
 	struct cell_worker *best = NULL;
 	double cost, best_cost = 0;
 	size_t i;
@@ -177,7 +178,8 @@
 		struct cell_worker *w = c->plans[i];
 
 		c->counts.examined++;
-		if (cell_obstacle_of(c, w, t->step, service) != OBSTACLE_NONE ||
+		if (place_plan_ask(&w->plan, &q, c->now_ms) == PLAN_HOLDS ||
+		    cell_obstacle_of(c, w, t->step, service) != OBSTACLE_NONE ||
 		    cell_placement_cost(c, t, w, false, &cost) ||
 		    (best && cost >= best_cost))
 			continue;
