--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -11,6 +11,7 @@
 #include "cell/cell_late.h"
 #include "cell/cell_load.h"
 #include "cell/cell_place.h"
+#include "cell/cell_plan.h"
 #include "cell/cell_progress.h"
 #include "cell/cell_quota.h"
 #include "cell/cell_recovery.h"
@@ -108,6 +109,7 @@
 	quota_table_init(&c->quotas);
 	cell_late_init(c);
 	effect_model_init(&c->effect_model);
+	run_time_table_init(&c->run_times);
 	buf_init(&c->pending_records);
 	load_effect_model(c);
 	size_table_init(&c->sizes);
@@ -140,6 +142,7 @@
 	cell_late_finish(c);
 	index_finish(&c->worker_ids);
 	effect_model_finish(&c->effect_model);
+	run_time_table_finish(&c->run_times);
 	size_table_finish(&c->sizes);
 	cell_load_finish(c);
 	buf_finish(&c->pending_records);
@@ -403,6 +406,7 @@
 		cell_recovery_log(c);
 		cell_wait_update(c);
 		cell_late_log(c);
+		cell_plans_log(c);
 	}
 	cell_account_update(c);
 	cell_workers_tick(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -53,6 +53,8 @@
  * @record_max_bytes: largest record that the store accepts
  * @append_max_bytes: largest append that the store accepts, with the framing of
  *	its records; 0 for both: no limit
+ * @look_ahead: placement considers learned running times, which tasks wait and
+ *	what will end soon; else it goes by declared times and is greedy
  */
 struct cell_options {
 	int64_t lease_ms;
@@ -66,6 +68,7 @@
 	int64_t violation_ms;
 	size_t record_max_bytes;
 	size_t append_max_bytes;
+	bool look_ahead;
 };
 
 struct cell;
@@ -248,6 +251,12 @@
  *	the last second; @cpu_long_running those that long-running tasks hold
  * @cpu_free: free processors of the workers that accept tasks, by enum
  *	cpu_piece, in thousandths of a core, as of the last second
+ * @plans_made: planned starts on a worker, @plans_dropped of them without a
+ *task
+ * @plans_kept: tasks that were placed where their start was planned
+ * @backfilled: tasks placed on a worker with a plan that do not delay it
+ * @cpu_planned: free processors of the workers that have plans, in thousandths
+ *	of a core, as of the last pass
  * @short_accepted: declared work of the short jobs, see job_spec_is_short(),
  *	that were accepted under this owner, in core-seconds
  * @short_completed: of those that were completed under it; @short_in_time of
@@ -282,6 +291,11 @@
 	uint64_t cpu_short;
 	uint64_t cpu_long_running;
 	uint64_t cpu_free[PIECE_KINDS];
+	uint64_t plans_made;
+	uint64_t plans_kept;
+	uint64_t plans_dropped;
+	uint64_t backfilled;
+	uint64_t cpu_planned;
 	struct histogram short_accepted;
 	struct histogram short_completed;
 	struct histogram short_in_time;
--- a/src/cell/cell_queue.c
+++ b/src/cell/cell_queue.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+#include "cell/cell_place.h"
+#include "cell/cell_run_time.h"
+
 /* A long-running step with a task unplaced for this long goes before short
  * work, and a worker is reserved for it. The platform tolerates 6 s, and 3 s
  * while there is free capacity. */
@@ -28,7 +31,7 @@
  * Under overload, work that can still end in time goes before work that is
  * already late: earliest deadline first would make all work late.
  */
-static uint32_t lateness_of(const struct cell *c, const struct cell_job *j)
+uint32_t cell_job_lateness(const struct cell *c, const struct cell_job *j)
 {
 	int64_t objective = j->deadline_ms - j->entry->added_ms;
 
@@ -41,7 +44,7 @@
 
 bool cell_job_has_value(const struct cell *c, const struct cell_job *j)
 {
-	return lateness_of(c, j) < LATENESS_NO_VALUE;
+	return cell_job_lateness(c, j) < LATENESS_NO_VALUE;
 }
 
 int64_t cell_step_unplaced_since(const struct cell_step *st)
@@ -67,10 +70,20 @@
 	       c->now_ms - cell_step_unplaced_since(st) >= UNPLACED_MAX_MS;
 }
 
-/* Declared run time of the longest chain of steps that begins with @st. */
-static int64_t chain_from(const struct cell_step *st)
+/* The objective follows from the declared times. Where either these or the
+ * learned ones are wrong, work that can end in time must not be put back. */
+static int64_t step_run_ms(const struct cell *c, struct cell_step *st)
 {
-	const struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
+	int64_t expected = cell_step_expected_ms(c, st);
+
+	return expected < st->spec->estimate_ms ? expected
+						: st->spec->estimate_ms;
+}
+
+/* Least run time of the longest chain of steps that begins with @st. */
+static int64_t chain_from(const struct cell *c, const struct cell_step *st)
+{
+	struct cell_occurrence *o = &st->job->occurrences[st->occurrence];
 	int64_t chains[JOB_STEPS_MAX], longest;
 	size_t k = st->job->steps, m;
 
@@ -80,17 +93,23 @@
 			if ((o->steps[m].spec->after >> k & 1) &&
 			    chains[m] > longest)
 				longest = chains[m];
-		chains[k] = longest + o->steps[k].spec->estimate_ms;
+		chains[k] = longest + step_run_ms(c, &o->steps[k]);
 	}
 	return chains[st->number];
 }
 
-/* Estimates may be far off, so they only order work of one priority. */
+int64_t cell_step_slack_ms(const struct cell *c, const struct cell_step *st)
+{
+	if (st->job->spec->repeat)
+		return INT64_MAX;
+	return st->job->deadline_ms - c->now_ms - chain_from(c, st);
+}
+
+/* Expected times may be far off, so they only order work of one priority. */
 static bool will_miss_deadline(const struct cell *c, const struct cell_step *st)
 {
 	return !step_has_flag(st, STEP_LONG_RUNNING) &&
-	       !st->job->spec->repeat &&
-	       c->now_ms + chain_from(st) >= st->job->deadline_ms;
+	       cell_step_slack_ms(c, st) <= 0;
 }
 
 struct cell_queued_step cell_queue_entry(const struct cell *c,
@@ -98,7 +117,7 @@
 {
 	const struct cell_job *j = st->job;
 	bool long_running = step_has_flag(st, STEP_LONG_RUNNING);
-	struct cell_queued_step r = {long_running ? 0 : lateness_of(c, j),
+	struct cell_queued_step r = {long_running ? 0 : cell_job_lateness(c, j),
 				     j->spec->priority,
 				     long_running,
 				     0,
@@ -149,6 +168,48 @@
 	return queued_step_cmp(a, b) < 0;
 }
 
+/* The largest task of a moment is gone soon, and others like it come. */
+#define LARGE_KEEP_MS 5000
+/* Weight of one task in the mean of those that became ready. */
+#define MEAN_WEIGHT 0.002
+
+struct pool_demand *cell_pool_demand(struct cell *c, uint64_t service)
+{
+	size_t i;
+
+	for (i = 0; i < c->demand_count; i++)
+		if (c->demands[i].service == service)
+			return &c->demands[i];
+	if (i == POOL_DEMANDS_MAX)
+		return NULL;
+	c->demands[i].service = service;
+	c->demand_count++;
+	return &c->demands[i];
+}
+
+static void note_demand(struct cell *c, const struct cell_step *st)
+{
+	struct pool_demand *d;
+	double weight;
+
+	if (!c->opt.look_ahead || !step_is_short(st))
+		return;
+	d = cell_pool_demand(c, cell_step_service(c, st));
+	if (!d)
+		return;
+	if (st->spec->cpu >= d->cpu_large ||
+	    c->now_ms - d->large_at_ms >= LARGE_KEEP_MS) {
+		d->cpu_large = st->spec->cpu;
+		d->large_at_ms = c->now_ms;
+	}
+	if (st->ready_ms)
+		return;
+	weight = st->spec->count * MEAN_WEIGHT;
+	if (!d->cpu || weight > 1)
+		weight = 1;
+	d->cpu += (st->spec->cpu - d->cpu) * weight;
+}
+
 static void queue_push(struct cell *c, size_t n, struct cell_step *st)
 {
 	if (n == c->queue_cap) {
@@ -169,6 +230,7 @@
 
 			if (!st->waiting || !cell_step_is_ready(st))
 				continue;
+			note_demand(c, st);
 			if (!st->ready_ms)
 				st->ready_ms = c->now_ms;
 			queue_push(c, n++, st);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -5,7 +5,9 @@
 #include "cell/effect_model.h"
 #include "cell/fair_share.h"
 #include "cell/load_table.h"
+#include "cell/place_plan.h"
 #include "cell/quota.h"
+#include "cell/run_time_table.h"
 #include "cell/size_table.h"
 
 /*
@@ -125,6 +127,8 @@
  * @settled: the worker has reported the run long enough after its start
  * @on_trial: counted in @trials of its worker
  * @in_quota: counted against the limits of its account
+ * @is_timed: its run was started by this owner, not from a checkpoint, and has
+ *	not been throttled: its running time can be learned
  * @started_clock: worker's clock when it confirmed or first reported the run; 0
  *	before
  * @late_held_until_ms: until then, it waits for a new process that may have
@@ -154,6 +158,7 @@
 	bool settled;
 	bool on_trial;
 	bool in_quota;
+	bool is_timed;
 	bool suspected;
 	bool held;
 	bool in_loss;
@@ -227,6 +232,10 @@
  * @tried_ms: when a placement pass last reached it; 0 before
  * @ready_ms: when a placement pass first found all steps before it done; 0
  *	before
+ * @planned: its tasks with a planned start, as of @planned_ms, when that was
+ *	tried last; 0 before
+ * @expected_ms: running time that half of its tasks keep, looked up at
+ *	@expected_at_ms; 0 before
  * @is_recovered: the stored progress of a former owner has been applied
  */
 struct cell_step {
@@ -243,6 +252,10 @@
 	int64_t no_fit_at_ms;
 	int64_t tried_ms;
 	int64_t ready_ms;
+	uint32_t planned;
+	int64_t planned_ms;
+	int64_t expected_ms;
+	int64_t expected_at_ms;
 	bool is_recovered;
 	struct cell_task *tasks;
 };
@@ -258,6 +271,7 @@
 /**
  * struct cell_job - the scheduler's state of a job
  * @occurrences: @count of them
+ * @queue: name_hash() of its queue
  * @steps: steps of one occurrence
  * @waiting: tasks of open occurrences without a worker that are not done
  * @recovered: accepted under an earlier epoch: workers may run tasks of it that
@@ -279,6 +293,7 @@
 	struct job_entry *entry;
 	const struct job_spec *spec;
 	struct cell_occurrence *occurrences;
+	uint64_t queue;
 	size_t steps;
 	uint32_t count;
 	uint32_t occurrences_done;
@@ -403,6 +418,7 @@
  * @reserved_for: step for which it is reserved until @reserved_until_ms against
  *	all but best-effort tasks; may be a dangling pointer and is only
  *	compared
+ * @plan: planned start of tasks there, if it has an owner
  * @older: next in the list @changed of the cell
  * @last_end: greatest number of a reported end that has been applied
  * @round_end: @last_end when the cell began the present round of progress
@@ -431,6 +447,7 @@
 	struct cell_task *first_task;
 	const struct cell_step *reserved_for;
 	int64_t reserved_until_ms;
+	struct place_plan plan;
 	struct worker_entry entry;
 	uint64_t id;
 	bool registered;
@@ -643,8 +660,8 @@
  *	again; 0 for short work and for steps that lacked a task for too long
  * @over_share: how far its account is above its share, see
  *	cell_quota_share_percent(); 0 unless the step has been left out for that
- * @misses_deadline: 1 if it cannot meet its objective any more by its
- *	estimates, else 0
+ * @misses_deadline: 1 if it cannot meet its objective any more by the running
+ *	times that are known of its queue, else 0
  * @deadline_ms: the earliest goes first; for a step that has lacked a task for
  *	too long, the time since when
  */
@@ -658,6 +675,25 @@
 	struct cell_step *step;
 };
 
+/**
+ * struct pool_demand - what the short tasks of a pool have needed of late
+ * @service: name_hash() of the service of the pool
+ * @cpu: mean of the tasks that became ready, newer ones weigh more
+ * @cpu_large: the most that a task that waited needed, as of @large_at_ms
+ */
+struct pool_demand {
+	uint64_t service;
+	double cpu;
+	uint32_t cpu_large;
+	int64_t large_at_ms;
+};
+
+/* Workers with a planned start. */
+#define PLANS_MAX 256
+
+/* Pools of which the demand is tracked; others are served as tasks come. */
+#define POOL_DEMANDS_MAX 8
+
 /**
  * struct cell_candidate - a worker that can take a task of the step being
  * placed
@@ -712,6 +748,7 @@
  * @version: counts changes of workers
  * @no_fit: cache of demands that no worker met, overwritten in turn at
  *	@no_fit_next
+ * @run_times: running times of tasks that this owner has seen
  * @is_registry_read: the registry has been listed as a whole
  * @quotas: client accounts of the jobs
  * @has_accounts: the configuration has been read; no task of a client account
@@ -720,6 +757,10 @@
  * @shares: room for @share_cap accounts
  * @intents: list of the tasks whose intent to start waits to be stored
  * @queue: steps to place, sorted; room for @queue_cap
+ * @plans: workers with a plan, @plan_count of them
+ * @plans_in_pass: attempts to plan a step in this pass
+ * @plans_logged: @plans_made of the counts when they were logged last
+ * @demands: of the pools, @demand_count of them
  * @candidates: heap of @candidate_count workers, cheapest first
  * @place_gap_ms: least time between two placement passes
  */
@@ -784,6 +825,7 @@
 	size_t no_fit_next;
 	struct cell_job *jobs;
 	struct effect_model effect_model;
+	struct run_time_table run_times;
 	struct size_table sizes;
 	bool is_registry_read;
 	int64_t sizes_due_ms;
@@ -797,6 +839,12 @@
 	struct cell_task *intents;
 	struct cell_queued_step *queue;
 	size_t queue_cap;
+	struct cell_worker *plans[PLANS_MAX];
+	size_t plan_count;
+	uint32_t plans_in_pass;
+	uint64_t plans_logged;
+	struct pool_demand demands[POOL_DEMANDS_MAX];
+	size_t demand_count;
 	struct cell_candidate *candidates;
 	size_t candidate_count;
 	size_t candidate_cap;
--- a/src/programs/hostd.c
+++ b/src/programs/hostd.c
@@ -16,6 +16,10 @@
 	 "additional port on the host's address for GET /metrics, beside the "
 	 "readiness port, and for POST /explain; 0 for none",
 	 false},
+	{"look-ahead", "0 or 1", SETTING_NUMBER, 0, 1, "1",
+	 "placement considers learned running times and what waits; 0: it goes "
+	 "by declared times and starts tasks wherever they fit",
+	 false},
 };
 
 int main(int argc, char **argv)
@@ -58,6 +62,7 @@
 			     h->settings.name);
 		logger_set_output(stdout);
 		h->metrics_port = (uint16_t)settings_number(&s, "metrics-port");
+		h->look_ahead = settings_number(&s, "look-ahead") != 0;
 		err = host_run(h);
 		code = err ? EXIT_CODE_ENV : EXIT_CODE_OK;
 	}
