follower: list on behind a page without a usable record

Another writer had left 600 entries in the registry of workers whose keys end in a line feed.

Cause: the adapter leaves out an item whose key cannot be used, and the follower took the key to go on from out of the records that are left. A page of 500 such items gave none, so the listing counted as failed and began again, for ever. The log shows it: "page of a listing holds no usable record", keys=0, with each listing. Ruled out: that the entries count as workers, or that the whole listing is refused; the former owner read the same entries one by one and kept its workers. All keyed topics are listed by this code.

Change: a reply tells the last key of its page whether its record can be used or not, and the listing goes on behind it. Related path, found by the test of it: a page that brings no new key, as a store may send that writes a key which is no UTF-8 in another way, was asked for again without a pause, 100 times a second of 10 ms ticks, and collected in memory. It now counts as a failed listing, and failures are forgotten only once a whole listing is read, so that the pause grows. Workers write their entries again all the time; the registry is therefore used as far as it is listed and read on, and no worker counts as gone by such a listing.

The stand-in of the store pages its listings in the order of keys (--page), which tools/grid.sh sets to 500.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -44,6 +44,9 @@
 	f->listed = NULL;
 	f->listed_cap = 0;
 	f->listed_count = 0;
+	f->is_listing = false;
+	f->list_after.data = NULL;
+	f->list_after.len = 0;
 }
 
 void follower_finish(struct follower *f)
@@ -138,7 +141,7 @@
 	return x < y ? -1 : x > y;
 }
 
-static void follower_apply_listing(struct follower *f)
+static void follower_apply_listing(struct follower *f, bool is_complete)
 {
 	size_t i;
 
@@ -148,10 +151,12 @@
 	f->ops->begin(f->ctx);
 	for (i = 0; i < f->listed_count; i++)
 		f->ops->apply(f->ctx, &f->listed[i]);
-	f->ops->end(f->ctx);
+	if (is_complete)
+		f->ops->end(f->ctx);
 	log_line(LOG_INFO, "partition listed",
-		 "topic=%s part=%u keys=%zu next=%llu", f->topic, f->part,
-		 f->listed_count, (unsigned long long)f->list_end_offset);
+		 "topic=%s part=%u keys=%zu complete=%d next=%llu", f->topic,
+		 f->part, f->listed_count, is_complete,
+		 (unsigned long long)f->list_end_offset);
 	f->next = f->list_end_offset;
 	f->caught_up_ms = f->list_sent_ms;
 	f->confirming = f->ops->newest_only;
@@ -168,6 +173,28 @@
 	       r->sent_ms >= f->answered_ms;
 }
 
+/* A store may tell a key that is no UTF-8 by another text, after which the same
+ * page follows again. */
+static bool can_list_on(const struct follower *f, const struct store_reply *r)
+{
+	return r->last_key.len && !str_eq(r->last_key, f->list_after);
+}
+
+static void follower_end_listing(struct follower *f,
+				 const struct store_reply *r)
+{
+	log_line(LOG_ERROR, "page of a listing tells no key to go on from",
+		 "topic=%s part=%u keys=%zu last_key_bytes=%zu", f->topic,
+		 f->part, f->listed_count, r->last_key.len);
+	if (f->ops->is_refreshed) {
+		follower_note_recovery(f, r);
+		follower_apply_listing(f, false);
+		return;
+	}
+	listed_clear(f);
+	follower_note_failure(f, r);
+}
+
 static void on_listed(void *ctx, const struct store_reply *r)
 {
 	struct follower *f = ctx;
@@ -181,15 +208,6 @@
 		follower_note_failure(f, r);
 		return;
 	}
-	/* A page of which nothing can be used gives no key to go on from. */
-	if (r->has_more && !r->count) {
-		log_line(LOG_ERROR, "page of a listing holds no usable record",
-			 "topic=%s part=%u keys=%zu", f->topic, f->part,
-			 f->listed_count);
-		listed_clear(f);
-		follower_note_failure(f, r);
-		return;
-	}
 	if (is_older_than_known(f, r)) {
 		log_line(LOG_WARN, "listing is older than what is known",
 			 "topic=%s part=%u end=%llu next=%llu", f->topic,
@@ -199,16 +217,23 @@
 		follower_note_failure(f, r);
 		return;
 	}
-	follower_note_recovery(f, r);
-	if (!f->listed_count) {
+	if (!f->is_listing) {
+		f->is_listing = true;
 		f->list_end_offset = r->end;
 		f->list_sent_ms = r->sent_ms;
 	}
 	follower_note_reply(f, r);
 	for (i = 0; i < r->count; i++)
 		listed_add(f, &r->records[i]);
-	if (!r->has_more)
-		follower_apply_listing(f);
+	if (!r->has_more) {
+		follower_note_recovery(f, r);
+		follower_apply_listing(f, true);
+	} else if (can_list_on(f, r)) {
+		f->list_after = arena_str(&f->listed_memory, r->last_key.data,
+					  r->last_key.len);
+	} else {
+		follower_end_listing(f, r);
+	}
 }
 
 /* Whether a later record of the reply has the key of record @i. */
@@ -320,8 +345,6 @@
 
 void follower_tick(struct follower *f, int64_t now_ms)
 {
-	struct str after = {NULL, 0};
-
 	f->now_ms = now_ms;
 	if (f->stopped || f->held || f->read_in_flight || f->list_in_flight ||
 	    now_ms < f->due_ms)
@@ -335,10 +358,9 @@
 			       f->confirming ? 0 : f->wait_ms, on_read, f);
 		return;
 	}
-	if (f->listed_count)
-		after = f->listed[f->listed_count - 1].key;
 	f->list_in_flight = true;
-	f->store->read_newest(f->port, f->topic, f->part, after, on_listed, f);
+	f->store->read_newest(f->port, f->topic, f->part, f->list_after,
+			      on_listed, f);
 }
 
 void follower_read_now(struct follower *f)
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -15,12 +15,16 @@
  * @newest_only: only the newest record of a key counts: one that a later record
  *	of the same reply replaces is not applied, and a follower that is behind
  *	lists the partition instead of reading all that it has missed
+ * @is_refreshed: each key that exists is written again periodically: a listing
+ *	that the store does not let go on is applied without @end, and what it
+ *	lacks is read
  */
 struct follower_ops {
 	void (*begin)(void *ctx);
 	void (*apply)(void *ctx, const struct store_record *r);
 	void (*end)(void *ctx);
 	bool newest_only;
+	bool is_refreshed;
 };
 
 /**
@@ -51,6 +55,8 @@
  * @reply_end: end of the partition, as that reply tells it
  * @reply_took_ms: time from the call to that reply
  * @due_ms: earliest boot time of the next read or listing
+ * @is_listing: pages of a listing have been read, and more follow
+ * @list_after: key after which the next page begins; owned by @listed_memory
  * @list_end_offset: end of the partition at the first page of the listing
  * @list_sent_ms: when that page was requested, boot time
  * @listed_memory: holds the keys and values of @listed
@@ -85,6 +91,8 @@
 	int64_t reply_took_ms;
 	int64_t due_ms;
 	int64_t now_ms;
+	bool is_listing;
+	struct str list_after;
 	uint64_t list_end_offset;
 	int64_t list_sent_ms;
 	struct arena listed_memory;
--- a/src/host/owner.c
+++ b/src/host/owner.c
@@ -78,9 +78,12 @@
 		cell_workers_retain(o->cell, &o->listed_workers);
 }
 
-static const struct follower_ops worker_follower_ops = {workers_begin,
-							workers_apply,
-							workers_end};
+static const struct follower_ops worker_follower_ops = {
+	.begin = workers_begin,
+	.apply = workers_apply,
+	.end = workers_end,
+	.is_refreshed = true,
+};
 
 void owner_init(struct owner *o)
 {
--- a/src/ports/cluster.h
+++ b/src/ports/cluster.h
@@ -38,7 +38,9 @@
  * @end: offset of the next record of the partition
  * @seq: sequence number that the store expects, with STORE_BAD_SEQ
  * @records: records read, @count of them; valid during the callback
- * @has_more: the listing continues after the last key
+ * @has_more: the listing continues after @last_key
+ * @last_key: last key of a page of a listing, also if its record cannot be used
+ *	and is not in @records; empty if no item of the page has a key
  * @generation: generation of the group, after a join
  * @assigned: bit set of the partitions assigned to the member, after a join
  * @sent_ms: boot time at which the call was sent, in milliseconds
@@ -54,6 +56,7 @@
 	const struct store_record *records;
 	size_t count;
 	bool has_more;
+	struct str last_key;
 	uint64_t generation;
 	uint64_t assigned;
 	int64_t sent_ms;
--- a/standins/grid_store.c
+++ b/standins/grid_store.c
@@ -205,25 +205,61 @@
 	free(text);
 }
 
-void grid_partition_newest(const struct grid_partition *p, struct buf *out)
+static int key_cmp(struct str a, struct str b)
+{
+	size_t n = a.len < b.len ? a.len : b.len;
+	int d = n ? memcmp(a.data, b.data, n) : 0;
+
+	return d ? d : (a.len > b.len) - (a.len < b.len);
+}
+
+static int record_cmp(const void *a, const void *b)
+{
+	return key_cmp(record_key(*(const struct grid_record *const *)a),
+		       record_key(*(const struct grid_record *const *)b));
+}
+
+/* Return: number of records in @out, the newest of each key, by key. */
+static size_t list_newest(const struct grid_partition *p, struct str after,
+			  const struct grid_record **out)
 {
 	struct index newest;
-	size_t i;
+	size_t n = 0, i;
 
 	index_init(&newest);
-	buf_adds(out, "{\"items\":[");
 	for (i = 0; i < p->count; i++)
 		index_put(&newest, bytes_hash(record_key(&p->records[i])),
 			  &p->records[i]);
 	for (i = 0; i < p->count; i++) {
 		const struct grid_record *r = &p->records[i];
+		struct str key = record_key(r);
 
-		if (index_get(&newest, bytes_hash(record_key(r))) == r &&
-		    r->bytes.len > 1 + record_key(r).len)
-			add_newest(r, i, out);
+		if (index_get(&newest, bytes_hash(key)) == r &&
+		    r->bytes.len > 1 + key.len &&
+		    (!after.len || key_cmp(key, after) > 0))
+			out[n++] = r;
 	}
-	buf_addf(out, "],\"hasMore\":false,\"endOffset\":%zu}", p->count);
 	index_finish(&newest);
+	if (n)
+		qsort(out, n, sizeof(*out), record_cmp);
+	return n;
+}
+
+void grid_partition_newest(const struct grid_partition *p, struct str after,
+			   size_t page, struct buf *out)
+{
+	const struct grid_record **rows = xcalloc(p->count + 1, sizeof(*rows));
+	size_t n = list_newest(p, after, rows), i;
+	bool has_more = page && n > page;
+
+	if (has_more)
+		n = page;
+	buf_adds(out, "{\"items\":[");
+	for (i = 0; i < n; i++)
+		add_newest(rows[i], (size_t)(rows[i] - p->records), out);
+	buf_addf(out, "],\"hasMore\":%s,\"endOffset\":%zu}",
+		 has_more ? "true" : "false", p->count);
+	free(rows);
 }
 
 static void expire_members(struct grid_store *s, int64_t now_ms)
--- a/standins/grid_store.h
+++ b/standins/grid_store.h
@@ -114,12 +114,15 @@
 			 struct buf *out);
 
 /**
- * grid_partition_newest() - append the newest record of each key to @out, as
- * JSON
+ * grid_partition_newest() - append a page of the newest record of each key to
+ * @out, as JSON, in the order of the keys
+ * @after: key after which the page begins; empty for the first page
+ * @page: records in a page; 0 for all
  *
  * Keys whose newest record has an empty value are left out.
  */
-void grid_partition_newest(const struct grid_partition *p, struct buf *out);
+void grid_partition_newest(const struct grid_partition *p, struct str after,
+			   size_t page, struct buf *out);
 
 /**
  * grid_store_join() - join the group, or renew a membership
--- a/standins/gridstore.c
+++ b/standins/gridstore.c
@@ -32,6 +32,8 @@
 	{"append-log", "path", SETTING_TEXT, 0, 512, "",
 	 "file that receives a line for each append that is stored or repeated",
 	 false},
+	{"page", "records", SETTING_NUMBER, 0, 500, "0",
+	 "records in a page of a listing; 0 for all in one", false},
 };
 
 /**
@@ -52,6 +54,7 @@
 	struct waiter waiters[WAITERS_MAX];
 	size_t waiter_count;
 	bool down;
+	size_t page; /* records of a listing; 0 for all */
 	FILE *append_log;
 };
 
@@ -196,7 +199,8 @@
 	struct buf b;
 
 	buf_init(&b);
-	grid_partition_newest(request_partition(s, r), &b);
+	grid_partition_newest(request_partition(s, r),
+			      str_of(http_query(r, "after")), s->page, &b);
 	reply_buf(r, 200, &b);
 }
 
@@ -298,6 +302,7 @@
 	lock_init(&s->lock);
 	grid_store_init(&s->store,
 			(uint32_t)settings_number(&set, "partitions"));
+	s->page = (size_t)settings_number(&set, "page");
 	if (settings_text(&set, "append-log")[0])
 		s->append_log = fopen(settings_text(&set, "append-log"), "a");
 	http.handle = on_request;
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_FAKE_STORE_H
 #define TESTS_FAKE_STORE_H
 
+#include <algorithm>
+#include <cctype>
 #include <functional>
 #include <map>
 #include <string>
@@ -9,7 +11,8 @@
 #include "ports/cluster.h"
 
 /* In-memory store of the platform. Each reply stays pending until run()
- * delivers it. */
+ * delivers it. A listing leaves out records whose keys hold control characters,
+ * as the adapter does. */
 class FakeStore
 {
       public:
@@ -79,6 +82,7 @@
 	uint64_t seq = 0;
 	uint64_t trimmed = 0; /* first offset that can be read */
 	size_t page = 500;
+	size_t pages = 0;           /* of listings */
 	size_t read_max = SIZE_MAX; /* records in the reply to a read */
 	size_t calls = 0;
 	/* Limits of an append and of a record, bytes; a larger one is refused.
@@ -97,7 +101,7 @@
 
 	void reply(store_reply r, store_done d, void *ctx,
 		   std::vector<Record> rows = {}, uint64_t from = 0,
-		   bool is_list = false)
+		   bool is_list = false, const std::string &last_key = "")
 	{
 		Mode m = mode;
 
@@ -124,6 +128,7 @@
 			}
 			copy.records = out.data();
 			copy.count = out.size();
+			copy.last_key = {last_key.data(), last_key.size()};
 			d(ctx, &copy);
 		});
 	}
@@ -246,11 +251,22 @@
 		for (auto &x : last)
 			if (x.first > start && !x.second.value.empty())
 				rows.push_back(x.second);
+		pages++;
 		r.end = topics[topic].size();
 		r.has_more = rows.size() > page;
 		if (r.has_more)
 			rows.resize(page);
-		reply(r, d, ctx, rows, 0, true);
+		std::string last_key = rows.empty() ? "" : rows.back().key;
+		rows.erase(std::remove_if(rows.begin(), rows.end(),
+					  has_control_character),
+			   rows.end());
+		reply(r, d, ctx, rows, 0, true, last_key);
+	}
+
+	static bool has_control_character(const Record &r)
+	{
+		return std::any_of(r.key.begin(), r.key.end(),
+				   [](unsigned char c) { return iscntrl(c); });
 	}
 
 	void join(const std::string &member, store_done d, void *ctx)
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -281,4 +281,77 @@
 	EXPECT_EQ(sink.keys.size(), 2u);
 }
 
+/* The listing of workers began again for ever behind a page of which no record
+ * could be used, and the owner knew no worker. */
+TEST_F(Follower, ListsOnBehindAPageWithoutAUsableRecord)
+{
+	store.page = 3;
+	for (int i = 0; i < 7; i++)
+		store.put("keyed.t", "a" + std::to_string(i) + "\n", "1");
+	store.put("keyed.t", "w1", "1");
+	store.put("keyed.t", "w2\n", "1");
+	run(500);
+	EXPECT_EQ(sink.listings, 1);
+	EXPECT_EQ(sink.keys, (std::map<std::string, std::string>{{"w1", "1"}}));
+	EXPECT_EQ(store.pages, 3u);
+}
+
+/* Where a key cannot be told exactly, pages may repeat: the listing went on for
+ * ever without a pause. */
+class FollowerOfRepeatedPages : public Follower
+{
+      protected:
+	void SetUp() override
+	{
+		Follower::SetUp();
+		repeated = store.ops;
+		repeated.read_newest = [](void *p, const char *, uint32_t, str,
+					  store_done d, void *ctx) {
+			FakeStore *s = (FakeStore *)p;
+
+			s->pages++;
+			s->pending.push_back([=]() {
+				store_record row = {str_of("a"), str_of("1"),
+						    0};
+				store_reply r = {};
+
+				r.records = &row;
+				r.count = 1;
+				r.end = 1;
+				r.has_more = true;
+				r.last_key = str_of("z\x7f");
+				d(ctx, &r);
+			});
+		};
+		store.put("keyed.t", "a", "1");
+		f.store = &repeated;
+	}
+
+	store_ops repeated;
+};
+
+TEST_F(FollowerOfRepeatedPages, PausesBetweenListings)
+{
+	run(10000);
+	EXPECT_FALSE(f.loaded);
+	EXPECT_EQ(sink.listings, 0);
+	EXPECT_LT(store.pages, 40u);
+}
+
+TEST_F(FollowerOfRepeatedPages, ReadsKeysThatAreWrittenAgain)
+{
+	follower_ops refreshed = sink_ops;
+
+	refreshed.is_refreshed = true;
+	f.ops = &refreshed;
+	sink.keys["former"] = "1";
+	run(500);
+	store.put("keyed.t", "w1", "1");
+	run(500);
+	EXPECT_EQ(sink.keys, (std::map<std::string, std::string>{
+				     {"a", "1"}, {"former", "1"}, {"w1", "1"}}))
+		<< "a key that was not listed may exist";
+	EXPECT_EQ(store.pages, 2u);
+}
+
 } /* namespace */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -376,6 +376,26 @@
 	}
 }
 
+/* A page of which no item could be used gave no key to go on from. */
+TEST(StoreNewest, TellsTheLastKeyOfAPageWithoutAUsableItem)
+{
+	store_reply r = {};
+	arena a;
+
+	arena_init(&a);
+	ASSERT_EQ(
+		store_newest_parse(
+			str_of("{\"items\":[{\"key\":\"a\\n\",\"value\":\"\","
+			       "\"offset\":4},{\"key\":\"b\\u0000\",\"offset\":"
+			       "\"x\"},{\"key\":7},8],\"hasMore\":true,"
+			       "\"endOffset\":6}"),
+			&r, &a),
+		0);
+	EXPECT_EQ(r.count, 0u);
+	EXPECT_TRUE(str_eq(r.last_key, {"b\0", 2}));
+	arena_finish(&a);
+}
+
 /* Fields that were missing counted as 0: the end of a listing, so that the log
  * was read from its start, and that there is no further page. */
 TEST(StoreNewest, RejectsAListingWithoutItsEnd)
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -9,7 +9,7 @@
 
 grid_start_store()
 {
-	"$BIN/standin-gridstore" --port-file="$GRID/store.port" \
+	"$BIN/standin-gridstore" --port-file="$GRID/store.port" --page=500 \
 		--append-log="$GRID/appends" &
 	STORE_PID=$!
 	until [ -s "$GRID/store.port" ]; do sleep 0.05; done
@@ -34,8 +34,9 @@
 		"http://$STORE/api/log-append?topic=$1&part=0" >/dev/null
 }
 
-# grid_publish_odd_workers: entries of another writer among those of the workers;
-# the last one deletes a key that begins with the name of a worker
+# grid_publish_odd_workers: entries of another writer among those of the workers,
+# the last of them more than a page of a listing, which are listed before the
+# workers; one deletes a key that begins with the name of a worker
 grid_publish_odd_workers()
 {
 	local entry='"service":"desk","zone":"zone-1","state":"ready","born":5,
@@ -53,6 +54,9 @@
 	printf '\0\0\0\0' | curl -sf --data-binary @- \
 		"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
 	grid_publish keyed.servers 'w1\0000' ''
+	printf '\0\0\0\014\011odd-%04d\n{}' $(seq 0 599) |
+		curl -sf --data-binary @- \
+			"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
 }
 
 # grid_config VERSION [TENANTS]: publishes a configuration with the queues check-in
