host: store the cancel of a job that the log does not show

Cause: a DELETE of a job that a read newer than it did not show was answered with 410, and nothing was stored. The answer's log line rules out an old read (log_age_ms=0) and a cancel that was lost between hosts (after_ms=0). The same held at the host that took the POST, and across a takeover.

Change: such a cancel is stored under the key of any other cancel, and answered, with 410, once that is done. Whichever of the two records is first in the log, all hosts and later owners show the job as cancelled and start none of its tasks. The record names the accounts of the callers who cancelled the ID and applies to a later job of one of them, or of none: a caller who guesses an ID could otherwise cancel the job of another account before it is stored. Records without a job are dropped after the retention of ended jobs.

Why it works: the answer no longer claims something about appends that the host cannot see; the log decides, and both orders of the two records have one result.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "cell/job_cancel.h"
+
 #define JOB_ID_DIGITS 16
 #define KIND_CANCEL 'c'
 #define KIND_PROGRESS 'p'
@@ -85,6 +87,7 @@
 		e->next->prev = e->prev;
 	index_remove(&v->by_id, e->id);
 	arena_finish(&e->memory);
+	buf_finish(&e->cancel_accounts);
 	buf_finish(&e->demand);
 	buf_finish(&e->progress);
 	free(e);
@@ -132,6 +135,7 @@
 	e->id = id;
 	e->added_ms = now_ms;
 	arena_init(&e->memory);
+	buf_init(&e->cancel_accounts);
 	buf_init(&e->demand);
 	buf_init(&e->progress);
 	e->next = v->jobs;
@@ -214,6 +218,53 @@
 	return err;
 }
 
+static void entry_cancel(struct job_view *v, struct job_entry *e,
+			 int64_t now_ms)
+{
+	if (e->cancelled || job_state_is_terminal(e->state))
+		return;
+	e->cancelled = true;
+	entry_update_pending(v, e);
+	job_entry_set_state(v, e, JOB_CANCELLED, now_ms);
+	v->ops->cancelled(v->ctx, e);
+	job_entry_shrink(e);
+}
+
+static struct str entry_cancel_accounts(const struct job_entry *e)
+{
+	struct str s = {e->cancel_accounts.data, e->cancel_accounts.len};
+
+	return s;
+}
+
+static bool is_owned_by_one_of(const struct job_entry *e, struct str accounts)
+{
+	const struct job_spec *s;
+	bool is_owned;
+	struct arena a;
+
+	arena_init(&a);
+	s = job_entry_spec(e, &a);
+	is_owned = !s || !s->account[0] ||
+		   account_names_contain(accounts, s->account);
+	arena_finish(&a);
+	return is_owned;
+}
+
+/* Applies the cancellation that was stored before the job, and shows the job
+ * as long as any other that has ended. */
+static void apply_early_cancel(struct job_view *v, struct job_entry *e,
+			       int64_t now_ms)
+{
+	struct str accounts = entry_cancel_accounts(e);
+
+	e->terminal_ms = job_state_is_terminal(e->state) ? now_ms : 0;
+	if (accounts.len && is_owned_by_one_of(e, accounts))
+		entry_cancel(v, e, now_ms);
+	buf_finish(&e->cancel_accounts);
+	buf_init(&e->cancel_accounts);
+}
+
 static int apply_accept(struct job_view *v, uint64_t id, struct str value,
 			int64_t now_ms)
 {
@@ -233,6 +284,7 @@
 		return -EBADMSG;
 	e->is_accepted = true;
 	entry_update_pending(v, e);
+	apply_early_cancel(v, e, now_ms);
 	v->ops->accepted(v->ctx, e);
 	job_entry_shrink(e);
 	return 0;
@@ -241,18 +293,19 @@
 static int apply_cancel(struct job_view *v, uint64_t id, struct str value,
 			int64_t now_ms)
 {
+	struct str accounts = {NULL, 0};
+	bool is_limited = job_cancel_read(value, &accounts);
 	struct job_entry *e;
 
 	if (!value.len)
 		return 0;
 	e = entry_get_or_add(v, id, now_ms);
-	if (e->cancelled || job_state_is_terminal(e->state))
-		return 0;
-	e->cancelled = true;
-	entry_update_pending(v, e);
-	job_entry_set_state(v, e, JOB_CANCELLED, now_ms);
-	v->ops->cancelled(v->ctx, e);
-	job_entry_shrink(e);
+	if (is_limited && !e->is_accepted) {
+		account_names_add(&e->cancel_accounts, accounts);
+		e->terminal_ms = now_ms;
+	} else if (!is_limited || is_owned_by_one_of(e, accounts)) {
+		entry_cancel(v, e, now_ms);
+	}
 	return 0;
 }
 
@@ -430,6 +483,26 @@
 	return id;
 }
 
+void job_entry_write_cancel(const struct job_entry *e, const char *account,
+			    struct buf *out)
+{
+	struct str earlier = {NULL, 0};
+
+	if (e && e->is_accepted) {
+		job_cancel_write(out);
+		return;
+	}
+	if (e)
+		earlier = entry_cancel_accounts(e);
+	job_cancel_write_early(earlier, account, out);
+}
+
+bool job_entry_is_cancelled_for(const struct job_entry *e, const char *account)
+{
+	return e->cancelled ||
+	       account_names_contain(entry_cancel_accounts(e), account);
+}
+
 void known_worker_write(const struct known_worker *w, struct buf *out)
 {
 	shape_write(&known_shape, w, out);
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -10,10 +10,10 @@
 extern "C" {
 #endif
 
-/* Keys of the records: ID, ID/c and ID/p with the job's ID as 16 hexadecimal
- * digits; w/WORKER for a worker; "learned" for the effect model that the
- * owners learn, see cell/effect_model.h; "sizes" for the sizes of workers;
- * "loads" for what the jobs ask of them. */
+/* Keys of the records: ID, ID/c (cell/job_cancel.h) and ID/p with the job's ID
+ * as 16 hexadecimal digits; w/WORKER for a worker; "learned" for the effect
+ * model that the owners learn, see cell/effect_model.h; "sizes" for the sizes
+ * of workers; "loads" for what the jobs ask of them. */
 #define JOB_KEY_SIZE 20
 #define WORKER_KEY_PREFIX "w/"
 #define EFFECT_MODEL_KEY "learned"
@@ -41,10 +41,12 @@
  * @state: enum job_state
  * @cancelled: a cancellation is stored; a terminal state in a later record is
  *	ignored
+ * @cancel_accounts: accounts that have cancelled the job before it was
+ *	accepted, see cell/job_cancel.h; empty once it is accepted
  * @is_pending: included in the pending jobs of its queue
  * @added_ms: boot time at which this process added the entry
- * @terminal_ms: boot time at which this process saw the terminal state; 0
- *	before
+ * @terminal_ms: boot time at which this process saw the terminal state, or
+ *	@cancel_accounts; 0 before
  * @cell_job: the owner's struct cell_job, or NULL
  */
 struct job_entry {
@@ -56,6 +58,7 @@
 	uint32_t state;
 	bool is_accepted;
 	bool cancelled;
+	struct buf cancel_accounts;
 	bool is_pending;
 	int64_t added_ms;
 	int64_t terminal_ms;
@@ -203,6 +206,21 @@
  */
 uint64_t job_id_parse(struct str text);
 
+/**
+ * job_entry_write_cancel() - write the record that cancels a job
+ * @e: entry of the job, or NULL
+ * @account: of the caller, which may cancel the job if it is accepted; empty
+ *	for none
+ */
+void job_entry_write_cancel(const struct job_entry *e, const char *account,
+			    struct buf *out);
+
+/**
+ * job_entry_is_cancelled_for() - whether a cancellation is stored that covers
+ * the job of an account
+ */
+bool job_entry_is_cancelled_for(const struct job_entry *e, const char *account);
+
 void known_worker_write(const struct known_worker *w, struct buf *out);
 void cell_owner_write(const struct cell_owner *o, struct buf *out);
 
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -178,7 +178,8 @@
 		return false;
 	if (c->kind == CALL_SUBMIT)
 		return e->is_accepted;
-	return e->cancelled || job_state_is_terminal(e->state);
+	return job_entry_is_cancelled_for(e, c->account) ||
+	       job_state_is_terminal(e->state);
 }
 
 void call_apply_record(struct host *h, struct host_call *c)
@@ -191,9 +192,10 @@
 		       value, h->now_ms);
 }
 
-static void call_queue_cancel(struct host *h, struct host_call *c)
+static void call_queue_cancel(struct host *h, struct host_call *c,
+			      const struct job_entry *e)
 {
-	buf_adds(&c->record, "1");
+	job_entry_write_cancel(e, c->account, &c->record);
 	call_queue_append(h, c);
 }
 
@@ -222,13 +224,18 @@
 
 void call_answer_stored(struct host *h, struct host_call *c)
 {
-	if (c->kind == CALL_SUBMIT &&
-	    !can_access(h, c->account, job_view_get(&h->job_view, c->id))) {
-		note_other_account(h, c->id, c->request->method, 409);
+	const struct job_entry *e = job_view_get(&h->job_view, c->id);
+	bool is_other = !can_access(h, c->account, e);
+
+	if (is_other)
+		note_other_account(h, c->id, c->request->method,
+				   c->kind == CALL_SUBMIT ? 409 : 410);
+	if (is_other && c->kind == CALL_SUBMIT)
 		call_answer(h, c, 409, 0, ID_TAKEN_BODY);
-		return;
-	}
-	call_answer(h, c, 200, 0, "{}");
+	else if (c->kind == CALL_CANCEL && (is_other || !e || !e->is_accepted))
+		call_answer(h, c, 410, 0, "{}");
+	else
+		call_answer(h, c, 200, 0, "{}");
 }
 
 static void refuse_unread(struct host *h, struct host_call *c)
@@ -238,9 +245,9 @@
 }
 
 /* Answers a submission or a cancel once the log shows its effect, a query once
- * the job is known, and a query or a cancel once the job is known not to exist,
- * or to belong to another account. Queues the record of a cancel once the job
- * is known. */
+ * the job is known or known not to exist, and either once the job is known to
+ * belong to another account. Queues the record of a cancel once the job is
+ * known, or is not in the log: its append may still be under way. */
 static void call_resolve(struct host *h, struct host_call *c)
 {
 	struct job_entry *e = job_view_get(&h->job_view, c->id);
@@ -259,14 +266,17 @@
 		if (c->kind == CALL_QUERY)
 			call_answer_state(h, c, e);
 		else
-			call_queue_cancel(h, c);
+			call_queue_cancel(h, c, e);
 		return;
 	}
 	if (h->job_follower.loaded &&
 	    h->job_follower.caught_up_ms >= c->arrived_ms) {
 		if (is_hidden)
 			note_other_account(h, c->id, c->request->method, 410);
-		call_answer(h, c, 410, 0, "{}");
+		if (c->kind == CALL_CANCEL && !is_hidden)
+			call_queue_cancel(h, c, e);
+		else
+			call_answer(h, c, 410, 0, "{}");
 		return;
 	}
 	if (store_is_down(h))
--- a/tests/cell_job_test.cc
+++ b/tests/cell_job_test.cc
@@ -76,4 +76,35 @@
 	EXPECT_EQ(w.counts().short_completed.count, 1u);
 }
 
+/* The record of a job was stored after its cancel, and after a takeover: the
+ * job ran for good. */
+TEST(CellJob, StartsNoTaskOfAJobThatIsStoredAfterItsCancel)
+{
+	CellWorld w;
+
+	w.begin({"w1"});
+	w.cancel_unknown(7);
+	w.run(200);
+	w.take_over_on_a_new_host(2);
+	w.run(200);
+	w.submit(7, {CellWorld::serving_step(1, 1000)});
+	w.run(2000);
+	EXPECT_EQ(w.runs(7), 0u);
+	EXPECT_EQ(w.state(7), (uint32_t)JOB_CANCELLED);
+}
+
+/* Each cancel without a job would stay in the store and in all hosts. */
+TEST(CellJob, DropsACancelWithoutAJob)
+{
+	CellWorld w;
+
+	w.opt.terminal_retention_ms = 1000;
+	w.begin({"w1"});
+	w.cancel_unknown(7);
+	w.run(500);
+	EXPECT_TRUE(job_view_get(&w.view, 7));
+	w.run(10000);
+	EXPECT_FALSE(job_view_get(&w.view, 7));
+}
+
 } // namespace
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -333,6 +333,20 @@
 		job_view_apply(&view, job_key(id, 'c', key), str_of("1"), now);
 	}
 
+	/* A caller cancels a job that no record shows. */
+	void cancel_unknown(uint64_t id)
+	{
+		char text[JOB_KEY_SIZE];
+		str key = job_key(id, 'c', text);
+		buf b;
+
+		buf_init(&b);
+		job_entry_write_cancel(NULL, "", &b);
+		job_view_apply(&view, key, {b.data, b.len}, now);
+		newest[{key.data, key.len}] = std::string(b.data, b.len);
+		buf_finish(&b);
+	}
+
 	virtual void tick()
 	{
 		cell_tick(c, now, now);
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -726,6 +726,67 @@
 	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
 }
 
+/* A caller left without an answer and cancelled its job, which no record showed
+ * yet: it was told 410, nothing was stored, and the job ran for good. */
+TEST_F(HostCall, CancelsAJobWhoseRecordIsStoredAfterTheCancel)
+{
+	const std::string first = "00000000000000a1", late = "00000000000000a2";
+
+	publish(config(1, ""));
+	ASSERT_EQ(status("POST", path("q", first), "", JOB), 200);
+	std::string stored = store.topics[TOPIC_JOBS][0].value;
+	EXPECT_EQ(status("DELETE", path("q", late), ""), 410);
+	EXPECT_EQ(status("GET", path("q", late), ""), 410)
+		<< "nobody has submitted it";
+	store_as_other_host(stored, 0xa2, late);
+	Reply r = call("GET", path("q", late), "");
+	EXPECT_EQ(r.status, 200);
+	EXPECT_NE(r.text.find("cancelled"), std::string::npos) << r.text;
+	EXPECT_EQ(status("DELETE", path("q", late), ""), 200);
+	EXPECT_EQ(status("POST", path("q", late), "", JOB), 200)
+		<< "the caller's retry: it is one job";
+}
+
+/* The caller is told that a job is cancelled only once that is stored. */
+TEST_F(HostCall, AnswersACancelOfAnUnknownJobOnceItIsStored)
+{
+	publish(config(1, ""));
+	int fd = send_request("DELETE", path("q"), "", "");
+	handle_arrived();
+	store.mode = FakeStore::LOSE_REPLIES;
+	for (int i = 0; i < 5; i++)
+		host_calls_tick(&h);
+	h.job_follower.caught_up_ms = clock_boot_ms() + 1;
+	EXPECT_EQ(receive(fd).status, 504);
+	store.mode = FakeStore::REFUSE;
+	fd = send_request("DELETE", path("q"), "", "");
+	handle_arrived();
+	h.job_follower.caught_up_ms = clock_boot_ms() + 1;
+	EXPECT_EQ(receive(fd).status, 503);
+	store.mode = FakeStore::SERVE;
+	EXPECT_EQ(status("DELETE", path("q"), ""), 410);
+}
+
+/* A caller who knew the ID of a job before it was stored could cancel it for
+ * another account. */
+TEST_F(HostCall, CancelsNoLaterJobOfAnotherAccount)
+{
+	const std::string both = "00000000000000a2";
+
+	publish(config(1, TENANTS));
+	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
+	EXPECT_EQ(status("DELETE", path("p"), ""), 410);
+	ASSERT_EQ(status("POST", path("q"), "a1", JOB), 200);
+	std::string stored = store.topics[TOPIC_JOBS].back().value;
+	Reply r = call("GET", path("q"), "a2");
+	EXPECT_NE(r.text.find("queued"), std::string::npos) << r.text;
+	EXPECT_EQ(status("DELETE", path("q", both), "b1"), 410);
+	EXPECT_EQ(status("DELETE", path("q", both), "a1"), 410);
+	store_as_other_host(stored, 0xa2, both);
+	r = call("GET", path("q", both), "a2");
+	EXPECT_NE(r.text.find("cancelled"), std::string::npos) << r.text;
+}
+
 /*
  * Two accounts submit a job of the same ID to two hosts. The record of the
  * other host is the first in the log: this host stored its own behind it and
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -84,6 +84,18 @@
 		return out;
 	}
 
+	static std::string cancel(const char *account,
+				  const job_entry *e = NULL)
+	{
+		buf b;
+
+		buf_init(&b);
+		job_entry_write_cancel(e, account, &b);
+		std::string out(b.data, b.len);
+		buf_finish(&b);
+		return out;
+	}
+
 	/* The bound leaves 90 % of a job of 4 KB for other jobs. */
 	void expect_little(uint64_t id)
 	{
@@ -127,6 +139,61 @@
 	EXPECT_EQ(job_view_get(&v, 6)->state, (uint32_t)JOB_CANCELLED);
 }
 
+/* A cancel that is stored before its job was forgotten. */
+TEST_F(JobView, AppliesACancelToTheJobThatIsStoredLater)
+{
+	put(5, 'c', cancel("a"));
+	EXPECT_FALSE(job_view_get(&v, 5)->is_accepted);
+	EXPECT_GT(job_view_get(&v, 5)->terminal_ms, 0) << "dropped in time";
+	EXPECT_TRUE(job_entry_is_cancelled_for(job_view_get(&v, 5), "a"));
+	EXPECT_FALSE(job_entry_is_cancelled_for(job_view_get(&v, 5), "b"));
+	put(5, 0, spec(5, 0, "a"));
+	EXPECT_EQ(job_view_get(&v, 5)->state, (uint32_t)JOB_CANCELLED);
+	EXPECT_EQ(job_view_pending(&v, "q"), 0u);
+	put(6, 'c', cancel("b"));
+	put(6, 0, spec(6));
+	EXPECT_EQ(job_view_get(&v, 6)->state, (uint32_t)JOB_CANCELLED)
+		<< "a job of no account";
+	expect_little(5);
+	expect_little(6);
+}
+
+/* In a listing, the records of a job may come in any order. */
+TEST_F(JobView, KeepsTheJobOfAnotherAccountThatACancelCameBefore)
+{
+	for (uint64_t id : {5, 6}) {
+		put(id, 'c', cancel(id == 5 ? "b" : ""));
+		put(id, 'p', progress(JOB_RUNNING, "1"));
+		put(id, 0, spec(id, 0, "a"));
+		job_entry *e = job_view_get(&v, id);
+		EXPECT_EQ(e->state, (uint32_t)JOB_RUNNING);
+		EXPECT_FALSE(e->cancelled);
+		EXPECT_EQ(e->terminal_ms, 0);
+		EXPECT_GT(e->progress.len, 0u);
+		put(id, 'c', cancel("b"));
+		EXPECT_EQ(e->state, (uint32_t)JOB_RUNNING) << "after it";
+		put(id, 'c', cancel("a"));
+		EXPECT_EQ(e->state, (uint32_t)JOB_CANCELLED);
+	}
+}
+
+/* A second account replaced the cancel of the first one in the store. */
+TEST_F(JobView, KeepsTheCancelsOfSeveralAccounts)
+{
+	put(7, 'c', cancel("b"));
+	std::string both = cancel("a", job_view_get(&v, 7));
+	put(8, 'c', both);
+	put(8, 0, spec(8, 0, "b"));
+	EXPECT_EQ(job_view_get(&v, 8)->state, (uint32_t)JOB_CANCELLED);
+	put(9, 'c', both);
+	put(9, 0, spec(9, 0, "c"));
+	EXPECT_EQ(job_view_get(&v, 9)->state, (uint32_t)JOB_QUEUED);
+	put(7, 'c', cancel("a"));
+	put(7, 0, spec(7, 0, "b"));
+	EXPECT_EQ(job_view_get(&v, 7)->state, (uint32_t)JOB_CANCELLED)
+		<< "two hosts stored a record each";
+}
+
 TEST_F(JobView, CountsPendingJobsOfAQueue)
 {
 	put(5, 0, spec(5));
--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -72,6 +72,12 @@
 		     END { n = 0; for (k in on) n++; exit n == 0 }'
 }
 
+# is_cancelled HOST JOB
+is_cancelled()
+{
+	grid_call "$1" GET "/check-in/$2" | grep -q cancelled
+}
+
 # knows_workers COUNT: the owner of the cell knows of COUNT workers that are up
 knows_workers()
 {
@@ -103,6 +109,11 @@
 check "jobs are accepted" submit_range 1 20 host-a
 check "the same job again is one job" submit_range 1 3 host-b
 check "an unknown job is 410" status_is 410 host-b GET /check-in/00000000000000ff
+check "a cancel of an unknown job is 410" status_is 410 host-b DELETE \
+	"/check-in/$(job_id 5001)"
+check "its late request is one job" status_is 200 host-c POST \
+	"/check-in/$(job_id 5001)" "$(grid_job 300)"
+check "which is cancelled" grid_wait 2 is_cancelled host-a "$(job_id 5001)"
 check "an unknown queue is 404" status_is 404 host-b GET /other/00000000000000ff
 check "a job that is none is 400" status_is 400 host-b POST \
 	"/check-in/$(job_id 9999)" '{"steps":[]}'
