tests: registry entries whose keys are no UTF-8, behind the workers

The entries of the host test that fill a page are sorted before the workers and can be told exactly. A second page of keys that are no UTF-8 follows the workers now, so that the listing ends without a key to go on from: real processes use what is listed and read on. Seen in a host's log: two pages passed, then "page of a listing tells no key to go on from", "partition listed" with complete=0, and both workers usable.

--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -35,8 +35,8 @@
 }
 
 # grid_publish_odd_workers: entries of another writer among those of the workers,
-# the last of them more than a page of a listing, which are listed before the
-# workers; one deletes a key that begins with the name of a worker
+# the last of them more than a page of a listing before the workers and another, of keys
+# that are no UTF-8, behind them; one deletes a key that begins with a worker's name
 grid_publish_odd_workers()
 {
 	local entry='"service":"desk","zone":"zone-1","state":"ready","born":5,
@@ -54,9 +54,11 @@
 	printf '\0\0\0\0' | curl -sf --data-binary @- \
 		"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
 	grid_publish keyed.servers 'w1\0000' ''
-	printf '\0\0\0\014\011odd-%04d\n{}' $(seq 0 599) |
-		curl -sf --data-binary @- \
-			"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
+	{
+		printf '\0\0\0\014\011odd-%04d\n{}' $(seq 0 599)
+		printf '\0\0\0\011\006x\377%04d{}' $(seq 0 599)
+	} | curl -sf --data-binary @- \
+		"http://$STORE/api/log-append?topic=keyed.servers&part=0" >/dev/null
 }
 
 # grid_config VERSION [TENANTS]: publishes a configuration with the queues check-in
