soak: callers that leave without an answer and cancel

No test with real processes had callers that cancel a job whose acceptance they have not seen. One caller of the soak now hands lasting jobs in, leaves each after 0.1 to 0.9 s and cancels it at random hosts until that is acknowledged; none of their tasks may run at the end, 8 s (contactMs, cancel_ms and stopGraceMs) after the accepted jobs have completed. judge_runs.awk finds such runs.

--- a/tools/judge_runs.awk
+++ b/tools/judge_runs.awk
@@ -10,6 +10,8 @@
 # A line "ms worker - 0 born -" begins a process: the runs and the lease of a former
 # one under the same id have ended.
 # -v killed_workers="WORKER MS ..." lists killed workers and the time of each kill.
+# -v cancelled_jobs="ID ..." lists jobs whose cancels were acknowledged: none of their
+# tasks runs in the end.
 # Exits 1 if there was a violation.
 BEGIN {
 	n = split(killed_workers, pair, " ")
@@ -17,6 +19,9 @@
 		killed_worker[i] = pair[i]
 		killed_ms[i] = pair[i + 1]
 	}
+	n = split(cancelled_jobs, jobs, " ")
+	for (i = 1; i <= n; i++)
+		is_cancelled[jobs[i]] = 1
 }
 function drop_unacknowledged(w, t) {
 	for (t in ended)
@@ -80,6 +85,11 @@
 }
 $5 == "lapse" { drop_unacknowledged($2) }
 END {
+	for (t in running_on)
+		if (substr(t, 1, 16) in is_cancelled) {
+			print "runs on after its cancel: " t " " running_on[t]
+			violations++
+		}
 	n = 0
 	for (t in finished)
 		n++
--- a/tools/judge_test.sh
+++ b/tools/judge_test.sh
@@ -24,7 +24,8 @@
 # runs LINE...: judges the events of runs
 runs()
 {
-	printf '%s\n' "$@" | awk -v killed_workers="${KILLED:-}" -f tools/judge_runs.awk
+	printf '%s\n' "$@" | awk -v killed_workers="${KILLED:-}" \
+		-v cancelled_jobs="${CANCELLED:-}" -f tools/judge_runs.awk
 }
 
 # store LINE...: judges appends; job 1 is accepted, job 2 refused
@@ -48,6 +49,11 @@
 expect 0 "a run after an acknowledged end that its worker lost" runs \
 	"10 w0 t 1 start -" "20 w0 t 1 end done" "30 w0 - 0 lapse -" "40 w0 t 1 ack done" \
 	"50 w1 t 2 start -" "60 w1 t 2 end done" "70 w1 t 2 ack done"
+CANCELLED="$A $B" expect 1 "a run that goes on after its cancel" runs \
+	"10 w0 $A.0.0.0 1 start -" "20 w0 $B.0.0.0 1 start -" "30 w0 $A.0.0.0 1 end stopped"
+CANCELLED="$A" KILLED="w1 35" expect 0 "runs of a cancelled job that have ended" runs \
+	"10 w0 $A.0.0.0 1 start -" "20 w0 $B.0.0.0 1 start -" "30 w0 $A.0.0.0 1 end stopped" \
+	"32 w1 $A.0.0.1 1 start -" "40 w0 $B.0.0.0 1 end done"
 KILLED="w0 15" expect 0 "a run beside one of a killed worker" runs \
 	"10 w0 t 1 start -" "20 w1 t 2 start -"
 KILLED="w0 15 w0 35" expect 0 "runs beside those of a worker that is killed twice" runs \
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,7 +2,8 @@
 # Fault soak of real processes on stand-ins of the platform. Signals and loopback
 # proxies inject faults drawn from the seed, one after another and overlapping,
 # while callers submit jobs. Checks that every accepted job is stored and completes,
-# once, that no host denies it, that no refused job is stored or runs, and that no
+# once, that no host denies it, that no refused job is stored or runs, that no job runs on
+# whose cancel was acknowledged, also if its caller never had an answer, and that no
 # record is stored twice by a repeated call. With --calls the proxies also draw faults
 # of single calls, whose answers are lost or late; the other draws stay as they are.
 set -u
@@ -28,6 +29,8 @@
 # Time for accepted jobs to complete after the last fault: a takeover with tasks in
 # doubt takes 11 s, and jobs queue up during it.
 SETTLE_S=45
+# contactMs, cancel_ms and stopGraceMs, rounded up
+CANCEL_S=8
 
 # A fault_* function injects one fault. A duration is its last argument, in seconds;
 # PENDING collects the background processes that end faults.
@@ -281,6 +284,31 @@
 	done
 }
 
+# leaving_caller: hands in lasting jobs until $GRID/calling is removed, leaves each one
+# after less than a second, often without an answer, and cancels it at random hosts until
+# that is acknowledged
+leaving_caller()
+{
+	local n=0 id tries code url
+
+	while [ -e "$GRID/calling" ]; do
+		n=$((n + 1))
+		id=$(printf '%08x%08x' $((SEED + 16)) $((9 * 65536 + n)))
+		url="http://127.0.0.1:$(cat "$GRID/h$((RANDOM % HOSTS)).callers")/check-in/$id"
+		curl -s -m 0.$((1 + RANDOM % 9)) -o /dev/null -H 'Host: desk.example' -X POST \
+			--data '{"spec":"run_ms=0","steps":[{"count":2,"cpu":100,"memMb":10,
+			"longRunning":true}]}' "$url"
+		for tries in $(seq 20); do
+			url="http://127.0.0.1:$(cat "$GRID/h$((RANDOM % HOSTS)).callers")/check-in/$id"
+			code=$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
+				-H 'Host: desk.example' -X DELETE "$url")
+			case $code in 200 | 410) echo "$id" >>"$GRID/cancelled"; break ;; esac
+			sleep 0.2
+		done
+		sleep 0.2
+	done
+}
+
 # job_state ID: prints the first response with status 200 or 410 of any host, else
 # the response of the last host
 job_state()
@@ -310,6 +338,19 @@
 	done
 }
 
+judge_runs()
+{
+	cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -v killed_workers="$KILLED_WORKERS" \
+		-v cancelled_jobs="$(tr '\n' ' ' <"$GRID/cancelled")" \
+		-f tools/judge_runs.awk >"$GRID/judged"
+}
+
+no_cancelled_job_runs()
+{
+	judge_runs
+	! grep -q 'runs on after its cancel' "$GRID/judged"
+}
+
 proxied_start "$HOSTS" "$WORKERS"
 publish_ports
 grid_wait 10 grid_ready h0
@@ -320,6 +361,9 @@
 	caller $c &
 	CALLERS+=($!)
 done
+touch "$GRID/cancelled"
+leaving_caller &
+CALLERS+=($!)
 if [ -n "$CALLS" ]; then
 	draw_call_faults w "$WORKERS" /api/run-start /api/run-start /api/run-stop \
 		/api/hold /api/ &
@@ -345,15 +389,15 @@
 [ -s "$GRID/denied" ] && { echo "seed $SEED: denied: $(sort -u "$GRID/denied" | head -3)"; FAILED=1; }
 [ -s "$GRID/faults.bad" ] && { cat "$GRID/faults.bad"; FAILED=1; }
 echo "$KILLED_WORKERS" >"$GRID/killed"
-cat "$GRID"/runs.* | sort -s -n -k1,1 | awk -v killed_workers="$KILLED_WORKERS" -f tools/judge_runs.awk \
-	>"$GRID/judged" || { echo "seed $SEED: $(head -3 "$GRID/judged")"; FAILED=1; }
+grid_wait $CANCEL_S no_cancelled_job_runs
+judge_runs || { echo "seed $SEED: $(head -3 "$GRID/judged")"; FAILED=1; }
 awk -f tools/judge_store.awk "$GRID/accepted" "$GRID/refused" "$GRID/appends" \
 	>"$GRID/judged-store" || { echo "seed $SEED: $(head -3 "$GRID/judged-store")"; FAILED=1; }
 for id in $(cat "$GRID/refused"); do
 	grep -q " $id\." "$GRID"/runs.* && { echo "seed $SEED: refused, but ran: $id"; FAILED=1; }
 done
 echo "seed $SEED: $(wc -l <"$GRID/faults.log") faults, $(wc -l <"$GRID/accepted") accepted," \
-	"$(wc -l <"$GRID/refused") refused, $(tail -1 "$GRID/judged")," \
+	"$(wc -l <"$GRID/refused") refused, $(wc -l <"$GRID/cancelled") cancelled, $(tail -1 "$GRID/judged")," \
 	"$(cat "$GRID"/*.call-log | wc -l) calls hit, $(tail -1 "$GRID/judged-store"), bad=$FAILED"
 proxied_finish
 [ $FAILED = 0 ] || { [ -n "${KEEP:-}" ] && echo "kept: $GRID"; }
