host: bound the cancels of unknown jobs that are kept

Each cancel of an ID that the log does not show is stored and kept in all hosts for as long as a job that has ended (240 s at a first site), so that a flood of them filled the store and the memory. At most 10,000 are kept at a time; a further one is refused with 503 and a time to come back, as 410 would promise what cannot be kept.

HostCall.RefusesCancelsOfUnknownJobsBeyondTheirNumber and JobView.CountsCancelsOfJobsThatAreNotAccepted hold, as do the other tests of both.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -75,6 +75,13 @@
 		queue_get_or_add(v, e->spec->queue)->pending--;
 }
 
+static void entry_clear_early_cancel(struct job_view *v, struct job_entry *e)
+{
+	v->early_cancels -= e->cancel_accounts.len != 0;
+	buf_finish(&e->cancel_accounts);
+	buf_init(&e->cancel_accounts);
+}
+
 static void entry_free(struct job_view *v, struct job_entry *e)
 {
 	if (e->is_pending)
@@ -87,7 +94,7 @@
 		e->next->prev = e->prev;
 	index_remove(&v->by_id, e->id);
 	arena_finish(&e->memory);
-	buf_finish(&e->cancel_accounts);
+	entry_clear_early_cancel(v, e);
 	buf_finish(&e->demand);
 	buf_finish(&e->progress);
 	free(e);
@@ -261,8 +268,7 @@
 	e->terminal_ms = job_state_is_terminal(e->state) ? now_ms : 0;
 	if (accounts.len && is_owned_by_one_of(e, accounts))
 		entry_cancel(v, e, now_ms);
-	buf_finish(&e->cancel_accounts);
-	buf_init(&e->cancel_accounts);
+	entry_clear_early_cancel(v, e);
 }
 
 static int apply_accept(struct job_view *v, uint64_t id, struct str value,
@@ -301,6 +307,7 @@
 		return 0;
 	e = entry_get_or_add(v, id, now_ms);
 	if (is_limited && !e->is_accepted) {
+		v->early_cancels += !e->cancel_accounts.len && accounts.len;
 		account_names_add(&e->cancel_accounts, accounts);
 		e->terminal_ms = now_ms;
 	} else if (!is_limited || is_owned_by_one_of(e, accounts)) {
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -104,6 +104,7 @@
  * @effect_model: the stored effect model, empty before one has been read
  * @sizes: the largest workers, empty before the record has been read
  * @loads: what the jobs ask of the workers, empty before that
+ * @early_cancels: number of entries with cancel_accounts
  * @owner: the newest owner, empty before one is known
  * @raises_fences: owners raise fences, see cell_raise_fences(); this is final
  * @owner_seen_ms: boot time at which the last record with the key "learned" was
@@ -120,6 +121,7 @@
 	struct arena memory;
 	struct job_entry *jobs;
 	struct known_worker *known_workers;
+	size_t early_cancels;
 	struct buf effect_model;
 	struct size_table sizes;
 	struct load_table loads;
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -23,6 +23,9 @@
 #define WITHDRAW_AHEAD_DIVISOR 2
 /* How long a call on an unknown job waits for a log read newer than it. */
 #define LOG_READ_WAIT_MS 1200
+/* Cancels of unknown jobs that are kept at a time, so that many of them fill
+ * neither the store nor the memory of the hosts. */
+#define EARLY_CANCELS_MAX 10000
 /* The store counts as down if appends have failed for this long and the log has
  * not been read to its end for twice as long. */
 #define STORE_DOWN_MS 1000
@@ -273,10 +276,12 @@
 	    h->job_follower.caught_up_ms >= c->arrived_ms) {
 		if (is_hidden)
 			note_other_account(h, c->id, c->request->method, 410);
-		if (c->kind == CALL_CANCEL && !is_hidden)
+		if (c->kind != CALL_CANCEL || is_hidden)
+			call_answer(h, c, 410, 0, "{}");
+		else if (h->job_view.early_cancels < EARLY_CANCELS_MAX)
 			call_queue_cancel(h, c, e);
 		else
-			call_answer(h, c, 410, 0, "{}");
+			call_refuse(h, c);
 		return;
 	}
 	if (store_is_down(h))
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -767,6 +767,31 @@
 	EXPECT_EQ(status("DELETE", path("q"), ""), 410);
 }
 
+/* Cancels of unknown IDs, each kept as long as a job that has ended, filled the
+ * memory of all hosts. */
+TEST_F(HostCall, RefusesCancelsOfUnknownJobsBeyondTheirNumber)
+{
+	const std::string unknown = "00000000000000a2";
+	char text[JOB_KEY_SIZE];
+	buf b;
+
+	publish(config(1, ""));
+	ASSERT_EQ(status("POST", path("q"), "", JOB), 200);
+	buf_init(&b);
+	job_entry_write_cancel(NULL, "", &b);
+	for (uint64_t id = 0x10000; h.job_view.early_cancels < 10000; id++)
+		job_view_apply(&h.job_view, job_key(id, 'c', text),
+			       {b.data, b.len}, clock_boot_ms());
+	buf_finish(&b);
+	Reply r = call("DELETE", path("q", unknown), "");
+	EXPECT_EQ(r.status, 503);
+	EXPECT_NE(r.text.find("Retry-After: "), std::string::npos);
+	EXPECT_EQ(status("DELETE", path("q"), ""), 200) << "a known job";
+	job_view_apply(&h.job_view, job_key(0x10000, 0, text), {NULL, 0},
+		       clock_boot_ms());
+	EXPECT_EQ(status("DELETE", path("q", unknown), ""), 410);
+}
+
 /* A caller who knew the ID of a job before it was stored could cancel it for
  * another account. */
 TEST_F(HostCall, CancelsNoLaterJobOfAnotherAccount)
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -177,6 +177,18 @@
 	}
 }
 
+TEST_F(JobView, CountsCancelsOfJobsThatAreNotAccepted)
+{
+	for (uint64_t id : {5, 5, 6, 7})
+		put(id, 'c', cancel("a"));
+	EXPECT_EQ(v.early_cancels, 3u);
+	put(5, 0, spec(5, 0, "a"));
+	put(6, 0, spec(6, 0, "b"));
+	EXPECT_EQ(v.early_cancels, 1u);
+	put(7, 0, "");
+	EXPECT_EQ(v.early_cancels, 0u);
+}
+
 /* A second account replaced the cancel of the first one in the store. */
 TEST_F(JobView, KeepsTheCancelsOfSeveralAccounts)
 {
