logger: write log lines on a thread of its own

Cause: log_line() wrote to the descriptor on the calling thread, under the lock that all threads take to log, so the event loop waited for the reader; the probe answers by a flag that only the event loop sets.

A caller never waits. What does not fit is dropped and counted, lines below a warning at half of the queue, and a line tells the number later. Lines of 50 ms share a call. At exit the queue is written, for at most 200 ms if nobody reads. The probe fails once the loop has not turned for 2 s, with a log line. Ruled out: a non-blocking descriptor, as its flag would be that of all processes that share the pipe or terminal; a check by poll() before each write, as another writer may fill the pipe in between.

--- a/src/adapters/node.c
+++ b/src/adapters/node.c
@@ -302,6 +302,7 @@
 	}
 	logger_setup((enum log_level)level, !strcmp(format, "json"),
 		     settings_text(s, "name"));
+	logger_start();
 	n->ops = ops;
 	n->ctx = ctx;
 	signal(SIGPIPE, SIG_IGN);
--- a/src/base/lock.h
+++ b/src/base/lock.h
@@ -16,8 +16,9 @@
 	LOCK_CORE, /* core object of a program, with its tables */
 	LOCK_NET,  /* connection table of the peer adapter; mailbox of a loop */
 	LOCK_LOG,  /* request queue of the log adapter */
-	LOCK_EVENTS, /* event ring */
-	LOCK_LOGGER, /* log line output */
+	LOCK_EVENTS,    /* event ring */
+	LOCK_LOGGER,    /* log line output */
+	LOCK_LOG_QUEUE, /* lines that wait for their writer */
 	LOCK_RANK_MAX,
 };
 
--- /dev/null
+++ b/src/base/log_queue.h
@@ -0,0 +1,67 @@
+#ifndef BASE_LOG_QUEUE_H
+#define BASE_LOG_QUEUE_H
+
+#include <pthread.h>
+#include <semaphore.h>
+#include <stdbool.h>
+
+#include "base/buf.h"
+#include "base/lock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct log_queue - lines that a thread of its own writes to a descriptor
+ * @lines: that wait; a line is dropped if it would exceed their limit
+ * @dropped: lines that were dropped since log_queue_take_dropped()
+ * @is_awake: the thread will look at @lines again without a wake-up
+ * @is_ended: the thread has written all and ended
+ *
+ * A caller that adds a line never waits for the reader of the descriptor.
+ */
+struct log_queue {
+	struct lock lock; /* LOCK_LOG_QUEUE */
+	struct buf lines;
+	unsigned int dropped;
+	bool is_awake;
+	bool is_stopping;
+	bool is_ended;
+	int fd;
+	sem_t wake;
+	pthread_t thread;
+};
+
+/**
+ * log_queue_start() - start the thread that writes to @fd
+ *
+ * Return: 0, or a negative error number.
+ */
+int log_queue_start(struct log_queue *q, int fd);
+
+/**
+ * log_queue_add() - add a line; it is dropped if the queue is full
+ * @is_urgent: the line may use the part of the queue that is reserved
+ */
+void log_queue_add(struct log_queue *q, struct str line, bool is_urgent);
+
+/**
+ * log_queue_take_dropped() - number of lines dropped since the last call, if
+ * a line that reports it would not be dropped, too; else 0
+ */
+unsigned int log_queue_take_dropped(struct log_queue *q);
+
+/**
+ * log_queue_finish() - write what waits, and end the thread
+ *
+ * Return: false if the reader of the descriptor stands still. What is left is
+ * given up then, and the queue must stay as it is, as the thread goes on.
+ */
+bool log_queue_finish(struct log_queue *q);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/base/logger.c
+++ b/src/base/logger.c
@@ -4,10 +4,13 @@
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include "base/buf.h"
 #include "base/lock.h"
+#include "base/log_queue.h"
 #include "base/str.h"
 
 /*
@@ -39,6 +42,9 @@
 	int json;
 	char process[NAME_SIZE];
 	FILE *out;
+	bool has_queue;
+	bool is_closed; /* the descriptor takes no more lines */
+	struct log_queue queue;
 	struct rate_limit rate_limits[RATE_LIMIT_SLOTS];
 } logger = {.level = LOG_INFO};
 
@@ -89,12 +95,10 @@
 	return suppressed;
 }
 
-static void write_line(enum log_level level, const struct timespec *ts,
-		       const char *event, const char *pairs,
-		       unsigned int suppressed)
+static void format_line(enum log_level level, const struct timespec *ts,
+			const char *event, const char *pairs,
+			unsigned int suppressed, struct buf *line)
 {
-	FILE *out = logger.out ? logger.out : stderr;
-
 	if (logger.json) {
 		json_t *j = json_pack("{s:f,s:s,s:s,s:s,s:s,s:i}", "ts",
 				      (double)ts->tv_sec +
@@ -105,19 +109,92 @@
 		char *text = json_dumps(j, JSON_COMPACT);
 
 		if (text)
-			fprintf(out, "%s\n", text);
+			buf_addf(line, "%s\n", text);
 		free(text);
 		json_decref(j);
-		fflush(out);
 		return;
 	}
-	fprintf(out, "ts=%lld.%03ld level=%s process=%s event=\"%s\" %s",
-		(long long)ts->tv_sec, ts->tv_nsec / 1000000,
-		level_names[level], logger.process, event, pairs);
+	buf_addf(line, "ts=%lld.%03ld level=%s process=%s event=\"%s\" %s",
+		 (long long)ts->tv_sec, ts->tv_nsec / 1000000,
+		 level_names[level], logger.process, event, pairs);
 	if (suppressed)
-		fprintf(out, " suppressed=%u", suppressed);
-	fputc('\n', out);
+		buf_addf(line, " suppressed=%u", suppressed);
+	buf_adds(line, "\n");
+}
+
+static void output_line(enum log_level level, struct str line)
+{
+	FILE *out = logger.out ? logger.out : stderr;
+
+	if (logger.has_queue) {
+		log_queue_add(&logger.queue, line, level >= LOG_WARN);
+		return;
+	}
+	if (logger.is_closed)
+		return;
+	fwrite(line.data, 1, line.len, out);
+	fflush(out);
+}
+
+static void write_line(enum log_level level, const struct timespec *ts,
+		       const char *event, const char *pairs,
+		       unsigned int suppressed)
+{
+	struct buf b;
+	struct str line;
+
+	buf_init(&b);
+	format_line(level, ts, event, pairs, suppressed, &b);
+	line.data = b.data;
+	line.len = b.len;
+	output_line(level, line);
+	buf_finish(&b);
+}
+
+static void report_dropped(const struct timespec *ts)
+{
+	unsigned int dropped =
+		logger.has_queue ? log_queue_take_dropped(&logger.queue) : 0;
+	char pairs[LINE_BYTES];
+
+	if (!dropped)
+		return;
+	snprintf(pairs, sizeof(pairs), "lines=%u", dropped);
+	write_line(LOG_WARN, ts, "log lines dropped: reader too slow", pairs,
+		   0);
+}
+
+void logger_start(void)
+{
+	FILE *out = logger.out ? logger.out : stderr;
+	int err;
+
 	fflush(out);
+	err = log_queue_start(&logger.queue, fileno(out));
+	if (err) {
+		log_line(LOG_ERROR, "cannot start the thread of the logger",
+			 "error=%d", err);
+		return;
+	}
+	logger.is_closed = false;
+	logger.has_queue = true;
+	atexit(logger_stop);
+}
+
+void logger_stop(void)
+{
+	bool has_queue;
+
+	lock_take(&logger.lock);
+	has_queue = logger.has_queue;
+	logger.has_queue = false;
+	logger.is_closed = has_queue;
+	lock_give(&logger.lock);
+	if (has_queue && log_queue_finish(&logger.queue)) {
+		lock_take(&logger.lock);
+		logger.is_closed = false;
+		lock_give(&logger.lock);
+	}
 }
 
 void log_line(enum log_level level, const char *event, const char *fmt, ...)
@@ -135,6 +212,7 @@
 	vsnprintf(pairs, sizeof(pairs), fmt, ap);
 	va_end(ap);
 	lock_take(&logger.lock);
+	report_dropped(&ts);
 	suppressed = rate_limit_check(event, ts.tv_sec, &suppress);
 	if (!suppress)
 		write_line(level, &ts, event, pairs, suppressed);
--- a/src/base/logger.h
+++ b/src/base/logger.h
@@ -26,6 +26,25 @@
  */
 void logger_set_output(FILE *out);
 
+/**
+ * logger_start() - let a thread write the lines to the stream's descriptor
+ *
+ * Until then, and if the thread cannot be started, log_line() writes and waits
+ * for the reader of the descriptor. Afterwards it never waits: while the reader
+ * stands still, lines are kept up to a limit and then dropped, errors and
+ * warnings last; their number is logged once the reader is back. The lines of
+ * the last 50 ms may be lost if the process is killed; at exit() they are
+ * written.
+ */
+void logger_start(void);
+
+/**
+ * logger_stop() - write the lines that wait, and let log_line() write again
+ *
+ * Gives up after 200 ms if the reader stands still; nothing is logged then.
+ */
+void logger_stop(void);
+
 /**
  * log_line() - write one structured log line; safe from any thread
  * @event: string constant that names the event; at most 20 lines per second and
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -54,6 +54,8 @@
 /* A host is ready only if it has read the job log and the operators' topic to
  * their ends within this time. */
 #define READY_LOG_AGE_MS 2500
+/* The probe fails if the event loop has not turned for this long. */
+#define LOOP_STILL_MAX_MS 2000
 /* Callers are served for this long during a shutdown: the load balancer needs
  * two probes, one second apart, to send new connections elsewhere. */
 #define STOP_SERVE_MS 3500
@@ -175,9 +177,24 @@
 static const struct follower_ops job_follower_ops = {ignore_listing, jobs_apply,
 						     ignore_listing};
 
+bool host_probe_passes(const struct host *h, int64_t now_ms)
+{
+	int64_t still_ms =
+		now_ms - __atomic_load_n(&h->loop_turned_ms, __ATOMIC_RELAXED);
+
+	if (!__atomic_load_n(&h->ready, __ATOMIC_RELAXED))
+		return false;
+	if (still_ms <= LOOP_STILL_MAX_MS)
+		return true;
+	log_line(LOG_WARN, "not ready: event loop stands still",
+		 "still_ms=%lld max_ms=%d", (long long)still_ms,
+		 LOOP_STILL_MAX_MS);
+	return false;
+}
+
 /*
- * Runs on the thread of the probe or metrics server and reads only the ready
- * flag. Other requests are posted to the loop, which owns the state.
+ * Runs on the thread of the probe or metrics server and reads only what is set
+ * for it. Other requests are posted to the loop, which owns the state.
  */
 static void on_probe(void *ctx, struct http_request *r)
 {
@@ -195,8 +212,8 @@
 		host_post_request(h, r);
 		return;
 	}
-	http_reply(r, __atomic_load_n(&h->ready, __ATOMIC_RELAXED) ? 200 : 503,
-		   0, "{}", 2);
+	http_reply(r, host_probe_passes(h, clock_boot_ms()) ? 200 : 503, 0,
+		   "{}", 2);
 }
 
 bool host_is_ready(const struct host *h)
@@ -215,6 +232,7 @@
 	bool ready = host_is_ready(h);
 
 	__atomic_store_n(&h->ready, ready, __ATOMIC_RELAXED);
+	__atomic_store_n(&h->loop_turned_ms, h->now_ms, __ATOMIC_RELAXED);
 	if (ready == h->was_ready)
 		return;
 	h->was_ready = ready;
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -91,13 +91,15 @@
  * @settings_due_ms: boot time at which the settings file is read next
  * @ready: result of the readiness probe; atomic, as the thread of the probe
  *	server reads it
+ * @loop_turned_ms: boot time of the loop's last tick; atomic like @ready
  * @was_ready: @ready as logged last
  * @busy_logged_ms: boot time at which @logged_ns was set
  * @logged_ns: time by activity up to the last look at how busy the loop is
  * @accept_ms: time from the arrival of a submission to its acceptance
  * @heap: gives memory back that has become free
  *
- * The struct belongs to the loop's thread. Other threads only read @ready, run
+ * The struct belongs to the loop's thread. Other threads only read @ready and
+ * @loop_turned_ms, run
  * the HTTP servers and post to @loop.
  */
 struct host {
@@ -142,6 +144,7 @@
 	int64_t stop_began_ms;
 	int64_t settings_due_ms;
 	bool ready;
+	int64_t loop_turned_ms;
 	bool was_ready;
 	struct host_counts counts;
 	int64_t busy_logged_ms;
@@ -166,6 +169,13 @@
  */
 bool host_is_ready(const struct host *h);
 
+/**
+ * host_probe_passes() - answer of the readiness probe, on any thread
+ *
+ * It fails, whatever the loop has set last, once the loop does not turn.
+ */
+bool host_probe_passes(const struct host *h, int64_t now_ms);
+
 /* host_metrics.c */
 
 /**
--- a/src/programs/hostd.c
+++ b/src/programs/hostd.c
@@ -61,6 +61,7 @@
 			     !strcmp(settings_text(&s, "log-format"), "json"),
 			     h->settings.name);
 		logger_set_output(stdout);
+		logger_start();
 		h->metrics_port = (uint16_t)settings_number(&s, "metrics-port");
 		h->look_ahead = settings_number(&s, "look-ahead") != 0;
 		err = host_run(h);
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -726,6 +726,18 @@
 	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
 }
 
+/* A host whose event loop hung said for ever that it was ready, and went on to
+ * get callers. */
+TEST_F(HostCall, IsNotReadyWhileItsLoopStandsStill)
+{
+	h.ready = true;
+	h.loop_turned_ms = 50000;
+	EXPECT_TRUE(host_probe_passes(&h, 52000));
+	EXPECT_FALSE(host_probe_passes(&h, 52001));
+	h.ready = false;
+	EXPECT_FALSE(host_probe_passes(&h, 50001));
+}
+
 /* A caller left without an answer and cancelled its job, which no record showed
  * yet: it was told 410, nothing was stored, and the job ran for good. */
 TEST_F(HostCall, CancelsAJobWhoseRecordIsStoredAfterTheCancel)
