--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -296,6 +296,40 @@
 	EXPECT_EQ(store.pages, 3u);
 }
 
+/* The same at the edges of pages: before, between and behind the usable keys.
+ */
+TEST_F(Follower, ListsOnBehindAnyNumberOfUnusableKeys)
+{
+	const std::string odd[] = {"\n", std::string("\0x", 2),
+				   std::string(247, '\x7f')};
+	int topic = 0;
+
+	for (int n : {499, 500, 501, 1501})
+		for (const char *before : {"a", "n", "z"})
+			for (const std::string &tail : odd) {
+				std::string name =
+					"keyed." + std::to_string(topic++);
+				for (int i = 0; i < n; i++)
+					store.put(name,
+						  before + std::to_string(i) +
+							  tail,
+						  "1");
+				store.put(name, "m", "1");
+				store.put(name, "w", "1");
+				store.put(name, "", "1");
+				follower_finish(&f);
+				sink = Sink();
+				follower_init(&f, &store.ops, &store,
+					      name.c_str(), 0, &sink_ops,
+					      &sink);
+				follower_start(&f, now);
+				run(100);
+				EXPECT_EQ(sink.listings, 1) << n << before;
+				EXPECT_EQ(sink.keys.count("m"), 1u);
+				EXPECT_EQ(sink.keys.count("w"), 1u);
+			}
+}
+
 /* Where a key cannot be told exactly, pages may repeat: the listing went on for
  * ever without a pause. */
 class FollowerOfRepeatedPages : public Follower
