cell: count no further crashes of the only worker for a task

Cause: a task is given up after four crashes under it in any case, and those of one worker counted like those of four. Only the check of a third, conclusive crash asked whether it was the same worker as before. A crash speaks against the task if it had a choice and the next worker crashed, too; without a choice, a further crash of the same worker tells nothing new.

Change: such a crash is not counted. The task stays suspected, so that nothing else starts beside it, and is tried again after 1 s, then 2 s. Another worker is a choice if it takes tasks and is large enough, with the label; all other crashes count as before, also those of one of several workers that suit.

--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -4,6 +4,7 @@
 
 #include "base/logger.h"
 #include "cell/cell_job.h"
+#include "cell/cell_room.h"
 #include "cell/cell_loss.h"
 
 /* A run that its worker reports this long after its start has not crashed it.
@@ -33,10 +34,10 @@
 #define CRASHES_CALM 2
 #define CALM_MS 1500
 #define CALM_WAIT_MAX_MS 8000
-/* After each crash from the second one on, a long-running task waits for one
- * step more, up to the longest pause, before it is tried again. */
-#define LONG_RUNNING_STEP_MS 1000
-#define LONG_RUNNING_PAUSE_MAX_MS 2000
+/* After each crash from the second one on, a task that is not given up waits
+ * for one step more, up to the longest pause, before it is tried again. */
+#define PAUSE_STEP_MS 1000
+#define PAUSE_MAX_MS 2000
 /* A worker takes no other tasks during a trial, as long as no more than one
  * worker in this many has one. */
 #define TRIAL_SHARE 4
@@ -111,6 +112,7 @@
 	cell_loss_clear(c, t);
 	t->crashes = 0;
 	t->crashes_seen = 0;
+	t->crashes_again = 0;
 	if (t->suspected)
 		set_suspected(c, t, false);
 }
@@ -203,19 +205,53 @@
 	cell_job_settle(c, j, JOB_FAILED);
 }
 
-static void count_crash(struct cell *c, struct cell_task *t,
+static bool suits(const struct cell_worker *w, const struct job_step *s)
+{
+	return w->accepts_tasks && s->cpu <= w->entry.cpu &&
+	       s->memory_mb <= w->entry.memory_mb &&
+	       s->accelerators <= w->entry.accelerators &&
+	       cell_worker_has_label(w, s->worker_label);
+}
+
+/*
+ * Whether the worker has crashed under the task before, and the task had no
+ * choice of another one. Such crashes tell nothing more about the task: the
+ * worker may have a cause of its own.
+ */
+static bool is_only_worker_again(const struct cell *c,
+				 const struct cell_task *t,
+				 const struct cell_worker *w)
+{
+	const struct cell_worker *o;
+
+	if (t->avoid_worker != w->id || !t->crashes_seen)
+		return false;
+	for (o = c->workers; o; o = o->next)
+		if (o != w && o->service == w->service &&
+		    suits(o, t->step->spec))
+			return false;
+	return true;
+}
+
+/* Return: whether the crash counts against the task. */
+static bool count_crash(struct cell *c, struct cell_task *t,
 			const struct cell_worker *w, struct worker_loss *l,
 			uint32_t i, bool alone)
 {
+	t->crashed_ms = c->now_ms;
+	if (is_only_worker_again(c, t, w)) {
+		t->crashes_again += t->crashes_again < UINT8_MAX;
+		return false;
+	}
 	t->crashes += t->crashes < UINT8_MAX;
 	t->crashes_seen += t->crashes_seen < UINT8_MAX;
-	t->crashed_ms = c->now_ms;
 	t->avoid_worker = w->id;
 	set_suspected(c, t, true);
-	if (!l)
-		return;
-	l->charged |= 1U << i;
-	l->alone |= (uint32_t)alone << i;
+	if (l) {
+		l->charged |= 1U << i;
+		l->alone |= (uint32_t)alone << i;
+	}
+	return true;
 }
 
 static void log_crash(const struct cell_task *t, uint32_t run,
@@ -223,9 +259,10 @@
 {
 	log_line(LOG_WARN, "worker crashed under a task",
 		 "job=%016" PRIx64 " step=%u index=%u run=%u worker=%s "
-		 "crashes=%u seen=%u alone=%d",
+		 "crashes=%u seen=%u again=%u alone=%d",
 		 t->step->job->entry->id, t->step->number, t->index, run,
-		 w->entry.addr.id, t->crashes, t->crashes_seen, alone);
+		 w->entry.addr.id, t->crashes, t->crashes_seen,
+		 t->crashes_again, alone);
 }
 
 static void charge(struct cell *c, struct cell_task *t, bool alone)
@@ -234,14 +271,15 @@
 	struct loss_evidence none = {0};
 	struct worker_loss *l;
 	uint32_t i = 0;
+	bool counts;
 
 	t->crash_doubt = DOUBT_NONE;
 	if (job_state_is_terminal(j->state) || !cell_crash_is_unsettled(t))
 		return;
 	l = cell_loss_find(c, t, &i);
-	count_crash(c, t, t->worker, l, i, alone);
+	counts = count_crash(c, t, t->worker, l, i, alone);
 	log_crash(t, t->run, t->worker, alone);
-	if (!is_enough(t, alone))
+	if (!counts || !is_enough(t, alone))
 		return;
 	if (!l) {
 		/* Nothing is known that speaks for the task. */
@@ -396,21 +434,26 @@
 		judge_pending(c, &c->losses[n]);
 }
 
-static int64_t long_running_pause_ms(const struct cell_task *t)
+static bool is_pausing(const struct cell *c, const struct cell_task *t,
+		       uint32_t steps)
 {
-	int64_t ms = (t->crashes_seen - 1) * LONG_RUNNING_STEP_MS;
+	int64_t ms = (int64_t)steps * PAUSE_STEP_MS;
 
-	return ms < LONG_RUNNING_PAUSE_MAX_MS ? ms : LONG_RUNNING_PAUSE_MAX_MS;
+	return c->now_ms - t->crashed_ms <
+	       (ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS);
 }
 
 bool cell_crash_is_held(const struct cell *c, const struct cell_task *t)
 {
+	uint32_t again = t->crashes_again;
+
 	if (is_long_running(t))
-		return t->crashes_seen >= CRASHES_CALM &&
-		       c->now_ms - t->crashed_ms < long_running_pause_ms(t);
-	return t->held || (t->crashes_seen >= CRASHES_CALM &&
-			   c->now_ms - c->lost_ms < CALM_MS &&
-			   c->now_ms - t->retry_at_ms < CALM_WAIT_MAX_MS);
+		return t->crashes_seen &&
+		       is_pausing(c, t, t->crashes_seen - 1U + again);
+	return t->held || (again && is_pausing(c, t, again)) ||
+	       (t->crashes_seen >= CRASHES_CALM &&
+		c->now_ms - c->lost_ms < CALM_MS &&
+		c->now_ms - t->retry_at_ms < CALM_WAIT_MAX_MS);
 }
 
 void cell_crash_charge_ended(struct cell *c, const struct cell_worker *w)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -118,7 +118,9 @@
  * @crashes: workers that crashed in a row soon after they started it, for no
  *	cause that others had in common with them
  * @crashes_seen: the same, whatever the cause, as far as this owner knows
- * @crashed_ms: when the last of these crashes was noted by this owner
+ * @crashes_again: crashes after the first one in a row of a worker that has no
+ *	other beside it that suits the task; they count as no further @crashes
+ * @crashed_ms: when the last of all these crashes was noted by this owner
  * @suspected: a worker has crashed soon after it started it, and it has not
  *	settled since
  * @held: not placed before the evidence about its last crash is complete
@@ -164,6 +166,7 @@
 	bool in_loss;
 	uint8_t crashes;
 	uint8_t crashes_seen;
+	uint8_t crashes_again;
 	uint8_t crash_doubt;
 	uint8_t pace;
 	uint8_t pace_sent;
--- a/tests/cell_crash_test.cc
+++ b/tests/cell_crash_test.cc
@@ -471,6 +471,57 @@
 	EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED);
 }
 
+/*
+ * The process of a worker ends again and again, whatever it runs, and no other
+ * worker suits one of the jobs. That job was shown as failed after four ends
+ * (review/7).
+ */
+TEST(CellCrash, KeepsATaskWhoseOnlyWorkerRestartsInALoop)
+{
+	for (int64_t life : {300, 500, 650, 900})
+		for (int crashes : {10, 40, 60}) {
+			CrashWorld w;
+
+			w.keeps_id = true;
+			w.absent_ms = 400;
+			w.begin(EIGHT);
+			w.add_worker("big", 64000);
+			w.play(100);
+			w.lasts_ms[7] = 3000;
+			w.submit(7, {CellWorld::task_step(1, 32000)});
+			w.submit(8, {CellWorld::task_step(4)});
+			for (int i = 0; i < crashes; i++) {
+				w.play(life);
+				w.crash("big");
+				w.play(w.absent_ms);
+			}
+			w.play(14000);
+			EXPECT_EQ(w.state(7), (uint32_t)JOB_COMPLETED)
+				<< life << " ms, " << crashes << " crashes";
+			EXPECT_EQ(w.state(8), (uint32_t)JOB_COMPLETED);
+		}
+}
+
+/* A task that ends the only worker that suits it leaves that to others for most
+ * of the time. */
+TEST(CellCrash, PausesATaskThatCrashesItsOnlyWorker)
+{
+	CrashWorld w;
+
+	w.keeps_id = true;
+	w.absent_ms = 400;
+	w.begin(EIGHT);
+	w.add_worker("big", 64000);
+	w.play(100);
+	w.crashers[7] = -1;
+	w.submit(7, {CellWorld::task_step(1, 32000)});
+	w.play(60000);
+	EXPECT_LE(w.starts_of[7], 30);
+	w.submit(8, {CellWorld::task_step(1, 24000)});
+	w.play(14000);
+	EXPECT_EQ(w.state(8), (uint32_t)JOB_COMPLETED);
+}
+
 /* Single workers are killed at random times while short jobs come. */
 TEST(CellCrash, FailsNoJobByKillsOfSingleWorkers)
 {
