follower: begin a listing that is stuck again after a fixed pause

Failures are forgotten with each page again, and a listing whose page brings no new key begins again after 1 s. The 13 tests of follower_test hold, among them FollowerOfRepeatedPages.PausesBetweenListings.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -17,6 +17,8 @@
 #define EXTRA_PAUSE_FIRST_MS 40
 #define EXTRA_PAUSE_MAX_MS 640
 #define LISTED_CAP_INITIAL 256
+/* Pause before a listing that the store did not let go on begins again. */
+#define LIST_AGAIN_MS 1000
 /* Without an answer for this long, more than one record of a key may have been
  * missed, and a listing is shorter than all of them. */
 #define LIST_AFTER_MS 3000
@@ -187,12 +189,11 @@
 		 "topic=%s part=%u keys=%zu last_key_bytes=%zu", f->topic,
 		 f->part, f->listed_count, r->last_key.len);
 	if (f->ops->is_refreshed) {
-		follower_note_recovery(f, r);
 		follower_apply_listing(f, false);
 		return;
 	}
 	listed_clear(f);
-	follower_note_failure(f, r);
+	f->due_ms = f->now_ms + LIST_AGAIN_MS;
 }
 
 static void on_listed(void *ctx, const struct store_reply *r)
@@ -217,6 +218,7 @@
 		follower_note_failure(f, r);
 		return;
 	}
+	follower_note_recovery(f, r);
 	if (!f->is_listing) {
 		f->is_listing = true;
 		f->list_end_offset = r->end;
@@ -226,7 +228,6 @@
 	for (i = 0; i < r->count; i++)
 		listed_add(f, &r->records[i]);
 	if (!r->has_more) {
-		follower_note_recovery(f, r);
 		follower_apply_listing(f, true);
 	} else if (can_list_on(f, r)) {
 		f->list_after = arena_str(&f->listed_memory, r->last_key.data,
