cell_crash: names of predicates

Read once more: a function that tests whether a worker can host a step and a flag of that kind read as such now, and two comments say what they count. No change of the code's effect; the 28 tests of cell_crash_test pass.

--- a/src/base/log_queue.h
+++ b/src/base/log_queue.h
@@ -14,7 +14,7 @@
 
 /**
  * struct log_queue - lines that a thread of its own writes to a descriptor
- * @lines: that wait; a line is dropped if it would exceed their limit
+ * @lines: lines that wait; one that would exceed their limit is dropped
  * @dropped: lines that were dropped since log_queue_take_dropped()
  * @is_awake: the thread will look at @lines again without a wake-up
  * @is_ended: the thread has written all and ended
--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -205,7 +205,7 @@
 	cell_job_settle(c, j, JOB_FAILED);
 }
 
-static bool suits(const struct cell_worker *w, const struct job_step *s)
+static bool can_host_step(const struct cell_worker *w, const struct job_step *s)
 {
 	return w->accepts_tasks && s->cpu <= w->entry.cpu &&
 	       s->memory_mb <= w->entry.memory_mb &&
@@ -228,7 +228,7 @@
 		return false;
 	for (o = c->workers; o; o = o->next)
 		if (o != w && o->service == w->service &&
-		    suits(o, t->step->spec))
+		    can_host_step(o, t->step->spec))
 			return false;
 	return true;
 }
@@ -271,15 +271,15 @@
 	struct loss_evidence none = {0};
 	struct worker_loss *l;
 	uint32_t i = 0;
-	bool counts;
+	bool is_counted;
 
 	t->crash_doubt = DOUBT_NONE;
 	if (job_state_is_terminal(j->state) || !cell_crash_is_unsettled(t))
 		return;
 	l = cell_loss_find(c, t, &i);
-	counts = count_crash(c, t, t->worker, l, i, alone);
+	is_counted = count_crash(c, t, t->worker, l, i, alone);
 	log_crash(t, t->run, t->worker, alone);
-	if (!counts || !is_enough(t, alone))
+	if (!is_counted || !is_enough(t, alone))
 		return;
 	if (!l) {
 		/* Nothing is known that speaks for the task. */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -118,8 +118,8 @@
  * @crashes: workers that crashed in a row soon after they started it, for no
  *	cause that others had in common with them
  * @crashes_seen: the same, whatever the cause, as far as this owner knows
- * @crashes_again: crashes after the first one in a row of a worker that has no
- *	other beside it that suits the task; they count as no further @crashes
+ * @crashes_again: further crashes in a row of one worker while no other one
+ *	suits the task, which are not in @crashes
  * @crashed_ms: when the last of all these crashes was noted by this owner
  * @suspected: a worker has crashed soon after it started it, and it has not
  *	settled since
