logger: start and stop again after a reader that stood still

Beside it, a second logger_stop(), as at exit(), let lines be written on the calling thread again, which waits for the reader. hostd starts its logger once, and stops it at exit() only.

logger_start() waits for the former thread now, and the descriptor stays closed for lines after a stop that gave up.

--- a/src/base/log_queue.c
+++ b/src/base/log_queue.c
@@ -119,6 +119,12 @@
 	return dropped;
 }
 
+void log_queue_wait(struct log_queue *q)
+{
+	pthread_join(q->thread, NULL);
+	sem_destroy(&q->wake);
+}
+
 bool log_queue_finish(struct log_queue *q)
 {
 	int waited_us = 0;
@@ -130,11 +136,8 @@
 		usleep(FINISH_POLL_US);
 		waited_us += FINISH_POLL_US;
 	}
-	if (!__atomic_load_n(&q->is_ended, __ATOMIC_ACQUIRE)) {
-		pthread_detach(q->thread);
+	if (!__atomic_load_n(&q->is_ended, __ATOMIC_ACQUIRE))
 		return false;
-	}
-	pthread_join(q->thread, NULL);
-	sem_destroy(&q->wake);
+	log_queue_wait(q);
 	return true;
 }
--- a/src/base/log_queue.h
+++ b/src/base/log_queue.h
@@ -55,11 +55,17 @@
 /**
  * log_queue_finish() - write what waits, and end the thread
  *
- * Return: false if the reader of the descriptor stands still. What is left is
- * given up then, and the queue must stay as it is, as the thread goes on.
+ * Return: false if the reader of the descriptor stands still. The thread goes
+ * on then and uses the queue until log_queue_wait() returns.
  */
 bool log_queue_finish(struct log_queue *q);
 
+/**
+ * log_queue_wait() - wait for the end of the thread, and so for the reader,
+ * after log_queue_finish() has returned false
+ */
+void log_queue_wait(struct log_queue *q);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/base/logger.c
+++ b/src/base/logger.c
@@ -170,6 +170,8 @@
 	int err;
 
 	fflush(out);
+	if (logger.is_closed)
+		log_queue_wait(&logger.queue);
 	err = log_queue_start(&logger.queue, fileno(out));
 	if (err) {
 		log_line(LOG_ERROR, "cannot start the thread of the logger",
@@ -188,7 +190,7 @@
 	lock_take(&logger.lock);
 	has_queue = logger.has_queue;
 	logger.has_queue = false;
-	logger.is_closed = has_queue;
+	logger.is_closed |= has_queue;
 	lock_give(&logger.lock);
 	if (has_queue && log_queue_finish(&logger.queue)) {
 		lock_take(&logger.lock);
--- a/src/base/logger.h
+++ b/src/base/logger.h
@@ -41,7 +41,8 @@
 /**
  * logger_stop() - write the lines that wait, and let log_line() write again
  *
- * Gives up after 200 ms if the reader stands still; nothing is logged then.
+ * Gives up after 200 ms if the reader stands still; nothing is logged then, and
+ * a further logger_start() waits for the reader.
  */
 void logger_stop(void);
 
--- a/tests/logger_test.cc
+++ b/tests/logger_test.cc
@@ -123,7 +123,8 @@
 	}
 }
 
-/* A process that stops does not wait for a reader that stands still. */
+/* A process that stops does not wait for a reader that stands still, also if
+ * the logger is stopped again at exit(), and it may start the logger again. */
 TEST_F(LoggerOnPipe, StopsWhileItsReaderStandsStill)
 {
 	auto began = std::chrono::steady_clock::now();
@@ -131,10 +132,14 @@
 	for (int i = 0; i < 3000; i++)
 		log(LOG_INFO, "line-");
 	logger_stop();
+	logger_stop();
 	log(LOG_ERROR, "after-");
 	EXPECT_LT(std::chrono::steady_clock::now() - began,
 		  std::chrono::seconds(5));
-	read_all(); /* the thread ends */
+	EXPECT_EQ(count(read_all(), "after-"), 0u); /* the thread ends */
+	logger_start();
+	log(LOG_INFO, "again-");
+	EXPECT_EQ(count(read_all(), "event=\"again-"), 1u);
 }
 
 TEST_F(LoggerOnPipe, TakesLinesOfSeveralThreads)
