--- a/src/base/setting.c
+++ b/src/base/setting.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/build_info.h"
+
 #define VERSION_TEXT "0.1.0"
 
 /* Maximum number of rows in a program's table. */
@@ -163,7 +165,8 @@
 		print_help(s);
 		code = EXIT_CODE_OK;
 	} else if (version->count) {
-		printf("%s %s\n", s->program, VERSION_TEXT);
+		printf("%s %s (build %s, sources %s)\n", s->program,
+		       VERSION_TEXT, build_info.commit, build_info.sources);
 		code = EXIT_CODE_OK;
 	} else if (docs->count) {
 		print_docs(s);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "adapters/clock.h"
+#include "base/build_info.h"
 #include "base/logger.h"
 #include "platform/config.h"
 
@@ -590,9 +591,11 @@
 	if (err)
 		return err;
 	log_line(LOG_INFO, "started",
-		 "callers=%s port=%u probe_port=%u store=%s zone=%s",
+		 "callers=%s port=%u probe_port=%u store=%s zone=%s build=%s "
+		 "sources=%s",
 		 h->settings.caller_addr, h->callers.port, h->probes.port,
-		 h->settings.store_addr, h->settings.zone);
+		 h->settings.store_addr, h->settings.zone, build_info.commit,
+		 build_info.sources);
 	loop_run(&h->loop);
 	log_line(LOG_INFO, "stopped", "jobs=%zu",
 		 index_count(&h->job_view.by_id));
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#include "base/build_info.h"
+
 #define NS_PER_US 1000
 #define CORE 1000 /* thousandths */
 
@@ -17,6 +19,8 @@
 		cell_get_counts(h->owner.cell, &cell);
 #define METRIC(name, value) \
 	buf_addf(out, "basilshift_" name " %" PRIu64 "\n", (uint64_t)(value))
+	buf_addf(out, "basilshift_build_info{commit=\"%s\",sources=\"%s\"} 1\n",
+		 build_info.commit, build_info.sources);
 	METRIC("ready", h->ready);
 	METRIC("config_version", h->queues.version);
 	METRIC("config_age_ms", host_config_age_ms(h));
--- a/tests/host_metrics_test.cc
+++ b/tests/host_metrics_test.cc
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include "base/build_info.h"
 #include "host/host.h"
 #include "tests/cell_world.h"
 
@@ -27,6 +28,22 @@
 		<< text;
 }
 
+/* A report on a fault that does not name the build may be about another one. */
+TEST(HostMetrics, TellsWhatTheHostWasBuiltFrom)
+{
+	std::unique_ptr<host> h(new host());
+	std::string text;
+	buf b;
+
+	buf_init(&b);
+	host_write_metrics(h.get(), &b);
+	text.assign(b.data, b.len);
+	buf_finish(&b);
+	expect_line(text, std::string("basilshift_build_info{commit=\"") +
+				  build_info.commit + "\",sources=\"" +
+				  build_info.sources + "\"} 1");
+}
+
 /* Operators tell from these which hosts have no recent configuration. */
 TEST(HostMetrics, TellsTheAgeOfTheConfiguration)
 {
--- a/tools/host_test.sh
+++ b/tools/host_test.sh
@@ -96,12 +96,22 @@
 		grep -q "$2"
 }
 
+# names_build HOST: the host's first log line names the build as --version does
+names_build()
+{
+	local build=$("$BIN/basilshift-hostd" --version |
+		sed 's/.*(build \(.*\), sources \(.*\))/build=\1 sources=\2/')
+
+	grep -q "event=\"started\".* $build\$" "$GRID/$1.log"
+}
+
 grid_start_store
 grid_config 3
 for w in 1 2 3 4 5 6; do grid_start_worker "w$w" "zone-$((w % 2))"; done
 grid_publish_odd_workers
 for h in a b c; do grid_start_host "host-$h" zone-1; done
 check "hosts become ready" grid_wait 10 grid_ready host-a
+check "a host names its build" names_build host-a
 check "a host owns the cell" grid_wait 10 grid_owned_by_other none
 grid_wait 10 grid_ready host-b
 grid_wait 10 grid_ready host-c
