follower: end a listing that goes round in a cycle

Cause: a page that brings no new key was found by comparing its last key with that of the page before. A store that tells a key which is no UTF-8 by another text can send the listing back to an earlier page by way of others. It then went round without a pause and kept the records of every page until memory ran out; the owner knew no worker.

Change: the last key of each page is compared with that of the page whose number is the last power of two, which finds a cycle of any length without keeping the keys.

--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -49,6 +49,8 @@
 	f->is_listing = false;
 	f->list_after.data = NULL;
 	f->list_after.len = 0;
+	f->list_pages = 0;
+	f->list_checkpoint = f->list_after;
 }
 
 void follower_finish(struct follower *f)
@@ -176,10 +178,21 @@
 }
 
 /* A store may tell a key that is no UTF-8 by another text, after which the same
- * page follows again. */
+ * page follows again, or one from which the listing comes back to it. */
 static bool can_list_on(const struct follower *f, const struct store_reply *r)
 {
-	return r->last_key.len && !str_eq(r->last_key, f->list_after);
+	return r->last_key.len && !str_eq(r->last_key, f->list_checkpoint);
+}
+
+/* The last key of each page whose number is a power of two is compared with
+ * those of the pages that follow: that finds a cycle of any length. */
+static void follower_list_on(struct follower *f, const struct store_reply *r)
+{
+	f->list_after =
+		arena_str(&f->listed_memory, r->last_key.data, r->last_key.len);
+	f->list_pages++;
+	if (!(f->list_pages & (f->list_pages - 1)))
+		f->list_checkpoint = f->list_after;
 }
 
 static void follower_end_listing(struct follower *f,
@@ -230,8 +243,7 @@
 	if (!r->has_more) {
 		follower_apply_listing(f, true);
 	} else if (can_list_on(f, r)) {
-		f->list_after = arena_str(&f->listed_memory, r->last_key.data,
-					  r->last_key.len);
+		follower_list_on(f, r);
 	} else {
 		follower_end_listing(f, r);
 	}
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -57,6 +57,9 @@
  * @due_ms: earliest boot time of the next read or listing
  * @is_listing: pages of a listing have been read, and more follow
  * @list_after: key after which the next page begins; owned by @listed_memory
+ * @list_pages: pages of the listing that have been read
+ * @list_checkpoint: last key of an earlier page; where a page ends with it
+ *	again, the listing goes round in a cycle
  * @list_end_offset: end of the partition at the first page of the listing
  * @list_sent_ms: when that page was requested, boot time
  * @listed_memory: holds the keys and values of @listed
@@ -93,6 +96,8 @@
 	int64_t now_ms;
 	bool is_listing;
 	struct str list_after;
+	uint32_t list_pages;
+	struct str list_checkpoint;
 	uint64_t list_end_offset;
 	int64_t list_sent_ms;
 	struct arena listed_memory;
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -388,4 +388,40 @@
 	EXPECT_EQ(store.pages, 2u);
 }
 
+/* The listing went round in such a cycle without a pause and kept the records
+ * of each page, until the host ran out of memory. */
+TEST_F(FollowerOfRepeatedPages, EndsAListingThatComesBackToAnEarlierPage)
+{
+	follower_ops refreshed = sink_ops;
+
+	refreshed.is_refreshed = true;
+	f.ops = &refreshed;
+	repeated.read_newest = [](void *p, const char *, uint32_t, str after,
+				  store_done d, void *ctx) {
+		static const std::map<std::string, std::string> next = {
+			{"", "c"},  {"c", "d"}, {"d", "e"},
+			{"e", "x"}, {"x", "b"}, {"b", "d"}};
+		FakeStore *s = (FakeStore *)p;
+		std::string key = next.at(std::string(after.data, after.len));
+
+		s->pages++;
+		s->pending.push_back([=]() {
+			store_record row = {str_of(key.c_str()), str_of("1"),
+					    0};
+			store_reply r = {};
+
+			r.records = &row;
+			r.count = 1;
+			r.end = 1;
+			r.has_more = true;
+			r.last_key = row.key;
+			d(ctx, &r);
+		});
+	};
+	run(500);
+	EXPECT_TRUE(f.loaded);
+	EXPECT_LT(store.pages, 20u);
+	EXPECT_EQ(sink.keys.size(), 5u);
+}
+
 } /* namespace */
