host: drop the jobs that a complete listing lacks

Cause: the listing that follows unread records which have expired was applied on top of what the host knew. Jobs that it lacks had been deleted by those records, and stayed in the host's view in their last state. The listings of workers and of zones were compared already.

Change: each job and known worker has the time at which a record of it was applied last; at the end of a complete listing, those without one since the listing began are dropped. What is stored after it began is read on from its end. A record that cannot be decoded counts as one, so that it drops nothing.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -271,16 +271,20 @@
 	entry_clear_early_cancel(v, e);
 }
 
+static void drop_entry(struct job_view *v, struct job_entry *e)
+{
+	v->ops->dropped(v->ctx, e);
+	entry_free(v, e);
+}
+
 static int apply_accept(struct job_view *v, uint64_t id, struct str value,
 			int64_t now_ms)
 {
 	struct job_entry *e = job_view_get(v, id);
 
 	if (!value.len) {
-		if (!e)
-			return 0;
-		v->ops->dropped(v->ctx, e);
-		entry_free(v, e);
+		if (e)
+			drop_entry(v, e);
 		return 0;
 	}
 	if (e && e->is_accepted)
@@ -363,6 +367,8 @@
 	memcpy(name, id.data, id.len);
 	name[id.len] = '\0';
 	w = index_get(&v->workers, name_hash(name));
+	if (w)
+		w->read_ms = now_ms;
 	if (!value.len) {
 		if (w)
 			drop_worker(v, w);
@@ -376,6 +382,7 @@
 	if (!w) {
 		w = xcalloc(1, sizeof(*w));
 		name_set(w->id, name);
+		w->read_ms = now_ms;
 		w->next = v->known_workers;
 		v->known_workers = w;
 		index_put(&v->workers, name_hash(name), w);
@@ -389,6 +396,29 @@
 	return 0;
 }
 
+size_t job_view_drop_unread(struct job_view *v, int64_t since_ms)
+{
+	struct known_worker *w, *next_worker;
+	struct job_entry *e, *next;
+	size_t dropped = 0;
+
+	for (e = v->jobs; e; e = next) {
+		next = e->next;
+		if (e->read_ms >= since_ms)
+			continue;
+		drop_entry(v, e);
+		dropped++;
+	}
+	for (w = v->known_workers; w; w = next_worker) {
+		next_worker = w->next;
+		if (w->read_ms >= since_ms)
+			continue;
+		drop_worker(v, w);
+		dropped++;
+	}
+	return dropped;
+}
+
 static int apply_owner(struct job_view *v, struct str value)
 {
 	struct cell_owner owner = {"", "", 0};
@@ -412,11 +442,30 @@
 	return 0;
 }
 
+/* @kind: 0, KIND_CANCEL or KIND_PROGRESS */
+static int apply_job(struct job_view *v, uint64_t id, char kind,
+		     struct str value, int64_t now_ms)
+{
+	switch (kind) {
+	case 0:
+		return apply_accept(v, id, value, now_ms);
+	case KIND_CANCEL:
+		return apply_cancel(v, id, value, now_ms);
+	case KIND_PROGRESS:
+		return apply_progress(v, id, value, now_ms);
+	default:
+		return -ENOENT;
+	}
+}
+
 int job_view_apply(struct job_view *v, struct str key, struct str value,
 		   int64_t now_ms)
 {
 	struct str digits = {key.data, JOB_ID_DIGITS};
+	struct job_entry *e;
+	char kind = 0;
 	uint64_t id;
+	int err;
 
 	if (str_eq(key, str_of(EFFECT_MODEL_KEY))) {
 		v->owner_seen_ms = now_ms;
@@ -442,18 +491,15 @@
 	id = job_id_parse(digits);
 	if (!id)
 		return -ENOENT;
-	if (key.len == JOB_ID_DIGITS)
-		return apply_accept(v, id, value, now_ms);
-	if (key.len != JOB_ID_DIGITS + 2 || key.data[JOB_ID_DIGITS] != '/')
-		return -ENOENT;
-	switch (key.data[JOB_ID_DIGITS + 1]) {
-	case KIND_CANCEL:
-		return apply_cancel(v, id, value, now_ms);
-	case KIND_PROGRESS:
-		return apply_progress(v, id, value, now_ms);
-	default:
+	if (key.len == JOB_ID_DIGITS + 2 && key.data[JOB_ID_DIGITS] == '/')
+		kind = key.data[JOB_ID_DIGITS + 1];
+	else if (key.len != JOB_ID_DIGITS)
 		return -ENOENT;
-	}
+	err = apply_job(v, id, kind, value, now_ms);
+	e = job_view_get(v, id);
+	if (e)
+		e->read_ms = now_ms;
+	return err;
 }
 
 struct str job_key(uint64_t id, char kind, char out[JOB_KEY_SIZE])
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -45,6 +45,7 @@
  *	accepted, see cell/job_cancel.h; empty once it is accepted
  * @is_pending: included in the pending jobs of its queue
  * @added_ms: boot time at which this process added the entry
+ * @read_ms: boot time at which a record of the job was applied last
  * @terminal_ms: boot time at which this process saw the terminal state, or
  *	@cancel_accounts; 0 before
  * @cell_job: the owner's struct cell_job, or NULL
@@ -61,6 +62,7 @@
 	struct buf cancel_accounts;
 	bool is_pending;
 	int64_t added_ms;
+	int64_t read_ms;
 	int64_t terminal_ms;
 	void *cell_job;
 	struct job_entry *next;
@@ -75,6 +77,7 @@
  *	record is stored. 0 if leases may be extended.
  * @leases_end_ms: boot time at which these leases have ended; 0 if they may be
  *	extended. Not stored.
+ * @read_ms: boot time at which the record was applied last; not stored
  */
 struct known_worker {
 	char id[NAME_SIZE];
@@ -82,6 +85,7 @@
 	uint64_t born;
 	uint64_t lease_left_ms;
 	int64_t leases_end_ms;
+	int64_t read_ms;
 	struct known_worker *next;
 };
 
@@ -159,6 +163,15 @@
 int job_view_apply(struct job_view *v, struct str key, struct str value,
 		   int64_t now_ms);
 
+/**
+ * job_view_drop_unread() - drop the jobs and workers of which no record has
+ *been applied since a time, as a complete listing that began then lacks them
+ * @since_ms: boot time, in milliseconds
+ *
+ * Return: how many were dropped.
+ */
+size_t job_view_drop_unread(struct job_view *v, int64_t since_ms);
+
 struct job_entry *job_view_get(const struct job_view *v, uint64_t id);
 
 /**
--- a/src/host/follower.c
+++ b/src/host/follower.c
@@ -371,6 +371,8 @@
 			       f->confirming ? 0 : f->wait_ms, on_read, f);
 		return;
 	}
+	if (!f->is_listing)
+		f->list_began_ms = now_ms;
 	f->list_in_flight = true;
 	f->store->read_newest(f->port, f->topic, f->part, f->list_after,
 			      on_listed, f);
--- a/src/host/follower.h
+++ b/src/host/follower.h
@@ -62,6 +62,7 @@
  *	again, the listing goes round in a cycle
  * @list_end_offset: end of the partition at the first page of the listing
  * @list_sent_ms: when that page was requested, boot time
+ * @list_began_ms: time of the tick that requested it
  * @listed_memory: holds the keys and values of @listed
  * @listed: records of the pages read so far
  */
@@ -100,6 +101,7 @@
 	struct str list_checkpoint;
 	uint64_t list_end_offset;
 	int64_t list_sent_ms;
+	int64_t list_began_ms;
 	struct arena listed_memory;
 	struct store_record *listed;
 	size_t listed_count;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -175,8 +175,21 @@
 			 r->offset, r->key.len, r->value.len, err);
 }
 
-static const struct follower_ops job_follower_ops = {ignore_listing, jobs_apply,
-						     ignore_listing};
+/* What the listing lacks was deleted by records that have expired before this
+ * host read them: as the owner, it would run those jobs again. */
+static void jobs_end(void *ctx)
+{
+	struct host *h = ctx;
+	size_t dropped = job_view_drop_unread(&h->job_view,
+					      h->job_follower.list_began_ms);
+
+	if (dropped)
+		log_line(LOG_INFO, "dropped what a listing lacks",
+			 "entries=%zu left=%zu", dropped,
+			 index_count(&h->job_view.by_id));
+}
+
+const struct follower_ops host_job_ops = {ignore_listing, jobs_apply, jobs_end};
 
 bool host_probe_passes(const struct host *h, int64_t now_ms)
 {
@@ -507,7 +520,7 @@
 	follower_init(&h->operator_follower, &platform_store_ops, &h->platform,
 		      TOPIC_OPERATORS, 0, &host_operator_ops, h);
 	follower_init(&h->job_follower, &platform_store_ops, &h->platform,
-		      TOPIC_JOBS, CELL_INDEX, &job_follower_ops, h);
+		      TOPIC_JOBS, CELL_INDEX, &host_job_ops, h);
 	update_auth_bounds(h);
 	h->job_follower.wait_ms = LOG_POLL_WAIT_MS;
 	follower_start(&h->operator_follower, h->now_ms);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -210,6 +210,9 @@
 void host_calls_tick(struct host *h);
 bool host_has_calls(const struct host *h);
 
+/* host.c: jobs, into @job_view */
+extern const struct follower_ops host_job_ops;
+
 /* host_operators.c: configuration and zone evacuations from operators */
 extern const struct follower_ops host_operator_ops;
 
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -47,15 +47,6 @@
 
 const job_view_ops view_ops = {ignore_entry, ignore_entry, ignore_entry};
 
-const follower_ops job_follower_ops = {
-	[](void *) {},
-	[](void *ctx, const store_record *r) {
-		job_view_apply(&((host *)ctx)->job_view, r->key, r->value,
-			       clock_boot_ms());
-	},
-	[](void *) {},
-};
-
 struct Reply {
 	int status;
 	std::string text;
@@ -77,7 +68,7 @@
 		follower_init(&h.operator_follower, &store.ops, &store,
 			      TOPIC_OPERATORS, 0, &host_operator_ops, &h);
 		follower_init(&h.job_follower, &store.ops, &store, TOPIC_JOBS,
-			      0, &job_follower_ops, &h);
+			      0, &host_job_ops, &h);
 		auth_bounds_init(&h.auth_bounds, 3000, true, 5000);
 		h.callers.threads = 1;
 		h.callers.ctx = this;
@@ -759,6 +750,28 @@
 		<< "the caller's retry: it is one job";
 }
 
+/* A host that was cut off until a job had ended and its records had expired
+ * kept showing it as running, and as the next owner ran it again. */
+TEST_F(HostCall, DropsAJobThatHasExpiredWhileItWasCutOff)
+{
+	const std::string kept = "00000000000000a3";
+
+	publish(config(1, ""));
+	ASSERT_EQ(status("POST", path("q"), "", JOB), 200);
+	ASSERT_EQ(status("POST", path("q", kept), "", JOB), 200);
+	ASSERT_EQ(status("GET", path("q"), ""), 200);
+	reads = false;
+	store.put(TOPIC_JOBS, ID, "");
+	store.trimmed = store.topics[TOPIC_JOBS].size();
+	reads = true;
+	usleep(2000);
+	for (int i = 0; i < 4; i++)
+		tick();
+	EXPECT_EQ(status("GET", path("q"), ""), 410);
+	EXPECT_EQ(status("GET", path("q", kept), ""), 200);
+	EXPECT_EQ(index_count(&h.job_view.by_id), 1u);
+}
+
 /* The caller is told that a job is cancelled only once that is stored. */
 TEST_F(HostCall, AnswersACancelOfAnUnknownJobOnceItIsStored)
 {
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -34,7 +34,7 @@
 		char key[JOB_KEY_SIZE];
 
 		return job_view_apply(&v, job_key(id, kind, key),
-				      {value.data(), value.size()}, 100);
+				      {value.data(), value.size()}, now);
 	}
 
 	static std::string spec(uint64_t id, uint32_t repeat = 0,
@@ -111,6 +111,7 @@
 	job_view v;
 	job_view_ops ops;
 	int accepted = 0, cancelled = 0, dropped = 0;
+	int64_t now = 100;
 };
 
 TEST_F(JobView, KeepsTheFirstSpecOfAnId)
@@ -228,6 +229,38 @@
 	EXPECT_EQ(job_view_pending(&v, "q"), 0u);
 }
 
+/* A job whose deletion a host never read, as it had expired, stayed for good.
+ */
+TEST_F(JobView, DropsWhatACompleteListingLacks)
+{
+	known_worker w = {};
+	buf b;
+
+	buf_init(&b);
+	known_worker_write(&w, &b);
+	job_view_apply(&v, str_of("w/i-1"), {b.data, b.len}, 10);
+	job_view_apply(&v, str_of("w/i-2"), {b.data, b.len}, 10);
+	now = 10;
+	for (uint64_t id = 1; id <= 4; id++)
+		put(id, 0, spec(id));
+	now = 20;
+	put(1, 0, spec(1));
+	put(2, 'p', progress(JOB_RUNNING));
+	put(3, 'p', "cannot be decoded");
+	job_view_apply(&v, str_of("w/i-2"), {b.data, b.len}, 20);
+	buf_finish(&b);
+	EXPECT_EQ(job_view_drop_unread(&v, 20), 2u);
+	EXPECT_EQ(dropped, 1);
+	EXPECT_TRUE(job_view_get(&v, 1));
+	EXPECT_TRUE(job_view_get(&v, 2));
+	EXPECT_TRUE(job_view_get(&v, 3));
+	EXPECT_FALSE(job_view_get(&v, 4));
+	ASSERT_TRUE(v.known_workers);
+	EXPECT_STREQ(v.known_workers->id, "i-2");
+	EXPECT_FALSE(v.known_workers->next);
+	EXPECT_EQ(job_view_pending(&v, "q"), 2u);
+}
+
 /*
  * A host kept the whole spec of each job until the job was dropped, minutes
  * after its end: 4.2 KB for a job of 1.4 KB, 12.5 MB for 3,000 jobs.
