--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	'standins/*.[ch]' 'bench/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.cc')
 C_SOURCES = $(filter %.c,$(SOURCES))
 
-.PHONY: all deps build demo demo-requests host-test crowd-test soak soak-quick takeover check format lint docs docs-check test faults bench policy process-test \
+.PHONY: all deps build demo demo-requests host-test crowd-test soak soak-quick family-quick takeover check format lint docs docs-check test faults bench policy process-test \
 	sanitize-address sanitize-thread clean
 
 all: build
@@ -66,7 +66,7 @@
 	@GTEST_FILTER="$$(bash tools/known_red.sh $*)" \
 		ctest --test-dir build-$* --output-on-failure -j$(JOBS) $(SKIP_$*)
 
-check: lint docs-check test sanitize-address sanitize-thread process-test host-test soak-quick crowd-test
+check: lint docs-check test sanitize-address sanitize-thread process-test host-test soak-quick family-quick crowd-test
 
 # Each case of the fault matrix runs in one thread without shared memory, so the
 # thread sanitizer has nothing to find in it.
@@ -99,6 +99,12 @@
 	@bash tools/soak.sh --seed=1 --seconds=12 2>/dev/null
 	@bash tools/soak.sh --seed=1 --seconds=12 --calls 2>/dev/null
 
+# One play of each family, beside each other.
+family-quick: build
+	@for f in listing:6 crashes:6 reader:6 expiry:2; do \
+		bash tools/family.sh $${f%:*} --seed=$${f#*:} 2>/dev/null & pids="$$pids $$!"; \
+	done; failed=0; for p in $$pids; do wait $$p || failed=1; done; exit $$failed
+
 faults: build
 	@build/bin/basilshift-faults $(if $(CASE),--case=$(CASE))
 
--- a/standins/grid_store.c
+++ b/standins/grid_store.c
@@ -85,12 +85,14 @@
 	return true;
 }
 
-static void add_record(struct grid_partition *p, const char *data, size_t len)
+static void add_record(struct grid_partition *p, const char *data, size_t len,
+		       int64_t now_ms)
 {
 	if (p->count == p->cap) {
 		p->cap = p->cap ? p->cap * 2 : 64;
 		p->records = xrealloc(p->records, p->cap * sizeof(*p->records));
 	}
+	p->records[p->count].stored_ms = now_ms;
 	buf_init(&p->records[p->count].bytes);
 	buf_add(&p->records[p->count++].bytes, data, len);
 }
@@ -98,7 +100,7 @@
 enum grid_status grid_partition_append(struct grid_partition *p,
 				       struct str body, bool has_seq,
 				       uint64_t epoch, uint64_t seq,
-				       uint64_t *first)
+				       int64_t now_ms, uint64_t *first)
 {
 	if (!is_length_prefixed(body))
 		return GRID_BAD_BODY;
@@ -121,17 +123,24 @@
 	while (body.len) {
 		uint32_t n = read_length(body.data);
 
-		add_record(p, body.data + LENGTH_BYTES, n);
+		add_record(p, body.data + LENGTH_BYTES, n, now_ms);
 		body.data += LENGTH_BYTES + n;
 		body.len -= LENGTH_BYTES + n;
 	}
 	return GRID_OK;
 }
 
+void grid_partition_expire(struct grid_partition *p, int64_t stored_before_ms)
+{
+	while (p->first < p->count &&
+	       p->records[p->first].stored_ms < stored_before_ms)
+		p->first++;
+}
+
 void grid_partition_read(const struct grid_partition *p, uint64_t from,
 			 struct buf *out)
 {
-	uint64_t head[2] = {htobe64(p->count), 0};
+	uint64_t head[2] = {htobe64(p->count), htobe64(p->first)};
 	uint64_t i;
 
 	buf_add(out, head, sizeof(head));
--- a/standins/grid_store.h
+++ b/standins/grid_store.h
@@ -7,14 +7,17 @@
 /**
  * struct grid_record - one record of a partition
  * @bytes: in a keyed topic the key's length (one byte), the key and the value
+ * @stored_ms: monotonic time at which it was appended
  */
 struct grid_record {
 	struct buf bytes;
+	int64_t stored_ms;
 };
 
 /**
  * struct grid_partition - one partition of a topic
  * @name: "topic/number"
+ * @first: offset of the first record that has not expired
  * @epoch: fencing epoch of the last sequenced append
  * @seq: sequence number of the last sequenced append
  * @last_append_offset: offset of the first record of the last sequenced append
@@ -25,6 +28,7 @@
 struct grid_partition {
 	char name[NAME_SIZE * 2];
 	struct grid_record *records;
+	size_t first;
 	size_t count;
 	size_t cap;
 	uint64_t epoch;
@@ -101,11 +105,18 @@
 enum grid_status grid_partition_append(struct grid_partition *p,
 				       struct str body, bool has_seq,
 				       uint64_t epoch, uint64_t seq,
-				       uint64_t *first);
+				       int64_t now_ms, uint64_t *first);
+
+/**
+ * grid_partition_expire() - let the records that are older than a time expire
+ *
+ * The newest record of each key is still listed.
+ */
+void grid_partition_expire(struct grid_partition *p, int64_t stored_before_ms);
 
 /**
  * grid_partition_read() - append the reply to a read to @out
- * @from: offset of the first record to return
+ * @from: offset of the first record to return, which has not expired
  *
  * The reply holds the end offset and the start offset, 8 bytes each in network
  * order, and then the length-prefixed records.
--- a/standins/gridstore.c
+++ b/standins/gridstore.c
@@ -34,6 +34,8 @@
 	 false},
 	{"page", "records", SETTING_NUMBER, 0, 500, "0",
 	 "records in a page of a listing; 0 for all in one", false},
+	{"keep", "ms", SETTING_NUMBER, 0, 86400000, "0",
+	 "time after which records expire; 0 for never", false},
 };
 
 /**
@@ -54,7 +56,8 @@
 	struct waiter waiters[WAITERS_MAX];
 	size_t waiter_count;
 	bool down;
-	size_t page; /* records of a listing; 0 for all */
+	size_t page;     /* records of a listing; 0 for all */
+	int64_t keep_ms; /* 0: records do not expire */
 	FILE *append_log;
 };
 
@@ -131,7 +134,8 @@
 	status = grid_partition_append(p, body,
 				       http_query(r, "producer") != NULL,
 				       query_number(r, "epoch"),
-				       query_number(r, "seq"), &first);
+				       query_number(r, "seq"), clock_mono_ms(),
+				       &first);
 	switch (status) {
 	case GRID_OK:
 		log_append(s, r, p, count_before);
@@ -162,12 +166,28 @@
 	reply_buf(r, 200, &b);
 }
 
+static void reply_expired(struct http_request *r,
+			  const struct grid_partition *p)
+{
+	struct buf b;
+
+	buf_init(&b);
+	buf_addf(&b, "{\"startOffset\":%zu}", p->first);
+	reply_buf(r, 410, &b);
+}
+
 static void do_read(struct store_server *s, struct http_request *r)
 {
 	struct grid_partition *p = request_partition(s, r);
 	uint64_t from = query_number(r, "from");
 	int64_t wait = (int64_t)query_number(r, "waitMs");
 
+	if (s->keep_ms)
+		grid_partition_expire(p, clock_mono_ms() - s->keep_ms);
+	if (from < p->first) {
+		reply_expired(r, p);
+		return;
+	}
 	if (from < p->count || !wait || s->waiter_count == WAITERS_MAX) {
 		reply_read(r, p, from);
 		return;
@@ -303,6 +323,7 @@
 	grid_store_init(&s->store,
 			(uint32_t)settings_number(&set, "partitions"));
 	s->page = (size_t)settings_number(&set, "page");
+	s->keep_ms = settings_number(&set, "keep");
 	if (settings_text(&set, "append-log")[0])
 		s->append_log = fopen(settings_text(&set, "append-log"), "a");
 	http.handle = on_request;
--- a/tools/grid.sh
+++ b/tools/grid.sh
@@ -9,7 +9,8 @@
 
 grid_start_store()
 {
-	"$BIN/standin-gridstore" --port-file="$GRID/store.port" --page=500 \
+	"$BIN/standin-gridstore" --port-file="$GRID/store.port" \
+		--page="${STORE_PAGE:-500}" --keep="${STORE_KEEP_MS:-0}" \
 		--append-log="$GRID/appends" &
 	STORE_PID=$!
 	until [ -s "$GRID/store.port" ]; do sleep 0.05; done
@@ -105,7 +106,7 @@
 	"limits":{"cpuShare":0.25,"memoryMb":${HOST_MEMORY_MB:-260},
 	"maxFds":${HOST_MAX_FDS:-4100}},
 	"bounds":{"maxHoldMs":6000,"configApplyMs":2000,"visible_ms":3000,
-	"status_s":120,"graceS":6,"early_ms":250,"strictRevocation":true,
+	"status_s":${HOST_STATUS_S:-120},"graceS":6,"early_ms":250,"strictRevocation":true,
 	"revokeMs":3000},
 	"platform":{"address":"$STORE","writesPerS":600,"readsPerS":2000,
 	"parts":24,"recordBytes":262144,"requestBytes":2097152,
@@ -114,7 +115,7 @@
 	HOST_METRICS[$1]=$(grid_free_port)
 	BASILSHIFT_BOOT="$GRID/$1.json" "$BIN/basilshift-hostd" \
 		--metrics-port="${HOST_METRICS[$1]}" \
-		>>"$GRID/$1.log" 2>&1 &
+		>>"${HOST_LOG:-$GRID/$1.log}" 2>&1 &
 	HOST_PID[$1]=$!
 	grid_wait 10 grep -q 'event="started"' "$GRID/$1.log" ||
 		{ echo "$1 does not start:"; tail -3 "$GRID/$1.log"; exit 1; }
