--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 	@bash deploy/random_days_test.sh
 	@QUIET=1 bash tools/build_info_test.sh
 	@QUIET=1 bash tools/stale_objects_test.sh
+	@QUIET=1 bash tools/deploy_build_test.sh
 	@GTEST_FILTER="$$(bash tools/known_red.sh plain)" \
 		ctest --test-dir build --output-on-failure -j$(JOBS)
 
