--- a/Makefile
+++ b/Makefile
@@ -55,9 +55,7 @@
 	@bash tools/known_red_test.sh
 	@bash tools/judge_test.sh
 	@bash deploy/random_days_test.sh
-	@QUIET=1 bash tools/build_info_test.sh
-	@QUIET=1 bash tools/stale_objects_test.sh
-	@QUIET=1 bash tools/deploy_build_test.sh
+	@QUIET=1 bash tools/build_test.sh
 	@GTEST_FILTER="$$(bash tools/known_red.sh plain)" \
 		ctest --test-dir build --output-on-failure -j$(JOBS)
 
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -341,26 +341,33 @@
 		repeated = store.ops;
 		repeated.read_newest = [](void *p, const char *, uint32_t, str,
 					  store_done d, void *ctx) {
-			FakeStore *s = (FakeStore *)p;
-
-			s->pages++;
-			s->pending.push_back([=]() {
-				store_record row = {str_of("a"), str_of("1"),
-						    0};
-				store_reply r = {};
-
-				r.records = &row;
-				r.count = 1;
-				r.end = 1;
-				r.has_more = true;
-				r.last_key = str_of("z\x7f");
-				d(ctx, &r);
-			});
+			send_page((FakeStore *)p, "a", "z\x7f", d, ctx);
 		};
 		store.put("keyed.t", "a", "1");
 		f.store = &repeated;
 	}
 
+	/* A page with one record, behind which more follow. */
+	static void send_page(FakeStore *s, const std::string &key,
+			      const std::string &last_key, store_done d,
+			      void *ctx)
+	{
+		s->pages++;
+		s->pending.push_back([=]() {
+			store_record row = {{key.data(), key.size()},
+					    str_of("1"),
+					    0};
+			store_reply r = {};
+
+			r.records = &row;
+			r.count = 1;
+			r.end = 1;
+			r.has_more = true;
+			r.last_key = {last_key.data(), last_key.size()};
+			d(ctx, &r);
+		});
+	}
+
 	store_ops repeated;
 };
 
@@ -401,22 +408,9 @@
 		static const std::map<std::string, std::string> next = {
 			{"", "c"},  {"c", "d"}, {"d", "e"},
 			{"e", "x"}, {"x", "b"}, {"b", "d"}};
-		FakeStore *s = (FakeStore *)p;
 		std::string key = next.at(std::string(after.data, after.len));
 
-		s->pages++;
-		s->pending.push_back([=]() {
-			store_record row = {str_of(key.c_str()), str_of("1"),
-					    0};
-			store_reply r = {};
-
-			r.records = &row;
-			r.count = 1;
-			r.end = 1;
-			r.has_more = true;
-			r.last_key = row.key;
-			d(ctx, &r);
-		});
+		send_page((FakeStore *)p, key, key, d, ctx);
 	};
 	run(500);
 	EXPECT_TRUE(f.loaded);
