admission: count long-running jobs that the owner's load does not contain

Cause: hosts judge such a job by the load that the owner stores each second at most. What was accepted since was not counted, so that each of several jobs was judged as if it were the only one.

Change: a host adds the long-running jobs of the service that the log shows behind the record of the load, by the order of the records. Only jobs behind that record are visited, and only for a long-running job.

HostCall.CountsNoJobThatTheLoadContains keeps a job from being counted twice.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -141,6 +141,7 @@
 	e = xcalloc(1, sizeof(*e));
 	e->id = id;
 	e->added_ms = now_ms;
+	e->added_number = v->applied;
 	arena_init(&e->memory);
 	buf_init(&e->cancel_accounts);
 	buf_init(&e->demand);
@@ -442,6 +443,15 @@
 	return 0;
 }
 
+static int apply_loads(struct job_view *v, struct str value, int64_t now_ms)
+{
+	int err = load_table_read(&v->loads, value, now_ms);
+
+	if (!err)
+		v->loads_number = v->applied;
+	return err;
+}
+
 /* @kind: 0, KIND_CANCEL or KIND_PROGRESS */
 static int apply_job(struct job_view *v, uint64_t id, char kind,
 		     struct str value, int64_t now_ms)
@@ -467,6 +477,7 @@
 	uint64_t id;
 	int err;
 
+	v->applied++;
 	if (str_eq(key, str_of(EFFECT_MODEL_KEY))) {
 		v->owner_seen_ms = now_ms;
 		buf_clear(&v->effect_model);
@@ -476,7 +487,7 @@
 	if (str_eq(key, str_of(SIZES_KEY)))
 		return size_table_read(&v->sizes, value, now_ms);
 	if (str_eq(key, str_of(LOADS_KEY)))
-		return load_table_read(&v->loads, value, now_ms);
+		return apply_loads(v, value, now_ms);
 	if (str_eq(key, str_of(OWNER_KEY)))
 		return apply_owner(v, value);
 	if (str_eq(key, str_of(FENCES_KEY)))
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -45,6 +45,7 @@
  *	accepted, see cell/job_cancel.h; empty once it is accepted
  * @is_pending: included in the pending jobs of its queue
  * @added_ms: boot time at which this process added the entry
+ * @added_number: number of the record that added it, see struct job_view
  * @read_ms: boot time at which a record of the job was applied last
  * @terminal_ms: boot time at which this process saw the terminal state, or
  *	@cancel_accounts; 0 before
@@ -62,6 +63,7 @@
 	struct buf cancel_accounts;
 	bool is_pending;
 	int64_t added_ms;
+	uint64_t added_number;
 	int64_t read_ms;
 	int64_t terminal_ms;
 	void *cell_job;
@@ -108,6 +110,9 @@
  * @effect_model: the stored effect model, empty before one has been read
  * @sizes: the largest workers, empty before the record has been read
  * @loads: what the jobs ask of the workers, empty before that
+ * @loads_number: number of the record that @loads were read from
+ * @jobs: the entries, those that were added last first
+ * @applied: records that have been applied, by which they are numbered
  * @early_cancels: number of entries with cancel_accounts
  * @owner: the newest owner, empty before one is known
  * @raises_fences: owners raise fences, see cell_raise_fences(); this is final
@@ -125,10 +130,12 @@
 	struct arena memory;
 	struct job_entry *jobs;
 	struct known_worker *known_workers;
+	uint64_t applied;
 	size_t early_cancels;
 	struct buf effect_model;
 	struct size_table sizes;
 	struct load_table loads;
+	uint64_t loads_number;
 	struct cell_owner owner;
 	bool raises_fences;
 	int64_t owner_seen_ms;
@@ -164,9 +171,10 @@
 		   int64_t now_ms);
 
 /**
- * job_view_drop_unread() - drop the jobs and workers of which no record has
- *been applied since a time, as a complete listing that began then lacks them
- * @since_ms: boot time, in milliseconds
+ * job_view_drop_unread() - drop what a complete listing lacks
+ * @since_ms: boot time at which the listing began, in milliseconds
+ *
+ * Drops the jobs and workers of which no record has been applied since then.
  *
  * Return: how many were dropped.
  */
--- a/src/host/admission.c
+++ b/src/host/admission.c
@@ -32,21 +32,43 @@
 	return cpu;
 }
 
-static bool is_full(const struct job_view *view, const struct queue *q,
+/* The same of the jobs of a service that have been accepted since the owner
+ * stored the load, which does not count them. */
+static uint64_t uncounted_cpu(const struct job_view *view,
+			      const struct queue_table *queues,
+			      const char *service)
+{
+	const struct job_entry *e;
+	const struct queue *q;
+	uint64_t cpu = 0;
+
+	for (e = view->jobs; e && e->added_number > view->loads_number;
+	     e = e->next) {
+		if (!e->spec || job_state_is_terminal(e->state))
+			continue;
+		q = queue_table_find(queues, e->spec->queue);
+		if (q && !strcmp(q->service, service))
+			cpu += long_running_cpu(e->spec);
+	}
+	return cpu;
+}
+
+static bool is_full(const struct job_view *view,
+		    const struct queue_table *queues, const struct queue *q,
 		    const struct job_spec *spec, int64_t now_ms)
 {
 	uint64_t cpu = long_running_cpu(spec);
 
 	return cpu && load_table_is_current(&view->loads, now_ms) &&
 	       load_table_is_full(&view->loads, q->service, spec->priority,
-				  cpu);
+				  cpu + uncounted_cpu(view, queues,
+						      q->service));
 }
 
-enum admission admission_check(const struct job_view *view,
-			       const struct queue *q,
-			       const struct account *account,
-			       const struct job_spec *spec, int64_t now_ms,
-			       size_t *step)
+enum admission
+admission_check(const struct job_view *view, const struct queue_table *queues,
+		const struct queue *q, const struct account *account,
+		const struct job_spec *spec, int64_t now_ms, size_t *step)
 {
 	*step = 0;
 	if (q->advice)
@@ -60,7 +82,8 @@
 			return ADMISSION_OVER_LIMITS;
 	}
 	*step = 0;
-	return is_full(view, q, spec, now_ms) ? ADMISSION_FULL : ADMISSION_OK;
+	return is_full(view, queues, q, spec, now_ms) ? ADMISSION_FULL
+						      : ADMISSION_OK;
 }
 
 const char *admission_name(enum admission a)
--- a/src/host/admission.h
+++ b/src/host/admission.h
@@ -30,6 +30,7 @@
 /**
  * admission_check() - find out whether a job can be served
  * @view: the sizes of the workers and their load
+ * @queues: of the jobs in @view
  * @account: of the caller; NULL for none
  * @now_ms: boot time
  * @step: set to the first step that cannot be served
@@ -37,11 +38,10 @@
  * Answers callers whose jobs cannot run, or only in the place of other work, as
  * the workers and the configuration are known: they are refused at once.
  */
-enum admission admission_check(const struct job_view *view,
-			       const struct queue *q,
-			       const struct account *account,
-			       const struct job_spec *spec, int64_t now_ms,
-			       size_t *step);
+enum admission
+admission_check(const struct job_view *view, const struct queue_table *queues,
+		const struct queue *q, const struct account *account,
+		const struct job_spec *spec, int64_t now_ms, size_t *step);
 
 /**
  * admission_name() - reason of a refusal, for the log and the caller
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -332,7 +332,8 @@
 	enum admission a;
 	size_t step;
 
-	a = admission_check(&h->job_view, q, account, spec, h->now_ms, &step);
+	a = admission_check(&h->job_view, &h->queues, q, account, spec,
+			    h->now_ms, &step);
 	if (a == ADMISSION_OK)
 		return false;
 	s = job_spec_step(spec, step);
--- a/src/host/host_explain.c
+++ b/src/host/host_explain.c
@@ -49,7 +49,8 @@
 	enum admission a;
 	size_t step;
 
-	a = admission_check(&h->job_view, q, account, spec, h->now_ms, &step);
+	a = admission_check(&h->job_view, &h->queues, q, account, spec,
+			    h->now_ms, &step);
 	buf_addf(out, "queue=%s service=%s priority=%u account=%s admission=%s",
 		 q->name, q->service, q->priority,
 		 account ? account->name : "-", admission_name(a));
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -21,6 +21,8 @@
 
 const char ID[] = "5c0e7a21d94b36f8";
 const char JOB[] = "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1}]}";
+const char LASTING[] = "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":60,"
+		       "\"longRunning\":true}]}";
 
 std::string config(uint64_t version, const std::string &tenants)
 {
@@ -232,6 +234,28 @@
 		arena_finish(&a);
 	}
 
+	/* Stores the load of 1,000 thousandths of a core, of which short work
+	 * needs 100, as the owner does. */
+	void store_load(uint64_t long_running)
+	{
+		load_table loads;
+		load_row *row;
+		buf b;
+
+		load_table_init(&loads);
+		row = load_table_get(&loads, name_hash("s"), 0);
+		row->capacity = 1000;
+		row->long_running = long_running;
+		row->short_peak = 100;
+		buf_init(&b);
+		load_table_write(&loads, &b);
+		store.put(TOPIC_JOBS, LOADS_KEY, std::string(b.data, b.len));
+		for (int i = 0; i < 4; i++)
+			tick();
+		buf_finish(&b);
+		load_table_finish(&loads);
+	}
+
 	host h = {};
 	FakeStore store;
 	bool reads = true;
@@ -426,30 +450,22 @@
  * whatever they asked for and whatever the log held already. */
 TEST_F(HostCall, CountsTheLongRunningJobsThatItHasAccepted)
 {
-	const std::string lasting =
-		"{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":60,"
-		"\"longRunning\":true}]}";
-	load_table loads;
-	load_row *row;
-	buf b;
-
 	publish(config(1, ""));
-	load_table_init(&loads);
-	row = load_table_get(&loads, name_hash("s"), 0);
-	row->capacity = 1000;
-	row->long_running = 800;
-	row->short_peak = 100;
-	buf_init(&b);
-	load_table_write(&loads, &b);
-	store.put(TOPIC_JOBS, LOADS_KEY, std::string(b.data, b.len));
-	for (int i = 0; i < 4; i++)
-		tick();
-	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3601", "", lasting), 200);
+	store_load(800);
+	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3601", "", LASTING), 200);
 	for (int i = 0; i < 4; i++)
 		tick();
-	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3602", "", lasting), 503);
-	buf_finish(&b);
-	load_table_finish(&loads);
+	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3602", "", LASTING), 503);
+}
+
+/* A job that was counted twice would keep another one out. */
+TEST_F(HostCall, CountsNoJobThatTheLoadContains)
+{
+	publish(config(1, ""));
+	store_load(800);
+	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3601", "", LASTING), 200);
+	store_load(840);
+	EXPECT_EQ(status("POST", "/q/5c0e7a21d94b3602", "", LASTING), 200);
 }
 
 /* A job that no worker is large enough for was told to come back. */
