tools: family of late appends beside cancels

Cause: review/6 draws its lost writes, but its callers always cancel at the next host, no owner ends meanwhile, and no request is repeated after its cancel. The soak draws these one by one.

Change: tools/family.sh cancels: callers leave after 50 to 1,000 ms, cancel at any host and repeat the request later, while 20 to 90 % of the appends are late or lost and the owner is killed, stopped or paused at a drawn moment.

--- a/Makefile
+++ b/Makefile
@@ -100,7 +100,7 @@
 
 # One play of each family, beside each other.
 family-quick: build
-	@for f in listing:6 crashes:6 reader:6 expiry:2; do \
+	@for f in listing:6 cancels:1 crashes:6 reader:6 expiry:2; do \
 		bash tools/family.sh $${f%:*} --seed=$${f#*:} 2>/dev/null & pids="$$pids $$!"; \
 	done; failed=0; for p in $$pids; do wait $$p || failed=1; done; exit $$failed
 
--- a/tools/family.sh
+++ b/tools/family.sh
@@ -4,17 +4,17 @@
 # a fixed play shows at one point only:
 #   listing   entries of another writer in the registry hide the workers from the next
 #             owner (review/10)
+#   cancels   a job whose append is under way runs on after its cancel (review/6)
 #   crashes   a job is given up for the crashes of the only worker that suits it
 #             (review/7)
 #   reader    hosts stand still as nobody reads their logs (review/8)
 #   expiry    a host that was cut off until jobs had ended and their records had expired
 #             runs them again (review/outside-2)
-# Late appends beside cancels (review/6) are drawn by the soak.
 set -u
 FAMILY=${1:-}
 SEED=1
-USAGE="usage: family.sh listing|crashes|reader|expiry [--seed=N]"
-case $FAMILY in listing | crashes | reader | expiry) ;; *) echo "$USAGE"; exit 2 ;; esac
+USAGE="usage: family.sh listing|cancels|crashes|reader|expiry [--seed=N]"
+case $FAMILY in listing | cancels | crashes | reader | expiry) ;; *) echo "$USAGE"; exit 2 ;; esac
 for a in "${@:2}"; do
 	case $a in
 	--seed=*) SEED=${a#*=} ;;
@@ -30,6 +30,10 @@
 FINISH_S=14
 # Deadline of a call, and of the answer of a host.
 CALL_S=3
+# A late append is stored within this time.
+LATE_S=12
+# contactMs, cancel_ms and stopGraceMs, rounded up
+CANCEL_S=8
 
 # draw NAME MIN MAX: sets a variable, and adds it to the line of the play
 draw()
@@ -138,6 +142,87 @@
 	[ "$signal" != STOP ] || kill -CONT "${HOST_PID[$OWNER]}"
 }
 
+# leaving_caller NUMBER FIRST SECOND GIVE_UP_MS AGAIN_MS: submits a lasting job at one
+# host, leaves after GIVE_UP_MS, cancels it, beginning at another one, until that is
+# acknowledged, and lets a late repeat of its request follow
+leaving_caller()
+{
+	local lasting='{"spec":"run_ms=0","steps":[{"count":2,"cpu":100,"memMb":10,
+		"longRunning":true}]}' i out hosts=("${!HOST_PROBE[@]}")
+
+	curl -s -m "$(printf 0.%03d "$4")" -o /dev/null -H 'Host: desk.example' \
+		--data "$lasting" "http://127.0.0.1:${HOST_PORT[$2]}/check-in/$(job_id "$1")"
+	for i in $(seq 0 39); do
+		out=$(grid_call "$3" DELETE "/check-in/$(job_id "$1")")
+		case ${out##* } in 200 | 410) break ;; esac
+		set -- "$1" "$2" "${hosts[$((i % ${#hosts[@]}))]}" "$4" "$5"
+		sleep 0.3
+	done
+	case ${out##* } in 200 | 410) ;; *) return ;; esac
+	echo "$(job_id "$1")" >"$GRID/cancelled.$1"
+	pause_ms "$5"
+	grid_call "$2" POST "/check-in/$(job_id "$1")" "$lasting" >/dev/null
+}
+
+no_cancelled_job_runs()
+{
+	cat "$GRID"/runs.* | sort -s -n -k1,1 |
+		awk -v cancelled_jobs="$(cat "$GRID"/cancelled.* | tr '\n' ' ')" \
+			-f tools/judge_runs.awk >"$GRID/judged"
+}
+
+play_cancels()
+{
+	local hosts jobs fault share gap end moment pause i first second give_up again
+
+	draw hosts 2 4
+	draw jobs 10 40
+	pick fault late late lost
+	draw share 20 90
+	draw gap 30 200
+	pick end none TERM KILL STOP STOP
+	draw moment 0 $((jobs * gap))
+	draw pause 500 5000
+	proxied_start "$hosts" 4
+	for i in $(seq 0 $((hosts - 1))); do grid_wait 10 grid_ready "h$i"; done
+	grid_wait 10 grid_owned_by_other none || fail "no owner"
+	OWNER=$(grid_owner)
+	for i in $(seq 0 $((hosts - 1))); do
+		echo "$fault /api/log-append $share" >"$GRID/h$i.call-mode"
+	done
+	CALLERS=()
+	for i in $(seq "$jobs"); do
+		first=h$((RANDOM % hosts))
+		second=h$((RANDOM % hosts))
+		give_up=$((50 + RANDOM % 950))
+		again=$((RANDOM % 4000))
+		leaving_caller "$i" "$first" "$second" "$give_up" "$again" 2>/dev/null &
+		CALLERS+=($!)
+		pause_ms "$gap"
+		[ $((i * gap)) -lt "$moment" ] || case $end in
+		none) ;;
+		STOP)
+			end_host "$OWNER" STOP
+			(pause_ms "$pause"; kill -CONT "${HOST_PID[$OWNER]}") &
+			CALLERS+=($!)
+			end=none
+			;;
+		*)
+			end_host "$OWNER" "$end"
+			end=none
+			;;
+		esac
+	done
+	pause_ms "$pause"
+	for i in $(seq 0 $((hosts - 1))); do echo pass >"$GRID/h$i.call-mode"; done
+	wait "${CALLERS[@]}"
+	cat "$GRID"/cancelled.* >/dev/null 2>&1 || fail "no cancel was acknowledged"
+	sleep $LATE_S
+	grid_wait $CANCEL_S no_cancelled_job_runs || fail "$(head -3 "$GRID/judged")"
+	PLAY+=" cancelled=$(cat "$GRID"/cancelled.* | wc -l)"
+	proxied_finish
+}
+
 play_crashes()
 {
 	local crashes run_ms life down job
