loop_test: let no pause of the test's process count as a wrong turn

Traced: limits of 200, 200 and 400 ms end together where the process does not run for 200 ms. A SIGSTOP of 0.45 s after 100, 140 or 180 ms gives the same results each time; the loop tells the truth in each of them.

Change: the same three calls with limits and bounds five times as long, so that the order that is checked does not hang on 200 ms. What is checked is the same: all three are sent, and the last one begins once the first ones have ended, and before its own limit.

--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -553,7 +553,7 @@
 
 	s.threads = 2;
 	s.handle = [](void *, http_request *r) {
-		usleep(500000);
+		usleep(2200000);
 		http_reply(r, 200, 0, "{}", 2);
 	};
 	ASSERT_EQ(http_server_start(&s, "127.0.0.1", 0, 1000), 0);
@@ -563,7 +563,7 @@
 	f.content_type = "text/plain";
 	f.body = str_of("order");
 	f.lane = 7;
-	for (long limit : {200, 200, 400}) {
+	for (long limit : {1000, 1000, 2000}) {
 		f.timeout_ms = limit;
 		loop_fetch(
 			&l, &f,
@@ -575,9 +575,9 @@
 	}
 	loop_run(&l);
 	EXPECT_EQ(last.a.not_sent, std::vector<bool>(3, false));
-	EXPECT_GE(last.begun_ms - made_ms, 200);
-	EXPECT_LT(last.begun_ms - made_ms, 400);
-	usleep(600000); /* until the server has answered all calls */
+	EXPECT_GE(last.begun_ms - made_ms, 1000);
+	EXPECT_LT(last.begun_ms - made_ms, 2000);
+	usleep(2600000); /* until the server has answered all calls */
 	http_server_stop(&s);
 }
 
