tools: one wait for the hosts of a family's play

The three forms of the same wait become one function, and the notation of a suffix with NUL is told where it is used.

--- a/tools/family.sh
+++ b/tools/family.sh
@@ -82,7 +82,7 @@
 	grid_call "$1" GET "/check-in/$(job_id "$2")" | grep -q "$3"
 }
 
-# end_host HOST SIGNAL
+# end_host HOST SIGNAL: a host that is stopped (STOP) is kept, but not asked any more
 end_host()
 {
 	kill "-$2" "${HOST_PID[$1]}"
@@ -90,17 +90,27 @@
 	[ "$2" = STOP ] || unset "HOST_PID[$1]"
 }
 
-start_hosts()
+# wait_for_hosts COUNT: until they are ready; sets OWNER
+wait_for_hosts()
 {
 	local h
 
-	for h in $(seq 0 $(($1 - 1))); do grid_start_host "h$h" z1; done
 	for h in $(seq 0 $(($1 - 1))); do grid_wait 10 grid_ready "h$h"; done
 	grid_wait 10 grid_owned_by_other none || fail "no owner"
 	OWNER=$(grid_owner)
 }
 
-# publish_entries COUNT NAME SUFFIX: entries of another writer, which name no worker
+# start_hosts COUNT: sets OWNER
+start_hosts()
+{
+	local h
+
+	for h in $(seq 0 $(($1 - 1))); do grid_start_host "h$h" z1; done
+	wait_for_hosts "$1"
+}
+
+# publish_entries COUNT NAME SUFFIX: entries of another writer, which name no worker. SUFFIX
+# may hold escapes; NUL is \0000, as for printf %b, and \000 in a format
 publish_entries()
 {
 	local key=$((${#2} + 4 + $(printf %b "$3" | wc -c))) head
@@ -184,9 +194,7 @@
 	draw moment 0 $((jobs * gap))
 	draw pause 500 5000
 	proxied_start "$hosts" 4
-	for i in $(seq 0 $((hosts - 1))); do grid_wait 10 grid_ready "h$i"; done
-	grid_wait 10 grid_owned_by_other none || fail "no owner"
-	OWNER=$(grid_owner)
+	wait_for_hosts "$hosts"
 	for i in $(seq 0 $((hosts - 1))); do
 		echo "$fault /api/log-append $share" >"$GRID/h$i.call-mode"
 	done
@@ -278,7 +286,7 @@
 		READERS[$h]=$!
 		HOST_LOG="$GRID/h$h.pipe" grid_start_host "h$h" z1
 	done
-	for h in $(seq 0 $((hosts - 1))); do grid_wait 10 grid_ready "h$h"; done
+	wait_for_hosts "$hosts"
 	pause_ms "$moment"
 	kill -STOP "${READERS[@]}"
 	end=$((SECONDS + still))
@@ -313,8 +321,7 @@
 	draw jobs 3 8
 	draw cut_host 0 $((hosts - 1))
 	STORE_KEEP_MS=$keep_ms HOST_STATUS_S=1 proxied_start "$hosts" 3
-	for i in $(seq 0 $((hosts - 1))); do grid_wait 10 grid_ready "h$i"; done
-	grid_wait 10 grid_owned_by_other none || fail "no owner"
+	wait_for_hosts "$hosts"
 	# The leases that owners before may have granted have ended.
 	sleep 8
 	for i in $(seq "$jobs"); do
