Review case 13: a long checkpoint silences its worker

From the first one on the owner can use none of their replies, the runs lapse, no end is acknowledged, and the next client's job stays queued beside idle workers.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins that the cases 11 to 15 start, into build/review-3/bin:
-# the project's own, and two of them with a small change each (review/src-3).
+# the project's own, and two of them with small changes (review/src-3).
 set -eu
 cd "$(dirname "$0")/.."
 OUT=build/review-3
@@ -15,3 +15,5 @@
 	standins/gridstore.c standins/grid_store.c review/src-3/store_generation.c $LIBS
 cc $ARGS -Wl,--wrap=clock_wall_ms,--wrap=http_server_start -o "$OUT/bin/gridworker-clock" \
 	standins/gridworker.c standins/grid_worker.c review/src-3/worker_clock.c $LIBS
+cc $ARGS -Wl,--wrap=http_reply -o "$OUT/bin/gridworker-checkpoint" \
+	standins/gridworker.c standins/grid_worker.c review/src-3/worker_checkpoint.c $LIBS
--- a/review/src-3/lib.sh
+++ b/review/src-3/lib.sh
@@ -16,6 +16,7 @@
 NET=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
 RECORD=$CASE/record.txt
 MEMORY_MB=260
+WORKER=${WORKER:-gridworker-clock}
 declare -A HOST_PID WORKER_PID
 STORE_PID= STORE=$NET.1:8169
 BASE=00000000000000
@@ -37,7 +38,7 @@
 cannot_run() { say "cannot run: $*"; exit 2; }
 
 for program in "$BIN/standin-gridworker" "$BIN/gridstore-generation" \
-	"$BIN/gridworker-clock" target/bin/basilshift-hostd; do
+	"$BIN/$WORKER" target/bin/basilshift-hostd; do
 	[ -x "$program" ] || cannot_run "$program is not built"
 done
 
@@ -87,7 +88,7 @@
 # that is started again has its id and address
 start_worker()
 {
-	CLOCK_OFF_MS=${2:-0} WORKER_PORT=8180 "$BIN/gridworker-clock" --id="$1" \
+	CLOCK_OFF_MS=${2:-0} WORKER_PORT=8180 "$BIN/$WORKER" --id="$1" \
 		--zone="z$((${1#w} % 3))" --rack="rack-$1" --listen="$NET.$((100 + ${1#w}))" \
 		--store="$STORE" --run-log="$RUN/runs.$1" 2>>"$RUN/$1.log" &
 	WORKER_PID[$1]=$!
