--- a/review/src-3/worker_checkpoint.c
+++ b/review/src-3/worker_checkpoint.c
@@ -7,11 +7,11 @@
 #include <string.h>
 
 /*
- * An addition to the stand-in of a worker, which has no checkpoints: each task that
- * it lists as running has one, of CHECKPOINT_LEN hexadecimal digits, from a share of
- * its work on, and a new one each CHECKPOINT_MS; a run that was stopped or has lapsed
- * has it, too. Linked to it with --wrap=http_reply. A start that carries a checkpoint
- * begins anew: none does in the cases.
+ * An addition to the stand-in of a worker, which has no checkpoints: each task of the
+ * job CHECKPOINT_JOB that it lists as running has one, of CHECKPOINT_LEN hexadecimal
+ * digits, from a share of its work on, and a new one each CHECKPOINT_MS; a run that was
+ * stopped or has lapsed has it, too. Linked to it with --wrap=http_reply. A start that
+ * carries a checkpoint begins anew: none does in the cases.
  */
 #define CHECKPOINT_MS 500
 /* 0.5 s of a run of 7 s */
@@ -45,12 +45,28 @@
 	return b->len >= len && !memcmp(b->data + b->len - len, text, len);
 }
 
+/* Whether the row is of the job whose tasks keep checkpoints. */
+static bool is_of_job(const struct buf *row)
+{
+	const char *job = getenv("CHECKPOINT_JOB");
+	size_t len = job ? strlen(job) : 0, i = row->len;
+
+	while (i && row->data[i - 1] != '[')
+		i--;
+	for (; len && i + len <= row->len; i++)
+		if (!memcmp(row->data + i, job, len))
+			return true;
+	return false;
+}
+
 /*
  * Whether the run of a row has a checkpoint: not one that is done or has failed, nor
  * one at work with a lower share than the first. @rest follows the empty field.
  */
 static bool has_checkpoint(const struct buf *row, const char *rest)
 {
+	if (!is_of_job(row))
+		return false;
 	if (*rest == ',')
 		return strtoul(rest + 1, NULL, 10) >= FIRST_PERCENT;
 	return !ends_with(row, "\"done\"") && !ends_with(row, "\"failed\"");
