index: hold each 64-bit id

The owner never counts its ends, so its capacity stays taken and the next job stays queued beside idle workers; a smaller job has its tasks started again after they have ended.

Cause: the index kept ids as direct keys of a ck_ht table, in which the key of all ones marks a removed entry and 0 one that was never used. An entry put under the first is written and never found. The header reserved both, but the IDs of jobs are chosen by callers, so no caller of the index can hold to that.

Change: the index has a slot of its own for each of the two keys. A check in each caller would have had to refuse an ID that is allowed.

--- a/src/base/index.c
+++ b/src/base/index.c
@@ -46,15 +46,35 @@
 	h->value = v ^ (v >> 31);
 }
 
+/**
+ * struct index_slot - what is put under an id that the hash table cannot hold
+ */
+struct index_slot {
+	void *pointer;
+	bool in_use;
+};
+
 /**
  * struct index_table - hash table of an index
- * @removed: entries removed since it was made
+ * @removed: entries removed since @ht was made
+ * @empty: for the id that marks a place of @ht that was never used
+ * @tombstone: for the id that marks a place whose entry was removed
  */
 struct index_table {
 	ck_ht_t ht;
 	size_t removed;
+	struct index_slot empty;
+	struct index_slot tombstone;
 };
 
+/* Return: the slot of an id, or NULL if it goes into the hash table. */
+static struct index_slot *slot_of(struct index_table *t, uint64_t id)
+{
+	if (id == CK_HT_KEY_EMPTY)
+		return &t->empty;
+	return id == CK_HT_KEY_TOMBSTONE ? &t->tombstone : NULL;
+}
+
 static void table_make(struct index_table *t, size_t capacity)
 {
 	t->removed = 0;
@@ -113,9 +133,12 @@
 void *index_get(const struct index *x, uint64_t id)
 {
 	struct index_table *t = x->table;
+	const struct index_slot *s = slot_of(t, id);
 	ck_ht_entry_t e;
 	ck_ht_hash_t h;
 
+	if (s)
+		return s->pointer;
 	ck_ht_hash_direct(&h, &t->ht, id);
 	ck_ht_entry_key_set_direct(&e, id);
 	if (!ck_ht_get_spmc(&t->ht, h, &e))
@@ -125,15 +148,34 @@
 
 void index_put(struct index *x, uint64_t id, void *p)
 {
-	table_set(x->table, id, (uintptr_t)p);
+	struct index_slot *s = slot_of(x->table, id);
+
+	if (!s) {
+		table_set(x->table, id, (uintptr_t)p);
+		return;
+	}
+	s->pointer = p;
+	s->in_use = true;
+}
+
+static void *slot_clear(struct index_slot *s)
+{
+	void *p = s->pointer;
+
+	s->pointer = NULL;
+	s->in_use = false;
+	return p;
 }
 
 void *index_remove(struct index *x, uint64_t id)
 {
 	struct index_table *t = x->table;
+	struct index_slot *s = slot_of(t, id);
 	ck_ht_entry_t e;
 	ck_ht_hash_t h;
 
+	if (s)
+		return slot_clear(s);
 	ck_ht_hash_direct(&h, &t->ht, id);
 	ck_ht_entry_key_set_direct(&e, id);
 	if (!ck_ht_remove_spmc(&t->ht, h, &e))
@@ -145,7 +187,9 @@
 
 size_t index_count(const struct index *x)
 {
-	return ck_ht_count(&((struct index_table *)x->table)->ht);
+	struct index_table *t = x->table;
+
+	return ck_ht_count(&t->ht) + t->empty.in_use + t->tombstone.in_use;
 }
 
 size_t index_removed_count(const struct index *x)
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -103,6 +103,38 @@
 	index_finish(&x);
 }
 
+/* What was put under the id by which the hash table marks a removed entry was
+ * not found again, and id 0 could not be put at all. */
+TEST(Index, HoldsEachId)
+{
+	const uint64_t ids[] = {0, 1, UINT64_MAX - 1, UINT64_MAX};
+	int values[4] = {}, other = 0;
+	struct index x;
+
+	index_init(&x);
+	for (size_t i = 0; i < 4; i++) {
+		EXPECT_EQ(index_get(&x, ids[i]), nullptr);
+		EXPECT_EQ(index_remove(&x, ids[i]), nullptr);
+		index_put(&x, ids[i], &other);
+		index_put(&x, ids[i], &values[i]);
+		EXPECT_EQ(index_count(&x), i + 1);
+	}
+	/* The table grows, and is made anew. */
+	for (uint64_t id = 2; id <= 1000; id++)
+		index_put(&x, id, &other);
+	for (uint64_t id = 2; id <= 1000; id++)
+		EXPECT_EQ(index_remove(&x, id), &other);
+	EXPECT_EQ(index_count(&x), 4u);
+	for (size_t i = 0; i < 4; i++) {
+		EXPECT_EQ(index_get(&x, ids[i]), &values[i]);
+		EXPECT_EQ(index_remove(&x, ids[i]), &values[i]);
+		EXPECT_EQ(index_get(&x, ids[i]), nullptr);
+		EXPECT_EQ(index_remove(&x, ids[i]), nullptr);
+		EXPECT_EQ(index_count(&x), 3 - i);
+	}
+	index_finish(&x);
+}
+
 struct shared {
 	struct lock lock;
 	int value;
--- a/tests/cell_job_test.cc
+++ b/tests/cell_job_test.cc
@@ -107,4 +107,27 @@
 	EXPECT_FALSE(job_view_get(&w.view, 7));
 }
 
+/* A job whose ID the index of the jobs did not hold was not found by its runs:
+ * the capacity of those that had ended stayed taken, and they were started
+ * again. */
+TEST(CellJob, EndsAJobOfEachId)
+{
+	const uint64_t ids[] = {1, UINT64_MAX - 1, UINT64_MAX};
+
+	for (uint64_t id : ids) {
+		CellWorld w;
+
+		w.begin({"w1"});
+		w.submit(id, {CellWorld::task_step(2, 8000)});
+		w.run(200);
+		EXPECT_EQ(w.runs(id), 2u) << id;
+		w.end_all(id, RUN_DONE);
+		w.submit(7, {CellWorld::task_step(2, 8000)});
+		w.run(5000);
+		EXPECT_EQ(w.state(id), (uint32_t)JOB_COMPLETED) << id;
+		EXPECT_EQ(w.runs(7), 2u) << id;
+		EXPECT_EQ(w.starts.size(), 4u) << id;
+	}
+}
+
 } // namespace
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -718,6 +718,33 @@
 	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
 }
 
+/* A job whose ID the index of the jobs did not hold was accepted, and unknown
+ * from then on: no query or cancel found it, and a repeat was accepted anew. */
+TEST_F(HostCall, KnowsAJobOfEachId)
+{
+	const char *const ids[] = {"0000000000000001", "fffffffffffffffe",
+				   "ffffffffffffffff"};
+
+	publish(config(1, ""));
+	for (const std::string id : ids) {
+		EXPECT_EQ(status("GET", path("q", id), ""), 410) << id;
+		EXPECT_EQ(status("POST", path("q", id), "", JOB), 200) << id;
+		size_t stored = store.topics[TOPIC_JOBS].size();
+		EXPECT_EQ(status("POST", path("q", id), "", JOB), 200) << id;
+		EXPECT_EQ(store.topics[TOPIC_JOBS].size(), stored) << id;
+		Reply r = call("GET", path("q", id), "");
+		EXPECT_EQ(r.status, 200) << id;
+		EXPECT_NE(r.text.find("queued"), std::string::npos) << r.text;
+		EXPECT_NE(call("GET", "/q/", "").text.find("\"pendingJobs\":1"),
+			  std::string::npos)
+			<< id;
+		EXPECT_EQ(status("DELETE", path("q", id), ""), 200) << id;
+		r = call("GET", path("q", id), "");
+		EXPECT_NE(r.text.find("cancelled"), std::string::npos)
+			<< r.text;
+	}
+}
+
 /* A host whose event loop hung said for ever that it was ready, and went on to
  * get callers. */
 TEST_F(HostCall, IsNotReadyWhileItsLoopStandsStill)
