cell_room: remember by its step that no worker takes another task of it

What callers saw: nothing reported; found while looking for values of IDs with a meaning of their own.

Cause: the cache of demands that no worker meets named a step that limits its tasks per worker by the sum of its job's ID and its number. Step 1 of one job is step 0 of the job with the next ID, and a sum of 0 (step 1 of the last ID, step 0 of ID 0) stands for all steps without a limit.

Change: the demand holds job, occurrence and step, and the limit tells whether there is one. struct step_ref was plan_owner, which identified a step the same way for planned starts.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -154,6 +154,13 @@
 	return &o->steps[r->step].tasks[r->index];
 }
 
+struct step_ref cell_step_ref(const struct cell_step *st)
+{
+	struct step_ref r = {st->job->entry->id, st->occurrence, st->number};
+
+	return r;
+}
+
 void cell_task_ref(const struct cell_task *t, struct task_ref *out)
 {
 	out->job = t->step->job->entry->id;
--- a/src/cell/cell_job.h
+++ b/src/cell/cell_job.h
@@ -36,6 +36,8 @@
 struct cell_task *cell_task_find(const struct cell *c,
 				 const struct task_ref *ref);
 
+struct step_ref cell_step_ref(const struct cell_step *st);
+
 /**
  * cell_task_ref() - identify the current run of a task
  */
--- a/src/cell/cell_plan.c
+++ b/src/cell/cell_plan.c
@@ -43,13 +43,6 @@
 	return need;
 }
 
-static struct plan_owner owner_of(const struct cell_step *st)
-{
-	struct plan_owner o = {st->job->entry->id, st->occurrence, st->number};
-
-	return o;
-}
-
 static bool goes_first(const struct cell *c, const struct cell_step *st)
 {
 	if (step_has_flag(st, STEP_BEST_EFFORT))
@@ -62,7 +55,7 @@
 static struct plan_claim claim_of(const struct cell *c,
 				  const struct cell_step *st)
 {
-	struct plan_claim q = {owner_of(st)};
+	struct plan_claim q = {cell_step_ref(st)};
 
 	q.lateness = step_has_flag(st, STEP_LONG_RUNNING)
 			     ? 0
@@ -91,7 +84,7 @@
 }
 
 static struct cell_step *find_step(const struct cell *c,
-				   const struct plan_owner *o)
+				   const struct step_ref *o)
 {
 	struct task_ref r = {0};
 	struct cell_task *t;
@@ -312,7 +305,7 @@
 	struct place_plan *p = &from->worker->plan;
 	uint32_t more = tasks - 1;
 
-	p->owner = owner_of(st);
+	p->owner = cell_step_ref(st);
 	p->lateness = 0;
 	p->priority = st->job->spec->priority;
 	p->tasks = tasks;
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -2,6 +2,7 @@
 
 #include "cell/cell_cost.h"
 #include "cell/cell_crash.h"
+#include "cell/cell_job.h"
 #include "cell/cell_plan.h"
 #include "cell/cell_queue.h"
 
@@ -210,8 +211,9 @@
 
 	m.service = service;
 	/* A limit of tasks per worker holds for the tasks of this step only. */
+	m.per_worker = s->per_worker;
 	if (s->per_worker)
-		m.step = st->job->entry->id + st->number;
+		m.step = cell_step_ref(st);
 	m.image = s->flags & STEP_BEST_EFFORT ? st->image : 0;
 	m.label = name_hash(s->worker_label);
 	m.best_effort = s->flags & STEP_BEST_EFFORT;
@@ -226,7 +228,9 @@
 static bool is_no_larger(const struct cell_demand *m,
 			 const struct cell_demand *demand)
 {
-	return m->service == demand->service && m->step == demand->step &&
+	return m->service == demand->service &&
+	       m->per_worker == demand->per_worker &&
+	       step_ref_equals(&m->step, &demand->step) &&
 	       m->image == demand->image && m->label == demand->label &&
 	       m->best_effort == demand->best_effort && m->cpu <= demand->cpu &&
 	       m->memory_mb <= demand->memory_mb &&
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -634,20 +634,22 @@
  * struct cell_demand - demand of a step; in the cache @no_fit of the cell, a
  * demand that no worker met
  * @service: name_hash() of the service whose pool runs the step
- * @step: identifies the step if it limits its tasks per worker; else 0
+ * @step: the step if it limits its tasks per worker; else all zero
  * @image: name_hash() of the image of a best-effort step, else 0
  * @label: name_hash() of the label that the worker must have
  * @best_effort: STEP_BEST_EFFORT or 0
+ * @per_worker: most tasks of the step on one worker, 0 for no limit
  * @version: only in the cache: workers whose version is not higher do not meet
  *	the demand
  * @at_ms: only in the cache: when all workers were tried; 0 for an empty entry
  */
 struct cell_demand {
 	uint64_t service;
-	uint64_t step;
+	struct step_ref step;
 	uint64_t image;
 	uint64_t label;
 	uint32_t best_effort;
+	uint32_t per_worker;
 	uint32_t cpu;
 	uint32_t memory_mb;
 	uint32_t accelerators;
--- a/src/cell/place_plan.c
+++ b/src/cell/place_plan.c
@@ -7,12 +7,6 @@
  * uncertainty: the running times that it goes by are wrong. */
 #define OVERDUE_FACTOR 2
 
-static bool is_owner(const struct plan_owner *a, const struct plan_owner *b)
-{
-	return a->job == b->job && a->occurrence == b->occurrence &&
-	       a->step == b->step;
-}
-
 /* Plans are made for steps that can end in time, so they stand behind steps of
  * a higher class only, and those that could not wait any longer. */
 static bool goes_before(const struct plan_claim *q, const struct place_plan *p)
@@ -28,7 +22,7 @@
 enum plan_answer place_plan_ask(const struct place_plan *p,
 				const struct plan_claim *q, int64_t now_ms)
 {
-	if (is_owner(&p->owner, &q->owner))
+	if (step_ref_equals(&p->owner, &q->owner))
 		return PLAN_IS_OWN;
 	if (goes_before(q, p))
 		return PLAN_YIELDS;
--- a/src/cell/place_plan.h
+++ b/src/cell/place_plan.h
@@ -2,23 +2,15 @@
 #define CELL_PLACE_PLAN_H
 
 #include "cell/release_profile.h"
+#include "cell/step_ref.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-/**
- * struct plan_owner - the step that a plan is for
- * @job: its id; 0 for none
- */
-struct plan_owner {
-	uint64_t job;
-	uint32_t occurrence;
-	uint32_t step;
-};
-
 /**
  * struct place_plan - planned start of tasks of a step on one worker
+ * @owner: the step; its job is 0 for no plan
  * @lateness: of the step, as @priority see struct cell_queued_step
  * @tasks: of the step that are to start there
  * @start_ms: when there is room for them
@@ -26,7 +18,7 @@
  * @spare: capacity that is left beside them then
  */
 struct place_plan {
-	struct plan_owner owner;
+	struct step_ref owner;
 	uint32_t lateness;
 	uint32_t priority;
 	uint32_t tasks;
@@ -43,7 +35,7 @@
  * @run_ms: its tasks are not expected to run for longer
  */
 struct plan_claim {
-	struct plan_owner owner;
+	struct step_ref owner;
 	uint32_t lateness;
 	uint32_t priority;
 	bool goes_first;
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -173,6 +173,36 @@
 	EXPECT_EQ(w.runs(1000), 2u);
 }
 
+/* That no worker takes another task of a step with a limit per worker was
+ * remembered by the sum of the job's ID and the step's number: a step of the
+ * next ID had the same sum, and waited beside an idle worker until that
+ * changed. So did all steps without a limit where the sum was 0. */
+TEST(CellPlace, RemembersALimitPerWorkerForItsStepOnly)
+{
+	struct {
+		uint64_t job, next;
+		size_t step;
+	} const rows[] = {{5, 6, 1}, {UINT64_MAX, 7, 1}};
+
+	for (const auto &r : rows) {
+		CellWorld w;
+		job_step limited = CellWorld::task_step(2), next = limited;
+		std::vector<job_step> steps(r.step, CellWorld::task_step(1));
+
+		limited.per_worker = 1;
+		next.count = 1;
+		next.per_worker = r.next == r.job + 1;
+		steps.push_back(limited);
+		w.begin({"w1"});
+		w.submit(r.job, steps);
+		w.run(300);
+		ASSERT_EQ(w.runs(r.job), r.step + 1);
+		w.submit(r.next, {next});
+		w.run(20);
+		EXPECT_EQ(w.runs(r.next), 1u) << r.job;
+	}
+}
+
 /* A worker without accelerators was reserved again and again for a long-running
  * task that needs one, and took no short work. */
 TEST(CellPlace, ReservesNoWorkerWithoutTheAccelerators)
