job_view, place_plan: give ID 0 no meaning of its own

What callers saw: a job with the ID is answered 404, which tells the client that the queue does not exist.

Cause: job_id_parse() returned 0 for a text that is no ID, so the path of ID 0 counted as unknown. Behind it, job_view_get() found nothing under 0, job_spec_check() refused a job with it, and a planned start counted as none if its job's ID was 0: it kept no other task from the worker and was never dropped.

Change: job_id_parse() returns an error beside the ID; the other two have no check. A planned start exists while it has tasks.

HostCall.KnowsAJobOfEachId and CellJob.EndsAJobOfEachId, now with ID 0, CellPlace.RemembersALimitPerWorkerForItsStepOnly with step 0 of ID 0, and CellLookAhead.PlansForAJobOfEachId fail before (the last one with ID 0 only) and pass with the change. JobId.HasSixteenDigits asks for the same texts as before, by the new return value, and for both ends of the range.

--- a/src/cell/cell_plan.c
+++ b/src/cell/cell_plan.c
@@ -80,7 +80,7 @@
 bool cell_plan_holds(const struct cell *c, const struct cell_worker *w,
 		     const struct cell_step *st)
 {
-	return w->plan.owner.job && ask(c, w, st) == PLAN_HOLDS;
+	return place_plan_exists(&w->plan) && ask(c, w, st) == PLAN_HOLDS;
 }
 
 static struct cell_step *find_step(const struct cell *c,
@@ -112,7 +112,7 @@
 
 void cell_plan_drop(struct cell *c, struct cell_worker *w, const char *reason)
 {
-	if (!w->plan.owner.job)
+	if (!place_plan_exists(&w->plan))
 		return;
 	c->counts.plans_dropped++;
 	log_line(LOG_DEBUG, "planned start dropped",
@@ -247,7 +247,8 @@
 static bool may_have_room(const struct cell_worker *w,
 			  const struct cell_step *st)
 {
-	return w->accepts_tasks && !w->plan.owner.job && !w->reserved_for &&
+	return w->accepts_tasks && !place_plan_exists(&w->plan) &&
+	       !w->reserved_for &&
 	       w->cpu_serving + st->spec->cpu <= w->entry.cpu &&
 	       st->spec->memory_mb <= w->entry.memory_mb &&
 	       cell_worker_has_label(w, st->spec->worker_label) &&
--- a/src/cell/cell_task.c
+++ b/src/cell/cell_task.c
@@ -276,7 +276,7 @@
  */
 void cell_task_place(struct cell *c, struct cell_task *t, struct cell_worker *w)
 {
-	if (w->plan.owner.job)
+	if (place_plan_exists(&w->plan))
 		cell_plan_started(c, t, w);
 	task_attach(c, t, w);
 	t->state = TASK_STORING;
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -121,7 +121,7 @@
 	uint64_t tasks = 0;
 	size_t i;
 
-	if (!s->id || !s->steps.count || s->steps.count > JOB_STEPS_MAX ||
+	if (!s->steps.count || s->steps.count > JOB_STEPS_MAX ||
 	    !has_valid_due_times(s))
 		return -EINVAL;
 	for (i = 0; i < s->steps.count; i++) {
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -121,7 +121,7 @@
 
 struct job_entry *job_view_get(const struct job_view *v, uint64_t id)
 {
-	return id ? index_get(&v->by_id, id) : NULL;
+	return index_get(&v->by_id, id);
 }
 
 uint32_t job_view_pending(const struct job_view *v, const char *queue)
@@ -497,10 +497,7 @@
 
 		return apply_worker(v, w, value, now_ms);
 	}
-	if (key.len < JOB_ID_DIGITS)
-		return -ENOENT;
-	id = job_id_parse(digits);
-	if (!id)
+	if (key.len < JOB_ID_DIGITS || job_id_parse(digits, &id))
 		return -ENOENT;
 	if (key.len == JOB_ID_DIGITS + 2 && key.data[JOB_ID_DIGITS] == '/')
 		kind = key.data[JOB_ID_DIGITS + 1];
@@ -525,13 +522,13 @@
 	return s;
 }
 
-uint64_t job_id_parse(struct str text)
+int job_id_parse(struct str text, uint64_t *id)
 {
-	uint64_t id = 0;
+	uint64_t parsed = 0;
 	size_t i;
 
 	if (text.len != JOB_ID_DIGITS)
-		return 0;
+		return -EINVAL;
 	for (i = 0; i < text.len; i++) {
 		char c = text.data[i];
 		unsigned int v;
@@ -541,10 +538,11 @@
 		else if (c >= 'a' && c <= 'f')
 			v = (unsigned int)(c - 'a') + 10;
 		else
-			return 0;
-		id = id << 4 | v;
+			return -EINVAL;
+		parsed = parsed << 4 | v;
 	}
-	return id;
+	*id = parsed;
+	return 0;
 }
 
 void job_entry_write_cancel(const struct job_entry *e, const char *account,
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -224,10 +224,11 @@
 
 /**
  * job_id_parse() - parse an ID of 16 lower-case hexadecimal digits
+ * @id: receives the ID; unchanged when the text is not one
  *
- * Return: the ID, or 0 when the text is not one.
+ * Return: 0 or -EINVAL.
  */
-uint64_t job_id_parse(struct str text);
+int job_id_parse(struct str text, uint64_t *id);
 
 /**
  * job_entry_write_cancel() - write the record that cancels a job
--- a/src/cell/place_plan.c
+++ b/src/cell/place_plan.c
@@ -19,6 +19,11 @@
 	       (q->slack_ms >= 0 && q->slack_ms < SLACK_MIN_MS);
 }
 
+bool place_plan_exists(const struct place_plan *p)
+{
+	return p->tasks > 0;
+}
+
 enum plan_answer place_plan_ask(const struct place_plan *p,
 				const struct plan_claim *q, int64_t now_ms)
 {
--- a/src/cell/place_plan.h
+++ b/src/cell/place_plan.h
@@ -10,7 +10,7 @@
 
 /**
  * struct place_plan - planned start of tasks of a step on one worker
- * @owner: the step; its job is 0 for no plan
+ * @owner: the step
  * @lateness: of the step, as @priority see struct cell_queued_step
  * @tasks: of the step that are to start there
  * @start_ms: when there is room for them
@@ -61,6 +61,11 @@
 	PLAN_HOLDS,
 };
 
+/**
+ * place_plan_exists() - whether the start of any task is planned
+ */
+bool place_plan_exists(const struct place_plan *p);
+
 enum plan_answer place_plan_ask(const struct place_plan *p,
 				const struct plan_claim *q, int64_t now_ms);
 
--- a/src/host/host_call.c
+++ b/src/host/host_call.c
@@ -533,8 +533,7 @@
 	if (!authorize(h, r, q, &account))
 		return;
 	rest = str_of(r->path + strlen(q->prefix));
-	id = job_id_parse(rest);
-	if (id)
+	if (!job_id_parse(rest, &id))
 		route_job(h, r, q, account, id);
 	else if (!rest.len && !strcmp(r->method, "GET"))
 		reply_pending_count(h, r, q);
--- a/src/host/host_explain.c
+++ b/src/host/host_explain.c
@@ -84,13 +84,14 @@
 			const struct account *account)
 {
 	struct str text = {r->body.data, r->body.len};
-	uint64_t id = job_id_parse(str_of(path + strlen(q->prefix)));
+	uint64_t id;
 	struct job_spec spec;
 	struct arena a;
 
+	if (job_id_parse(str_of(path + strlen(q->prefix)), &id))
+		id = EXPLAIN_JOB_ID;
 	arena_init(&a);
-	if (job_parse(text, q, id ? id : EXPLAIN_JOB_ID, clock_wall_ms(), &spec,
-		      &a) ||
+	if (job_parse(text, q, id, clock_wall_ms(), &spec, &a) ||
 	    spec.payload.len > PAYLOAD_MAX) {
 		refuse(r, 400, "job not readable");
 	} else {
--- a/tests/cell_job_test.cc
+++ b/tests/cell_job_test.cc
@@ -112,7 +112,7 @@
  * again. */
 TEST(CellJob, EndsAJobOfEachId)
 {
-	const uint64_t ids[] = {1, UINT64_MAX - 1, UINT64_MAX};
+	const uint64_t ids[] = {0, 1, UINT64_MAX - 1, UINT64_MAX};
 
 	for (uint64_t id : ids) {
 		CellWorld w;
--- a/tests/cell_look_ahead_test.cc
+++ b/tests/cell_look_ahead_test.cc
@@ -261,6 +261,25 @@
 	EXPECT_EQ(w.counts().plans_kept, 1u);
 }
 
+/* A plan for the job with ID 0 counted as none: it kept no smaller task from
+ * the worker, and was never dropped. */
+TEST(CellLookAhead, PlansForAJobOfEachId)
+{
+	for (uint64_t id : {(uint64_t)0, UINT64_MAX}) {
+		TwoWorkers w;
+
+		w.submit_one(2, CellWorld::task_step(1, 10000), "r2");
+		w.run(800);
+		w.submit_one(id, CellWorld::task_step(1, 14000));
+		EXPECT_EQ(w.counts().plans_made, 1u) << id;
+		w.submit_one(4, CellWorld::task_step(1, 4000), "r2");
+		EXPECT_EQ(w.runs(4), 0u) << id;
+		w.run(300);
+		EXPECT_EQ(w.counts().plans_dropped, 1u) << id;
+		EXPECT_EQ(w.runs(4), 1u) << id;
+	}
+}
+
 /* The plan of a worker that leaves, or runs its tasks for much longer, kept its
  * free processors idle. */
 TEST(CellLookAhead, PlanIsDroppedWithItsWorkerOrWhenOverdue)
--- a/tests/cell_place_test.cc
+++ b/tests/cell_place_test.cc
@@ -182,7 +182,7 @@
 	struct {
 		uint64_t job, next;
 		size_t step;
-	} const rows[] = {{5, 6, 1}, {UINT64_MAX, 7, 1}};
+	} const rows[] = {{5, 6, 1}, {0, 7, 0}, {UINT64_MAX, 7, 1}};
 
 	for (const auto &r : rows) {
 		CellWorld w;
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -215,6 +215,16 @@
 		return "/" + queue + "/" + id;
 	}
 
+	std::string account_of(const char *job)
+	{
+		const job_entry *e;
+		uint64_t id = 0;
+
+		EXPECT_EQ(job_id_parse(str_of(job), &id), 0);
+		e = job_view_get(&h.job_view, id);
+		return e && e->spec ? e->spec->account : "unknown job";
+	}
+
 	/* Stores a job under another ID, as another host does. */
 	void store_as_other_host(const std::string &job, uint64_t id,
 				 const std::string &key)
@@ -289,9 +299,7 @@
 	EXPECT_EQ(status("POST", path("p"), "", JOB), 200);
 	EXPECT_EQ(status("GET", path("p"), "x"), 200);
 	EXPECT_EQ(status("GET", "/p/", ""), 200);
-	EXPECT_STREQ(job_view_get(&h.job_view, job_id_parse(str_of(ID)))
-			     ->spec->account,
-		     "");
+	EXPECT_EQ(account_of(ID), "");
 	age(1000000);
 	EXPECT_EQ(status("GET", path("p"), "a1"), 200);
 }
@@ -700,9 +708,7 @@
 {
 	publish(config(1, TENANTS));
 	EXPECT_EQ(status("POST", path("q"), "a1", JOB), 200);
-	EXPECT_STREQ(job_view_get(&h.job_view, job_id_parse(str_of(ID)))
-			     ->spec->account,
-		     "a");
+	EXPECT_EQ(account_of(ID), "a");
 	EXPECT_EQ(status("GET", path("q"), "b1"), 410);
 	EXPECT_EQ(status("GET", path("p"), ""), 410);
 	EXPECT_EQ(status("DELETE", path("q"), "b1"), 410);
@@ -719,11 +725,12 @@
 }
 
 /* A job whose ID the index of the jobs did not hold was accepted, and unknown
- * from then on: no query or cancel found it, and a repeat was accepted anew. */
+ * from then on: no query or cancel found it, and a repeat was accepted anew.
+ * ID 0 was refused as a path without a queue. */
 TEST_F(HostCall, KnowsAJobOfEachId)
 {
-	const char *const ids[] = {"0000000000000001", "fffffffffffffffe",
-				   "ffffffffffffffff"};
+	const char *const ids[] = {"0000000000000000", "0000000000000001",
+				   "fffffffffffffffe", "ffffffffffffffff"};
 
 	publish(config(1, ""));
 	for (const std::string id : ids) {
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -427,10 +427,18 @@
 
 TEST(JobId, HasSixteenDigits)
 {
-	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f8")),
-		  0x5c0e7a21d94b36f8u);
-	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f")), 0u);
-	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36fg")), 0u);
+	uint64_t id = 7;
+
+	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f8"), &id), 0);
+	EXPECT_EQ(id, 0x5c0e7a21d94b36f8u);
+	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f"), &id), -EINVAL);
+	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36f80"), &id), -EINVAL);
+	EXPECT_EQ(job_id_parse(str_of("5c0e7a21d94b36fg"), &id), -EINVAL);
+	EXPECT_EQ(id, 0x5c0e7a21d94b36f8u) << "unchanged";
+	EXPECT_EQ(job_id_parse(str_of("0000000000000000"), &id), 0);
+	EXPECT_EQ(id, 0u);
+	EXPECT_EQ(job_id_parse(str_of("ffffffffffffffff"), &id), 0);
+	EXPECT_EQ(id, UINT64_MAX);
 }
 
 TEST(JobSpec, CriticalPathIsTheLongestChain)
--- a/tests/place_plan_test.cc
+++ b/tests/place_plan_test.cc
@@ -32,6 +32,16 @@
 
 } /* namespace */
 
+/* A plan for the step 0 of the job with ID 0 was taken for none. */
+TEST(PlacePlan, ExistsForAStepOfEachJob)
+{
+	place_plan p = {};
+
+	EXPECT_FALSE(place_plan_exists(&p));
+	p.tasks = 1;
+	EXPECT_TRUE(place_plan_exists(&p));
+}
+
 /* A plan that takes the first end for enough starts nothing. */
 TEST(ReleaseProfile, FindsWhenEnoughIsReleased)
 {
