host_explain: explain a job without an ID under one that no job has

What is planned for that job's step counted as the explained job's own, so the answer could name a worker that is kept for another job.

Change: the highest ID that no job has, which keeps the order: of two equal jobs it is placed last.

JobView.FindsAnIdThatNoJobHas needs the new function. The wrong answer was read from the code and not played.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -124,6 +124,15 @@
 	return index_get(&v->by_id, id);
 }
 
+uint64_t job_view_unused_id(const struct job_view *v)
+{
+	uint64_t id = UINT64_MAX;
+
+	while (job_view_get(v, id))
+		id--;
+	return id;
+}
+
 uint32_t job_view_pending(const struct job_view *v, const char *queue)
 {
 	const struct queue_count *q = index_get(&v->queues, name_hash(queue));
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -182,6 +182,14 @@
 
 struct job_entry *job_view_get(const struct job_view *v, uint64_t id);
 
+/**
+ * job_view_unused_id() - find an ID for a job that is not submitted
+ *
+ * Return: the highest ID that no job has: of two equal jobs, the one with the
+ * higher ID is placed last.
+ */
+uint64_t job_view_unused_id(const struct job_view *v);
+
 /**
  * job_view_pending() - count the accepted jobs of a queue that have not started
  *
--- a/src/host/host_explain.c
+++ b/src/host/host_explain.c
@@ -9,9 +9,6 @@
 #include "host/host_call.h"
 #include "platform/config.h"
 
-/* Job that the path does not name: of two equal ones it is placed last. */
-#define EXPLAIN_JOB_ID (UINT64_MAX - 1)
-
 #define STATUS_MISDIRECTED 421
 
 static void refuse(struct http_request *r, int status, const char *text)
@@ -89,7 +86,7 @@
 	struct arena a;
 
 	if (job_id_parse(str_of(path + strlen(q->prefix)), &id))
-		id = EXPLAIN_JOB_ID;
+		id = job_view_unused_id(&h->job_view);
 	arena_init(&a);
 	if (job_parse(text, q, id, clock_wall_ms(), &spec, &a) ||
 	    spec.payload.len > PAYLOAD_MAX) {
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -425,6 +425,16 @@
 	EXPECT_FALSE(v.known_workers);
 }
 
+/* A job that is explained without an ID had that of another one: what is
+ * planned for the other counted as its own. */
+TEST_F(JobView, FindsAnIdThatNoJobHas)
+{
+	EXPECT_EQ(job_view_unused_id(&v), UINT64_MAX);
+	put(UINT64_MAX, 'c', cancel(""));
+	put(UINT64_MAX - 1, 'c', cancel(""));
+	EXPECT_EQ(job_view_unused_id(&v), UINT64_MAX - 2);
+}
+
 TEST(JobId, HasSixteenDigits)
 {
 	uint64_t id = 7;
