job_view: take IDs with capital digits

Capitals are hexadecimal digits.

Keys of records stay in lower case; another form of a key is ignored as before, so that a job has one key for each kind of record.

HostCall.TakesAnIdInEitherCase and JobId.HasSixteenDigits fail before and pass with the change; JobView.KnowsAJobByOneKeyOfEachKind guards the keys.

--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -481,6 +481,7 @@
 		   int64_t now_ms)
 {
 	struct str digits = {key.data, JOB_ID_DIGITS};
+	char canonical[JOB_KEY_SIZE];
 	struct job_entry *e;
 	char kind = 0;
 	uint64_t id;
@@ -508,9 +509,9 @@
 	}
 	if (key.len < JOB_ID_DIGITS || job_id_parse(digits, &id))
 		return -ENOENT;
-	if (key.len == JOB_ID_DIGITS + 2 && key.data[JOB_ID_DIGITS] == '/')
-		kind = key.data[JOB_ID_DIGITS + 1];
-	else if (key.len != JOB_ID_DIGITS)
+	if (key.len > JOB_ID_DIGITS)
+		kind = key.data[key.len - 1];
+	if (!str_eq(key, job_key(id, kind, canonical)))
 		return -ENOENT;
 	err = apply_job(v, id, kind, value, now_ms);
 	e = job_view_get(v, id);
@@ -546,6 +547,8 @@
 			v = (unsigned int)(c - '0');
 		else if (c >= 'a' && c <= 'f')
 			v = (unsigned int)(c - 'a') + 10;
+		else if (c >= 'A' && c <= 'F')
+			v = (unsigned int)(c - 'A') + 10;
 		else
 			return -EINVAL;
 		parsed = parsed << 4 | v;
--- a/src/cell/job_view.h
+++ b/src/cell/job_view.h
@@ -231,7 +231,7 @@
 struct str job_key(uint64_t id, char kind, char out[JOB_KEY_SIZE]);
 
 /**
- * job_id_parse() - parse an ID of 16 lower-case hexadecimal digits
+ * job_id_parse() - parse an ID of 16 hexadecimal digits, in either case
  * @id: receives the ID; unchanged when the text is not one
  *
  * Return: 0 or -EINVAL.
--- a/tests/host_call_test.cc
+++ b/tests/host_call_test.cc
@@ -752,6 +752,25 @@
 	}
 }
 
+/* An ID with capital digits was refused as a path without a queue. */
+TEST_F(HostCall, TakesAnIdInEitherCase)
+{
+	publish(config(1, ""));
+	EXPECT_EQ(status("POST", path("q", "ABCDEF0123456789"), "", JOB), 200);
+	size_t stored = store.topics[TOPIC_JOBS].size();
+	EXPECT_EQ(status("POST", path("q", "abcdef0123456789"), "", JOB), 200);
+	EXPECT_EQ(store.topics[TOPIC_JOBS].size(), stored) << "one job";
+	EXPECT_EQ(store.topics[TOPIC_JOBS].back().key, "abcdef0123456789");
+	for (const char *id : {"abcdef0123456789", "aBCDEF0123456789"}) {
+		Reply r = call("GET", path("q", id), "");
+		EXPECT_NE(r.text.find("queued"), std::string::npos) << r.text;
+	}
+	EXPECT_EQ(status("DELETE", path("q", "Abcdef0123456789"), ""), 200);
+	EXPECT_NE(call("GET", path("q", "ABCDEF0123456789"), "")
+			  .text.find("cancelled"),
+		  std::string::npos);
+}
+
 /* A host whose event loop hung said for ever that it was ready, and went on to
  * get callers. */
 TEST_F(HostCall, IsNotReadyWhileItsLoopStandsStill)
--- a/tests/job_view_test.cc
+++ b/tests/job_view_test.cc
@@ -425,6 +425,24 @@
 	EXPECT_FALSE(v.known_workers);
 }
 
+/* Records under two forms of one key would replace each other in one host and
+ * not in the store. */
+TEST_F(JobView, KnowsAJobByOneKeyOfEachKind)
+{
+	std::string value = cancel("");
+
+	for (const char *key :
+	     {"00000000000000AB", "00000000000000AB/c", "00000000000000ab/",
+	      "00000000000000ab/cc", "00000000000000ab:c", "00000000000000abc"})
+		EXPECT_EQ(job_view_apply(&v, str_of(key),
+					 {value.data(), value.size()}, 1),
+			  -ENOENT)
+			<< key;
+	EXPECT_FALSE(v.jobs);
+	EXPECT_EQ(put(0xab, 'c', value), 0);
+	EXPECT_TRUE(v.jobs);
+}
+
 /* A job that is explained without an ID had that of another one: what is
  * planned for the other counted as its own. */
 TEST_F(JobView, FindsAnIdThatNoJobHas)
@@ -449,6 +467,9 @@
 	EXPECT_EQ(id, 0u);
 	EXPECT_EQ(job_id_parse(str_of("ffffffffffffffff"), &id), 0);
 	EXPECT_EQ(id, UINT64_MAX);
+	EXPECT_EQ(job_id_parse(str_of("ABCDEF0123456789"), &id), 0);
+	EXPECT_EQ(id, 0xabcdef0123456789u);
+	EXPECT_EQ(job_id_parse(str_of("ABCDEFG123456789"), &id), -EINVAL);
 }
 
 TEST(JobSpec, CriticalPathIsTheLongestChain)
