soak: jobs with the lowest and the highest ID

The clients of the soak counted their IDs up from the seed, so it never met the two values that the index did not hold. The first two jobs of the first caller have them now.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -262,6 +262,17 @@
 	done
 }
 
+# job_id CALLER NUMBER: the first jobs of the first caller have the lowest and the
+# highest ID
+job_id()
+{
+	case $1.$2 in
+	1.1) echo 0000000000000000 ;;
+	1.2) echo ffffffffffffffff ;;
+	*) printf '%08x%08x' $((SEED + 16)) $(($1 * 65536 + $2)) ;;
+	esac
+}
+
 # caller NUMBER: submits jobs until $GRID/calling is removed. Each job is tried at
 # most four times, at random hosts, until a host accepts it (200) or refuses it
 # (429, 503).
@@ -271,7 +282,7 @@
 
 	while [ -e "$GRID/calling" ]; do
 		n=$((n + 1))
-		id=$(printf '%08x%08x' $((SEED + 16)) $(($1 * 65536 + n)))
+		id=$(job_id "$1" $n)
 		for tries in 1 2 3 4; do
 			code=$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
 				-H 'Host: desk.example' -X POST \
@@ -293,7 +304,7 @@
 
 	while [ -e "$GRID/calling" ]; do
 		n=$((n + 1))
-		id=$(printf '%08x%08x' $((SEED + 16)) $((9 * 65536 + n)))
+		id=$(job_id 9 $n)
 		url="http://127.0.0.1:$(cat "$GRID/h$((RANDOM % HOSTS)).callers")/check-in/$id"
 		curl -s -m 0.$((1 + RANDOM % 9)) -o /dev/null -H 'Host: desk.example' -X POST \
 			--data '{"spec":"run_ms=0","steps":[{"count":2,"cpu":100,"memMb":10,
