cell_contain: contain tasks under which workers crash, fail no job for it

Cause: the owner gave a task up after three or four crashes of workers that had just started it. Only ends that a worker lists as failed may fail a job, and no number of crashes proves what has caused them.

Change: such a task is contained. A run that settles or is done ends that. How crashes are charged is as before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -444,6 +444,7 @@
 	for (j = c->jobs; j; j = j->next) {
 		out->waiting += j->waiting;
 		out->placed += j->placed;
+		out->contained += j->contained;
 		if (j->quota && j->quota->is_blocked)
 			out->waiting_quota += j->waiting;
 	}
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -244,6 +244,7 @@
  *	starts have no reply
  * @paces: changes of pace sent
  * @examined: workers that placement has examined for a task or a step
+ * @contained: tasks that are tried alone, as workers have crashed under them
  * @accounts_blocked: client accounts of which a task waits for a limit
  * @waiting_quota: their tasks without a worker that are not done
  * @moves: best-effort tasks stopped so that they resume on another worker
@@ -271,6 +272,7 @@
 	uint32_t placed;
 	uint32_t in_doubt;
 	uint32_t unheard;
+	uint32_t contained;
 	uint32_t accounts_blocked;
 	uint32_t waiting_quota;
 	uint64_t oldest_wait_ms;
--- a/src/cell/cell_cost.c
+++ b/src/cell/cell_cost.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 
+#include "cell/cell_contain.h"
 #include "cell/cell_crash.h"
 
 /* Share of their declared processors that is kept free of best-effort tasks for
@@ -288,7 +289,9 @@
 	    c->now_ms < w->late_lease_until_ms)
 		cost += LATE_LEASE_COST;
 	if (t->suspected)
-		cost += cell_crash_unsettled(w) * UNSETTLED_COST;
+		cost += (cell_crash_unsettled(w) +
+			 cell_contain_neighbours(t, w)) *
+			UNSETTLED_COST;
 	*out = cost;
 	return 0;
 }
--- a/src/cell/cell_crash.c
+++ b/src/cell/cell_crash.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "base/logger.h"
+#include "cell/cell_contain.h"
 #include "cell/cell_job.h"
 #include "cell/cell_room.h"
 #include "cell/cell_loss.h"
@@ -10,14 +11,11 @@
 /* A run that its worker reports this long after its start has not crashed it.
  */
 #define CRASH_SETTLE_MS 500
-/* Crashes after which a task is given up if the last one is conclusive, and in
- * any case. Whatever ends a worker is charged to the tasks that it had just
- * started, so the first crash tells nothing, and a single further one may be a
- * coincidence. */
-#define CRASHES_MIN 3
+/* Crashes after which a task is contained, besides CRASHES_MIN if the last one
+ * is conclusive. */
 #define CRASHES_MAX 4
-/* After this many crashes, whatever their cause, a task is given up if the last
- * one had no cause in common with others. */
+/* After this many crashes, whatever their cause, a task is contained if the
+ * last one had no cause in common with others. */
 #define CRASHES_SEEN_MAX 4
 /* If at least one worker in this many may have ended at the same time, a task
  * is tried again up to CRASHES_SEEN_MAX crashes. */
@@ -34,8 +32,9 @@
 #define CRASHES_CALM 2
 #define CALM_MS 1500
 #define CALM_WAIT_MAX_MS 8000
-/* After each crash from the second one on, a task that is not given up waits
- * for one step more, up to the longest pause, before it is tried again. */
+/* After each crash from the second one on, a long-running task, or one that no
+ * other worker suits, waits for one step more, up to the longest pause, before
+ * it is tried again. */
 #define PAUSE_STEP_MS 1000
 #define PAUSE_MAX_MS 2000
 /* A worker takes no other tasks during a trial, as long as no more than one
@@ -47,6 +46,7 @@
 	t->on_trial = true;
 	t->worker->trials++;
 	c->trials++;
+	c->contained_trials += t->contained;
 }
 
 static void trial_end(struct cell *c, struct cell_task *t)
@@ -56,6 +56,7 @@
 	t->on_trial = false;
 	t->worker->trials--;
 	c->trials--;
+	c->contained_trials -= t->contained;
 	c->place_due = true;
 }
 
@@ -93,12 +94,22 @@
 	return t->suspected && !t->crashes ? 1 : t->crashes;
 }
 
-void cell_crash_recover(struct cell_task *t, uint8_t crashes)
+static bool is_long_running(const struct cell_task *t)
+{
+	return step_has_flag(t->step, STEP_LONG_RUNNING);
+}
+
+void cell_crash_recover(struct cell *c, struct cell_task *t, uint8_t crashes)
 {
 	t->crashes = crashes;
 	t->crashes_seen = crashes;
+	t->former_run = t->ordered;
 	t->suspected = crashes != 0;
 	t->step->suspects += t->suspected;
+	if (crashes < CRASHES_MIN || is_long_running(t))
+		return;
+	t->crashed_ms = c->now_ms;
+	cell_contain_task(c, t);
 }
 
 void cell_crash_reported(struct cell *c, struct cell_task *t, int64_t clock)
@@ -108,7 +119,9 @@
 	if (t->settled || clock - t->started_clock < CRASH_SETTLE_MS)
 		return;
 	t->settled = true;
+	t->former_run = false;
 	trial_end(c, t);
+	cell_contain_release(c, t);
 	cell_loss_clear(c, t);
 	t->crashes = 0;
 	t->crashes_seen = 0;
@@ -121,6 +134,8 @@
 {
 	if (how == RUN_DONE || how == RUN_FAILED)
 		cell_loss_clear(c, t);
+	if (how == RUN_DONE)
+		cell_contain_release(c, t);
 }
 
 bool cell_crash_is_unsettled(const struct cell_task *t)
@@ -175,13 +190,7 @@
 	return only == t->step->job && t->avoid_worker != t->worker->id;
 }
 
-static bool is_long_running(const struct cell_task *t)
-{
-	return step_has_flag(t->step, STEP_LONG_RUNNING);
-}
-
-/* A long-running task is restarted however its runs end: it is never given up.
- */
+/* A long-running task is restarted soon however its runs end. */
 static bool is_enough(const struct cell_task *t, bool alone)
 {
 	return !is_long_running(t) && (t->crashes >= CRASHES_MAX ||
@@ -189,20 +198,19 @@
 				       (t->crashes >= CRASHES_MIN && alone));
 }
 
-static void give_up(struct cell *c, struct cell_task *t, bool alone,
+/* No number of crashes fails a job: only ends that a worker lists do. */
+static void contain(struct cell *c, struct cell_task *t, bool alone,
 		    const struct loss_evidence *e)
 {
-	struct cell_job *j = t->step->job;
-
-	log_line(LOG_WARN, "task given up: workers crashed under it",
+	cell_contain_task(c, t);
+	cell_loss_explain(c, t);
+	log_line(LOG_WARN, "task contained: workers crashed under it",
 		 "job=%016" PRIx64 " step=%u index=%u crashes=%u seen=%u "
 		 "alone=%d others_lost=%u unexplained=%u silent=%u "
-		 "recent=%u",
-		 j->entry->id, t->step->number, t->index, t->crashes,
+		 "recent=%u pause_ms=%lld",
+		 t->step->job->entry->id, t->step->number, t->index, t->crashes,
 		 t->crashes_seen, alone, e->others, e->unexplained, e->silent,
-		 e->recent);
-	cell_loss_explain(c, t);
-	cell_job_settle(c, j, JOB_FAILED);
+		 e->recent, (long long)cell_contain_pause_ms(t));
 }
 
 static bool can_host_step(const struct cell_worker *w, const struct job_step *s)
@@ -239,6 +247,7 @@
 			uint32_t i, bool alone)
 {
 	t->crashed_ms = c->now_ms;
+	cell_contain_crashed(c, t);
 	if (is_only_worker_again(c, t, w)) {
 		t->crashes_again += t->crashes_again < UINT8_MAX;
 		return false;
@@ -284,7 +293,7 @@
 	if (!l) {
 		/* Nothing is known that speaks for the task. */
 		if (t->crashes_seen >= CRASHES_SEEN_MAX)
-			give_up(c, t, alone, &none);
+			contain(c, t, alone, &none);
 		return;
 	}
 	t->held = true;
@@ -390,7 +399,7 @@
 	verdict_end(c, l, i);
 	release(c, t);
 	if (is_guilty && !is_undecided(c, t, &e) && !may_coincide(t, &e)) {
-		give_up(c, t, alone, &e);
+		contain(c, t, alone, &e);
 		return;
 	}
 	log_line(LOG_WARN, "task tried again though workers crashed under it",
@@ -450,7 +459,8 @@
 	if (is_long_running(t))
 		return t->crashes_seen &&
 		       is_pausing(c, t, t->crashes_seen - 1U + again);
-	return t->held || (again && is_pausing(c, t, again)) ||
+	return t->held || cell_contain_holds(c, t) ||
+	       (again && is_pausing(c, t, again)) ||
 	       (t->crashes_seen >= CRASHES_CALM &&
 		c->now_ms - c->lost_ms < CALM_MS &&
 		c->now_ms - t->retry_at_ms < CALM_WAIT_MAX_MS);
--- a/src/cell/cell_crash.h
+++ b/src/cell/cell_crash.h
@@ -6,16 +6,22 @@
 /*
  * Tasks that crash the workers that start them: crashes are charged to the runs
  * that may have caused them, and a task with crashes is tried apart from others
- * until it has run for a while, or is given up. A long-running task is not
- * given up, but tried again at a bounded rate.
+ * until it has run for a while. One with several is contained, see
+ * cell_contain_task(); a long-running task is tried again at a bounded rate.
  */
 
+/* Crashes after which a task is contained if the last one is conclusive.
+ * Whatever ends a worker is charged to the tasks that it had just started, so
+ * the first crash tells nothing, and a single further one may be a coincidence.
+ */
+#define CRASHES_MIN 3
+
 /**
  * cell_crash_charge() - count the crash of a worker against the tasks that it
  * had just started
  *
- * A task without a settled run is given up, and its job fails, after repeated
- * crashes: sooner if the last one was on another worker than that before, no
+ * A task without a settled run is contained after repeated crashes: sooner if
+ * the last one was on another worker than that before, no
  * other job can have caused it, and no workers are being lost without the task.
  * Before, it is held back until the other losses of that time are known: a
  * crash whose cause other workers had in common is not charged. A worker that
@@ -84,7 +90,7 @@
 /**
  * cell_crash_recover() - take over what a former owner has stored
  */
-void cell_crash_recover(struct cell_task *t, uint8_t crashes);
+void cell_crash_recover(struct cell *c, struct cell_task *t, uint8_t crashes);
 
 /**
  * cell_crash_stored() - what the next owner has to know of a task's crashes
--- a/src/cell/cell_loss.h
+++ b/src/cell/cell_loss.h
@@ -13,7 +13,7 @@
 /**
  * struct loss_evidence - what else was lost at the time of a loss
  * @others: other workers that may have ended at the same time, except those
- *	that a task which has been given up explains
+ *	that a contained task explains
  * @unexplained: those among them that no task can have ended
  * @recent: losses of the last seconds, at other times, that no task can have
  *	caused
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -192,24 +192,25 @@
 	checkpoints_read(st, p->checkpoints);
 	for (i = 0; i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
-
+		bool is_done = p->all_done || has_bit(p->done, i);
+		char crashes;
 		size_t used = failures_read(t, failures);
 
 		failures.data += used;
 		failures.len -= used;
-		if (i < p->crashes.len)
-			cell_crash_recover(t, (uint8_t)p->crashes.data[i]);
 		if (p->all_done || has_bit(p->ordered, i)) {
 			t->ordered = true;
 			t->last_run = last_run_of_former_owners(c, p);
 		}
-		if (!p->all_done && !has_bit(p->done, i)) {
+		if (!is_done) {
 			if (t->ordered)
 				t->doubt_ref = worker_ref_read(&workers);
 			if (t->ordered && !c->former_named_workers)
 				t->doubt_ref = WORKER_REF_UNKNOWN;
 			if (cell_task_is_in_doubt(c, t))
 				cell_quota_hold(t);
+			crashes = i < p->crashes.len ? p->crashes.data[i] : 0;
+			cell_crash_recover(c, t, (uint8_t)crashes);
 			continue;
 		}
 		t->state = TASK_DONE;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -123,6 +123,8 @@
  * @crashed_ms: when the last of all these crashes was noted by this owner
  * @suspected: a worker has crashed soon after it started it, and it has not
  *	settled since
+ * @former_run: a former owner may have started it, and it has not settled since
+ * @contained: see cell_contain_task()
  * @held: not placed before the evidence about its last crash is complete
  * @in_loss: listed in a loss, see struct worker_loss
  * @crash_doubt: enum crash_doubt
@@ -162,6 +164,8 @@
 	bool in_quota;
 	bool is_timed;
 	bool suspected;
+	bool former_run;
+	bool contained;
 	bool held;
 	bool in_loss;
 	uint8_t crashes;
@@ -227,6 +231,7 @@
  * @waiting: tasks without a worker that are not done
  * @done: tasks that are done, of @spec->count
  * @suspects: tasks with @suspected
+ * @contained: tasks with @contained
  * @image: name_hash() of the image
  * @curve: load curve; NULL unless the step is latency-critical
  * @no_fit_version: no worker whose @version is not higher meets its demand, as
@@ -249,6 +254,7 @@
 	uint32_t waiting;
 	uint32_t done;
 	uint32_t suspects;
+	uint32_t contained;
 	uint64_t image;
 	struct load_curve *curve;
 	uint64_t no_fit_version;
@@ -281,6 +287,7 @@
  *	this owner does not know of yet
  * @placed: tasks that have a worker
  * @held: tasks with @in_quota
+ * @contained: tasks with @contained
  * @quota: its client account; NULL for none
  * @dirty: progress waits to be stored; the job is in the list @dirty or @round
  *	of the cell
@@ -303,6 +310,7 @@
 	uint32_t waiting;
 	uint32_t placed;
 	uint32_t held;
+	uint32_t contained;
 	uint32_t state;
 	bool recovered;
 	bool dirty;
@@ -517,7 +525,7 @@
  * @worker: id of the worker; 0 for an empty entry
  * @from_ms: it answered last then, and @to_ms: it is known to have ended then
  * @charged_ms: when a task was charged with it last
- * @explained: a task that is listed here has been given up
+ * @explained: a task that is listed here is contained
  * @has_others: runs that are not listed here may have been unsettled
  * @count: tasks with an unsettled run there, in @tasks
  * @cleared: of these, as a bit mask, those that have since run elsewhere and
@@ -525,7 +533,7 @@
  * @charged: bit mask of those that were charged
  * @alone: no other job's run can have caused the end
  * @excused: the charge was taken back
- * @pending: held until it is decided whether they are given up
+ * @pending: held until it is decided whether they are contained
  */
 struct worker_loss {
 	uint64_t worker;
@@ -746,6 +754,9 @@
  * @calls: calls to workers in flight
  * @poll_seq: number of the last poll
  * @trials: sum of @trials of all workers
+ * @contained_trials: those among them of contained tasks
+ * @contained_crash_ms: when a worker crashed under a contained task last; 0
+ *	before
  * @losses: the newest losses of workers, overwritten in turn at @losses_noted,
  *	the last one noted at @lost_ms
  * @verdicts: sum of the tasks in @pending of all losses
@@ -800,6 +811,8 @@
 	uint32_t calls;
 	uint64_t poll_seq;
 	uint32_t trials;
+	uint32_t contained_trials;
+	int64_t contained_crash_ms;
 	uint32_t verdicts;
 	size_t losses_noted;
 	int64_t lost_ms;
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -61,6 +61,7 @@
 	METRIC("cell_tasks_placed", cell.placed);
 	METRIC("cell_uncertain", cell.unheard > 0);
 	METRIC("cell_tasks_in_doubt", cell.in_doubt);
+	METRIC("cell_tasks_contained", cell.contained);
 	METRIC("cell_long_running_wait_ms", cell.oldest_wait_ms);
 	METRIC("cell_short_wait_ms", cell.oldest_short_wait_ms);
 	METRIC("cell_workers_unheard", cell.unheard);
