index, job_view, cell_crash: comments of the last changes

A read of the change as a whole: comments reflowed, the reason for comparing a key with its canonical form, and a byte read as unsigned. No behaviour changes; base_test, job_view_test, cell_crash_test and cell_recovery_test pass.

--- a/src/base/index.h
+++ b/src/base/index.h
@@ -12,9 +12,9 @@
  * struct index - hash map from a 64-bit id to a pointer
  * @table: Concurrency Kit hash table in direct mode, or NULL when finished
  *
- * Each 64-bit value is an id. One writer at a time; growth frees the old table
- * at once, so no reader may run while a writer does. The map does not own what
- * the pointers refer to. Running out of memory aborts the process.
+ * Any 64-bit value may be an id. One writer at a time; growth frees the old
+ * table at once, so no reader may run while a writer does. The map does not own
+ * what the pointers refer to. Running out of memory aborts the process.
  */
 struct index {
 	void *table;
--- a/src/cell/cell_crash.h
+++ b/src/cell/cell_crash.h
@@ -21,14 +21,13 @@
  * had just started
  *
  * A task without a settled run is contained after repeated crashes: sooner if
- * the last one was on another worker than that before, no
- * other job can have caused it, and no workers are being lost without the task.
- * Before, it is held back until the other losses of that time are known: a
- * crash whose cause other workers had in common is not charged. A worker that
- * leaves as announced has not crashed. Nor are further crashes of one worker
- * charged where no other suits the task: it may have a cause of its own, and
- * the task is tried there again after a growing pause. The caller ends the runs
- * afterwards.
+ * the last one was on another worker than that before, no other job can have
+ * caused it, and no workers are being lost without the task. Before, it is held
+ * back until the other losses of that time are known: a crash whose cause other
+ * workers had in common is not charged. A worker that leaves as announced has
+ * not crashed. Nor are further crashes of one worker charged where no other
+ * suits the task: it may have a cause of its own, and the task is tried there
+ * again after a growing pause. The caller ends the runs afterwards.
  */
 void cell_crash_charge(struct cell *c, struct cell_worker *w);
 
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -193,7 +193,7 @@
 	for (i = 0; i < st->spec->count; i++) {
 		struct cell_task *t = &st->tasks[i];
 		bool is_done = p->all_done || has_bit(p->done, i);
-		char crashes;
+		uint8_t crashes = 0;
 		size_t used = failures_read(t, failures);
 
 		failures.data += used;
@@ -209,8 +209,9 @@
 				t->doubt_ref = WORKER_REF_UNKNOWN;
 			if (cell_task_is_in_doubt(c, t))
 				cell_quota_hold(t);
-			crashes = i < p->crashes.len ? p->crashes.data[i] : 0;
-			cell_crash_recover(c, t, (uint8_t)crashes);
+			if (i < p->crashes.len)
+				crashes = (uint8_t)p->crashes.data[i];
+			cell_crash_recover(c, t, crashes);
 			continue;
 		}
 		t->state = TASK_DONE;
--- a/src/cell/job_view.c
+++ b/src/cell/job_view.c
@@ -511,6 +511,7 @@
 		return -ENOENT;
 	if (key.len > JOB_ID_DIGITS)
 		kind = key.data[key.len - 1];
+	/* A job has one key for each kind of record; others are not ours. */
 	if (!str_eq(key, job_key(id, kind, canonical)))
 		return -ENOENT;
 	err = apply_job(v, id, kind, value, now_ms);
