--- a/src/base/index.c
+++ b/src/base/index.c
@@ -67,12 +67,15 @@
 	struct index_slot tombstone;
 };
 
-/* Return: the slot of an id, or NULL if it goes into the hash table. */
+/* Whether the hash table marks its places by this id. */
+static bool is_mark(uint64_t id)
+{
+	return id == CK_HT_KEY_EMPTY || id == CK_HT_KEY_TOMBSTONE;
+}
+
 static struct index_slot *slot_of(struct index_table *t, uint64_t id)
 {
-	if (id == CK_HT_KEY_EMPTY)
-		return &t->empty;
-	return id == CK_HT_KEY_TOMBSTONE ? &t->tombstone : NULL;
+	return id == CK_HT_KEY_EMPTY ? &t->empty : &t->tombstone;
 }
 
 static void table_make(struct index_table *t, size_t capacity)
@@ -133,12 +136,11 @@
 void *index_get(const struct index *x, uint64_t id)
 {
 	struct index_table *t = x->table;
-	const struct index_slot *s = slot_of(t, id);
 	ck_ht_entry_t e;
 	ck_ht_hash_t h;
 
-	if (s)
-		return s->pointer;
+	if (is_mark(id))
+		return slot_of(t, id)->pointer;
 	ck_ht_hash_direct(&h, &t->ht, id);
 	ck_ht_entry_key_set_direct(&e, id);
 	if (!ck_ht_get_spmc(&t->ht, h, &e))
@@ -148,12 +150,13 @@
 
 void index_put(struct index *x, uint64_t id, void *p)
 {
-	struct index_slot *s = slot_of(x->table, id);
+	struct index_slot *s;
 
-	if (!s) {
+	if (!is_mark(id)) {
 		table_set(x->table, id, (uintptr_t)p);
 		return;
 	}
+	s = slot_of(x->table, id);
 	s->pointer = p;
 	s->in_use = true;
 }
@@ -170,12 +173,11 @@
 void *index_remove(struct index *x, uint64_t id)
 {
 	struct index_table *t = x->table;
-	struct index_slot *s = slot_of(t, id);
 	ck_ht_entry_t e;
 	ck_ht_hash_t h;
 
-	if (s)
-		return slot_clear(s);
+	if (is_mark(id))
+		return slot_clear(slot_of(t, id));
 	ck_ht_hash_direct(&h, &t->ht, id);
 	ck_ht_entry_key_set_direct(&e, id);
 	if (!ck_ht_remove_spmc(&t->ht, h, &e))
